--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"os"
 
-	"dapplerail.example/dapplerail/internal/wire"
+	"junctionring/internal/wire"
 )
 
 func main() {
--- a/control/answers_test.go
+++ b/control/answers_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"dapplerail.example/dapplerail/control"
+	"junctionring/control"
 )
 
 // A request that is given up on gets its final answer in the same step, with a
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -7,7 +7,7 @@
 	"reflect"
 	"testing"
 
-	"dapplerail.example/dapplerail/control"
+	"junctionring/control"
 )
 
 // settings are round figures of no deployment in particular.
--- a/control/example_test.go
+++ b/control/example_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"dapplerail.example/dapplerail/control"
+	"junctionring/control"
 )
 
 // A gateway is fed events and carries out the actions that come back.
--- a/control/peers_test.go
+++ b/control/peers_test.go
@@ -4,7 +4,7 @@
 	"strings"
 	"testing"
 
-	"dapplerail.example/dapplerail/control"
+	"junctionring/control"
 )
 
 func TestPeersAreToldOnlyInASilence(t *testing.T) {
--- a/control/size_test.go
+++ b/control/size_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"testing"
 
-	"dapplerail.example/dapplerail/control"
+	"junctionring/control"
 )
 
 // Each test here is a danger that size brings, or a trouble met at size.
--- a/control/trouble_test.go
+++ b/control/trouble_test.go
@@ -5,7 +5,7 @@
 	"reflect"
 	"testing"
 
-	"dapplerail.example/dapplerail/control"
+	"junctionring/control"
 )
 
 // Each test here is one kind of trouble of docs/oncall.md, as one gateway sees it.
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -11,7 +11,7 @@
 	"io"
 	"strconv"
 
-	"dapplerail.example/dapplerail/control"
+	"junctionring/control"
 )
 
 // host holds the instances of one process. They share nothing but the
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"fmt"
 
-	"dapplerail.example/dapplerail/control"
+	"junctionring/control"
 )
 
 // setup mirrors the settings object of the wire. Keys it does not name are skipped.
