--- /dev/null
+++ b/internal/config/settings.go
@@ -0,0 +1,158 @@
+// Package config reads what a gateway is told at its start: the platform's file with the settings
+// object, which the simulator's adapter shares, and the operator's file of the forward-auth front.
+package config
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/tidwall/gjson"
+
+	"junctionring/control"
+)
+
+// The words of the settings and what they stand for.
+var (
+	repeats = map[string]control.Repeat{
+		"read_like": control.Safe, "idempotency_key": control.Keyed, "non_idempotent": control.Unsafe,
+	}
+	groups = map[string]control.Group{
+		"": control.GroupAll, "all": control.GroupAll, "zone": control.GroupZone, "cell": control.GroupCell,
+	}
+	vias = map[string]control.LoadVia{
+		"": control.LoadNone, "none": control.LoadNone,
+		"answers": control.LoadInAnswers, "probe": control.LoadInProbes,
+	}
+	discoveries = map[string]bool{"": false, "automatic": false, "subscribe": true}
+)
+
+// Word looks a word of a protocol up, or says which one is not known.
+func Word[K comparable, V any](words map[K]V, key K, what string) (V, error) {
+	v, ok := words[key]
+	if !ok {
+		return v, fmt.Errorf("%s %v is not known", what, key)
+	}
+	return v, nil
+}
+
+// section is an object of the settings. A value of the wrong type is remembered, the first one sticks:
+// a quota that was read as 0 would let everything in.
+type section struct {
+	name string
+	obj  gjson.Result
+	err  *error
+}
+
+func (s section) get(key string, types ...gjson.Type) gjson.Result {
+	v := s.obj.Get(key)
+	if !v.Exists() || v.Type == gjson.Null {
+		return gjson.Result{}
+	}
+	for _, t := range types {
+		if v.Type == t {
+			return v
+		}
+	}
+	if *s.err == nil {
+		*s.err = fmt.Errorf("%s%s: %s is of the wrong type", s.name, key, v.Raw)
+	}
+	return gjson.Result{}
+}
+
+func (s section) num(key string) float64 { return s.get(key, gjson.Number).Float() }
+func (s section) int(key string) int     { return int(s.get(key, gjson.Number).Int()) }
+func (s section) str(key string) string  { return s.get(key, gjson.String).String() }
+func (s section) bool(key string) bool   { return s.get(key, gjson.True, gjson.False).Bool() }
+func (s section) in(key string) section {
+	return section{s.name + key + ".", s.get(key, gjson.JSON), s.err}
+}
+
+// list calls each for the objects of an array.
+func (s section) list(key string, each func(section)) {
+	for i, v := range s.get(key, gjson.JSON).Array() {
+		each(section{fmt.Sprintf("%s%s[%d].", s.name, key, i), v, s.err})
+	}
+}
+
+// pick looks a word up; the first unknown one sticks.
+func pick[V any](s section, words map[string]V, key, what string) V {
+	v, err := Word(words, s.str(key), what)
+	if err != nil && *s.err == nil {
+		*s.err = err
+	}
+	return v
+}
+
+// Settings is the settings object: what the module is told, and what only the network code needs.
+type Settings struct {
+	Module         control.Settings
+	Classes        []string // names, by the module's number of the class
+	Plans          []string
+	Zones          []string
+	ConnIdle       control.Seconds
+	ConnectTimeout control.Seconds
+}
+
+// DecodeSettings reads the settings object. Keys it does not name are skipped.
+func DecodeSettings(raw []byte) (Settings, error) {
+	var out Settings
+	if !gjson.ValidBytes(raw) {
+		return out, errors.New("the settings are not JSON")
+	}
+	var err error
+	top := section{"", gjson.ParseBytes(raw), &err}
+	if !top.obj.IsObject() {
+		return out, errors.New("the settings are no object")
+	}
+	limits, rules := top.in("Limits"), top.in("Guarantees")
+	domain, prices, load := top.in("Domain"), top.in("Deductions"), top.in("LoadInfo")
+	s := control.Settings{
+		Ordinal: top.int("Ordinal"), Gateways: top.int("Balancers"), Zone: top.int("Zone"),
+		Subscribe: pick(top, discoveries, "Discovery", "discovery"),
+		LoadFrom:  pick(load, vias, "Via", "load report source"),
+		Meter:     domain.num("MeterPeriod"),
+		Limits: control.Limits{
+			MaxAttempts: limits.int("MaxAttempts"), SecondCopies: limits.bool("SecondCopies"),
+			Cancel: limits.bool("Cancelling"), Probes: limits.bool("Probes"), Peers: limits.bool("Peers"),
+			RetryAfter: limits.bool("RetryAfter"), MaxRetryAfter: limits.num("MaxRetryAfter"),
+			PeerIntake: domain.num("PeerIntake"),
+		},
+		Guarantees: control.Guarantees{
+			ColdFrom: rules.num("ColdFrom"), Ramp: rules.num("RampTime"),
+			FallMultiple: rules.num("OverloadFactor"), FallAfter: rules.num("OverloadFor"),
+			AskEvery: rules.num("AskEvery"),
+		},
+		Counter: control.CounterInfo{
+			Allowed: domain.bool("MayCount"), Price: domain.num("CallPrice"),
+			Timeout: domain.num("CountLimit"), Settles: domain.bool("TruedUp"),
+		},
+		Prices: control.Prices{
+			CrossZone: prices.num("CrossZone"), Probe: prices.num("Probe"), Waste: prices.num("Waste"),
+			LateFail: prices.num("LateFail"), Peer: prices.num("Peer"),
+		},
+	}
+	for _, f := range load.get("Fields", gjson.JSON).Array() {
+		s.LoadFields = append(s.LoadFields, f.String())
+	}
+	for _, z := range top.get("Areas", gjson.JSON).Array() {
+		out.Zones = append(out.Zones, z.String())
+	}
+	top.list("RequestClasses", func(c section) {
+		out.Classes = append(out.Classes, c.str("Name"))
+		s.Classes = append(s.Classes, control.Class{
+			Aim: c.num("Aim"), Deadline: c.num("HardLimit"), Worth: c.num("Worth"), LateWorth: c.num("LateWorth"),
+			Repeat: pick(c, repeats, "Repeat", "repeat"), Group: pick(c, groups, "Group", "group"),
+			Window: c.num("Window"), Stream: c.bool("Stream"),
+		})
+	})
+	top.list("Plans", func(p section) {
+		out.Plans = append(out.Plans, p.str("Name"))
+		s.Plans = append(s.Plans, control.Plan{
+			Rate: p.num("PerSecond"), Burst: p.num("PeakUnits"), Open: p.int("Concurrency"),
+			Worth: p.num("WorthFactor"), OverWorth: p.num("ExtraWorth"), OverCost: p.num("ExcessCost"),
+			CeilingRate: p.num("HardRate"), CeilingBurst: p.num("CeilingBurst"), CeilingSlack: p.num("Tolerance"),
+		})
+	})
+	out.Module, out.ConnIdle, out.ConnectTimeout = s, limits.num("ConnIdle"), limits.num("ConnectTimeout")
+	return out, err
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,384 @@
+// Package core is the actor round the decision module. It deals in exchanges, attempts and outcomes and
+// knows no wire: fronts hand it exchanges, egress carries attempts out, and a counter keeps the totals.
+// It owns the table of held exchanges and the rule that each gets exactly one final answer.
+package core
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"junctionring/control"
+)
+
+// Exchange is one client request, as the core sees it.
+type Exchange struct {
+	Class, Plan   int
+	Customer      uint64
+	Units         float64
+	Spread, First int
+	Repeat        bool
+	Deadline      time.Time // the client has its answer by then or never
+	Payload       any       // what egress sends on; the core never looks inside
+}
+
+// Kind tells how an exchange ended.
+type Kind int
+
+// The ends of an exchange.
+const (
+	Failed  Kind = iota // promises nothing
+	Refused             // shed: trying again is harmless
+	Served
+	Left // the client went away; nobody reads the answer
+)
+
+// Answer is the one final answer of an exchange.
+type Answer struct {
+	Kind       Kind
+	RetryAfter time.Duration // of Refused; 0: no advice
+	Reply      any           // of Served, as egress brought it
+}
+
+// Attempt is one send of an exchange to an egress target. Its context ends when the attempt is not wanted
+// any more: by its deadline (a time-out) or earlier (called off).
+type Attempt struct {
+	Ctx     context.Context
+	Target  string
+	Payload any
+	Report  func(Outcome) // exactly once; may block, so never from the core's goroutine
+}
+
+// Outcome is how an attempt ended.
+type Outcome struct {
+	Status control.Status
+	Reply  any
+	Load   []float64
+}
+
+// Target is an entry of the route table with the address to send to, opaque to the core.
+type Target struct {
+	control.Member
+	Address string
+}
+
+// Table is a route table, or changes to it.
+type Table struct {
+	Kind    control.MembersKind
+	Version int64
+	Targets []Target
+}
+
+// Egress carries attempts out. The core calls it from its own goroutine only; no call may block.
+type Egress interface {
+	Update(Table)
+	Start(Attempt) bool // false: there was no room, nothing was or will be sent
+	Probe(target string, report func(control.Status, []float64)) bool
+	CloseIdle(target string)
+}
+
+// Counter adds to named numbers. Add does not block; false says that nothing was added or will be.
+// The report comes from another goroutine, for one name in the order of the calls.
+type Counter interface {
+	Add(name uint64, amount float64, ttl time.Duration, report func(control.Status, float64)) bool
+}
+
+const (
+	mailboxSize = 4096
+	busyPause   = 500 * time.Millisecond // told to a client when the mailbox is full
+	overdue     = 15 * time.Millisecond  // past the deadline at which the core answers by itself
+)
+
+type (
+	opened  struct{ h *held }
+	left    struct{ h *held }
+	expired struct{ h *held }
+	ended   struct {
+		h       *held
+		attempt int
+		target  string
+		took    control.Seconds
+		Outcome
+	}
+	flush struct{ done chan struct{} }
+)
+
+// held is an exchange in the table.
+type held struct {
+	Exchange
+	id      uint64
+	final   bool
+	answer  chan Answer // of one place: a final answer never waits for its reader
+	cancels []context.CancelFunc
+	out     int
+	guard   *time.Timer
+}
+
+// Core is the actor. Run runs it; the other methods may be called from anywhere.
+type Core struct {
+	gateway *control.Gateway
+	egress  Egress
+	counter Counter
+	log     *slog.Logger
+
+	mailbox chan any
+	done    chan struct{} // closed when Run has ended
+	base    time.Time     // wall time and a monotonic reading: a clock that gateways share and never steps
+	baseSec float64
+
+	ctx     context.Context
+	held    map[uint64]*held
+	lastID  uint64
+	later   []any // messages to itself, which must not wait on its own mailbox
+	actions []control.Action
+}
+
+// New makes the actor of a gateway.
+func New(s control.Settings, seed uint64, egress Egress, counter Counter, log *slog.Logger) (*Core, error) {
+	g, err := control.New(s, seed)
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	return &Core{
+		gateway: g, egress: egress, counter: counter, log: log,
+		mailbox: make(chan any, mailboxSize), done: make(chan struct{}),
+		base: now, baseSec: float64(now.UnixMicro()) / 1e6, held: map[uint64]*held{},
+	}, nil
+}
+
+// Do has an exchange decided and carried out, and returns its one final answer. If ctx ends first the client
+// has left: whatever is out for it is called off.
+func (c *Core) Do(ctx context.Context, x Exchange) Answer {
+	h := &held{Exchange: x, answer: make(chan Answer, 1)}
+	select {
+	case c.mailbox <- opened{h}:
+	default: // more than the core can take in: shed here, without waiting
+		return Answer{Kind: Refused, RetryAfter: busyPause}
+	}
+	select {
+	case a := <-h.answer:
+		return a
+	case <-ctx.Done():
+		c.post(left{h})
+		return Answer{Kind: Left}
+	case <-c.done:
+		return Answer{Kind: Refused, RetryAfter: busyPause}
+	}
+}
+
+// Routes takes a new route table in. It returns once the core has it in its mailbox.
+func (c *Core) Routes(t Table) { c.post(t) }
+
+// Settle returns once the core has handled all that was posted before.
+func (c *Core) Settle() {
+	f := flush{make(chan struct{})}
+	c.post(f)
+	select {
+	case <-f.done:
+	case <-c.done:
+	}
+}
+
+func (c *Core) post(m any) {
+	select {
+	case c.mailbox <- m:
+	case <-c.done:
+	}
+}
+
+func (c *Core) now() control.Seconds { return c.baseSec + time.Since(c.base).Seconds() }
+
+// Run handles messages until ctx ends.
+func (c *Core) Run(ctx context.Context) {
+	defer close(c.done)
+	c.ctx = ctx
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-c.mailbox:
+			c.handle(m)
+			for len(c.later) > 0 {
+				next := c.later[0]
+				c.later = c.later[1:]
+				c.handle(next)
+			}
+		}
+	}
+}
+
+func (c *Core) handle(m any) {
+	switch m := m.(type) {
+	case opened:
+		c.open(m.h)
+	case left:
+		c.end(m.h, Answer{Kind: Left})
+		c.feed(control.Gone{ID: m.h.id})
+		c.forget(m.h)
+	case expired:
+		if !m.h.final { // guards against an attempt that hangs: the client is never left without an answer
+			c.log.Warn("exchange overdue", "id", m.h.id)
+			c.end(m.h, Answer{Kind: Failed})
+			c.feed(control.Gone{ID: m.h.id})
+			c.forget(m.h)
+		}
+	case ended:
+		c.ended(m)
+	case Table:
+		c.egress.Update(m)
+		members := control.Members{Kind: m.Kind, Version: m.Version}
+		for _, t := range m.Targets {
+			members.Entries = append(members.Entries, t.Member)
+		}
+		c.feed(members)
+	case flush:
+		close(m.done)
+	case control.Event:
+		c.feed(m)
+	default:
+		panic(fmt.Sprintf("core: no such message: %T", m))
+	}
+}
+
+func (c *Core) open(h *held) {
+	c.lastID++
+	h.id = c.lastID
+	rest := time.Until(h.Deadline)
+	if rest <= 0 {
+		c.end(h, Answer{Kind: Refused})
+		return
+	}
+	c.held[h.id] = h
+	h.guard = time.AfterFunc(rest+overdue, func() { c.post(expired{h}) })
+	c.feed(control.Request{
+		ID: h.id, Class: h.Class, Plan: h.Plan, Customer: h.Customer, TimeLeft: rest.Seconds(),
+		Units: h.Units, Spread: h.Spread, First: h.First, Repeat: h.Repeat,
+	})
+	c.forget(h)
+}
+
+// end gives the final answer, unless there is one already.
+func (c *Core) end(h *held, a Answer) {
+	if h.final {
+		return
+	}
+	h.final = true
+	h.answer <- a
+	if h.guard != nil {
+		h.guard.Stop()
+	}
+}
+
+// forget drops an exchange that has its answer and nothing out.
+func (c *Core) forget(h *held) {
+	if h.final && h.out == 0 {
+		delete(c.held, h.id)
+	}
+}
+
+func (c *Core) ended(e ended) {
+	e.h.out--
+	e.h.cancels[e.attempt]()
+	if e.Status == control.OK {
+		c.end(e.h, Answer{Kind: Served, Reply: e.Reply})
+	}
+	c.feed(control.Outcome{
+		ID: e.h.id, Server: e.target, Attempt: e.attempt, Status: e.Status,
+		Closed: e.h.final, Elapsed: e.took, Load: e.Load,
+	})
+	c.forget(e.h)
+}
+
+// feed hands one event to the module and carries its actions out.
+func (c *Core) feed(ev control.Event) {
+	actions := c.gateway.Handle(c.now(), ev, c.actions[:0])
+	c.actions = actions
+	for _, a := range actions {
+		c.act(a)
+	}
+}
+
+func (c *Core) act(a control.Action) {
+	switch a := a.(type) {
+	case control.Send:
+		c.send(a)
+	case control.Cancel:
+		if h := c.held[a.ID]; h != nil && a.Attempt < len(h.cancels) {
+			h.cancels[a.Attempt]()
+		}
+	case control.Refuse:
+		if h := c.held[a.ID]; h != nil {
+			c.end(h, Answer{Kind: Refused, RetryAfter: duration(a.RetryAfter)})
+			c.forget(h)
+		}
+	case control.Fail:
+		if h := c.held[a.ID]; h != nil {
+			c.end(h, Answer{Kind: Failed})
+			c.forget(h)
+		}
+	case control.SetTimer:
+		time.AfterFunc(duration(a.Delay), func() { c.post(control.Timer{Token: a.Token}) })
+	case control.Count:
+		c.count(a)
+	case control.Probe:
+		c.probe(a)
+	case control.CloseIdle:
+		c.egress.CloseIdle(a.Server)
+	case control.Log:
+		c.log.Info(a.Text)
+	case control.Tell, control.Watch, control.Fetch:
+		// no peers on the wires that there are, and the route table follows discovery by itself
+	default:
+		panic(fmt.Sprintf("core: no such action: %T", a))
+	}
+}
+
+func (c *Core) send(a control.Send) {
+	h := c.held[a.ID]
+	if h == nil || h.final {
+		return
+	}
+	deadline := h.Deadline
+	if a.Timeout > 0 {
+		if t := time.Now().Add(duration(a.Timeout)); t.Before(deadline) {
+			deadline = t
+		}
+	}
+	ctx, cancel := context.WithDeadline(c.ctx, deadline)
+	n, sent := len(h.cancels), time.Now()
+	h.cancels = append(h.cancels, cancel)
+	h.out++
+	done := func(o Outcome) ended { return ended{h, n, a.Server, time.Since(sent).Seconds(), o} }
+	if !c.egress.Start(Attempt{
+		Ctx: ctx, Target: a.Server, Payload: h.Payload,
+		Report: func(o Outcome) { c.post(done(o)) },
+	}) {
+		c.later = append(c.later, done(Outcome{Status: control.Full}))
+	}
+}
+
+func (c *Core) count(a control.Count) {
+	asked := time.Now()
+	report := func(s control.Status, total float64) control.Counted {
+		return control.Counted{Name: a.Name, Status: s, Total: total, Elapsed: time.Since(asked).Seconds()}
+	}
+	if !c.counter.Add(a.Name, a.Amount, duration(a.TTL), func(s control.Status, total float64) {
+		c.post(report(s, total))
+	}) {
+		c.later = append(c.later, report(control.Full, 0))
+	}
+}
+
+func (c *Core) probe(a control.Probe) {
+	asked := time.Now()
+	report := func(s control.Status, load []float64) control.Probed {
+		return control.Probed{Server: a.Server, Status: s, Elapsed: time.Since(asked).Seconds(), Load: load}
+	}
+	if !c.egress.Probe(a.Server, func(s control.Status, load []float64) { c.post(report(s, load)) }) {
+		c.later = append(c.later, report(control.ConnectFailed, nil))
+	}
+}
+
+func duration(s control.Seconds) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/egress/egress.go
@@ -0,0 +1,189 @@
+// Package egress carries attempts to the egress targets: a RoundTripper for httputil.ReverseProxy that hands
+// each exchange to the core, and an actor for each target that owns its connections.
+package egress
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"junctionring/control"
+	"junctionring/internal/core"
+)
+
+// Fleet is all egress targets. Its methods are called from the core's goroutine only, and never block.
+type Fleet struct {
+	opts    Options
+	permits chan struct{}
+	targets map[string]*entry
+}
+
+type entry struct {
+	*target
+	route route
+}
+
+// NewFleet makes an empty fleet.
+func NewFleet(o Options) *Fleet {
+	return &Fleet{opts: o, permits: make(chan struct{}, o.Conns), targets: map[string]*entry{}}
+}
+
+// Update implements core.Egress.
+func (f *Fleet) Update(table core.Table) {
+	named := map[string]bool{}
+	for _, m := range table.Targets {
+		named[m.Server] = true
+		if m.State == control.Removed {
+			f.remove(m.Server)
+			continue
+		}
+		e := f.targets[m.Server]
+		if e == nil {
+			ctx, cancel := context.WithCancel(context.Background())
+			e = &entry{target: &target{opts: &f.opts, permits: f.permits,
+				mailbox: make(chan any, mailboxSize), ctx: ctx, end: cancel}}
+			f.targets[m.Server] = e
+			go e.run()
+		}
+		if r := (route{m.Address, m.State == control.Ready}); r != e.route {
+			e.route = r
+			e.tell(r)
+		}
+	}
+	if table.Kind != control.Delta { // a whole list: what it does not name is gone
+		for id := range f.targets {
+			if !named[id] {
+				f.remove(id)
+			}
+		}
+	}
+}
+
+func (f *Fleet) remove(id string) {
+	if e := f.targets[id]; e != nil {
+		e.tell(retire{})
+		delete(f.targets, id)
+	}
+}
+
+// tell hands a message to the actor without waiting for it.
+func (e *entry) tell(m any) {
+	select {
+	case e.mailbox <- m:
+	default:
+		go e.post(m)
+	}
+}
+
+// Start implements core.Egress.
+func (f *Fleet) Start(a core.Attempt) bool {
+	e := f.targets[a.Target]
+	if e == nil || !e.route.ready {
+		return false
+	}
+	go e.attempt(a)
+	return true
+}
+
+// Probe implements core.Egress.
+func (f *Fleet) Probe(id string, report func(control.Status, []float64)) bool {
+	e := f.targets[id]
+	if e == nil {
+		return false
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(e.ctx, f.opts.ConnectTimeout)
+		defer cancel()
+		path := "/health/live"
+		if len(f.opts.LoadFields) > 0 {
+			path = "/stats"
+		}
+		o := e.exchange(ctx, &Request{Method: http.MethodGet, Head: []byte("GET " + path + " HTTP/1.1\r\nHost: target\r\n")})
+		if reply, ok := o.Reply.(*Reply); ok && len(o.Load) == 0 {
+			o.Load = decodeLoad(string(reply.Body), f.opts.LoadFields)
+		}
+		report(o.Status, o.Load)
+	}()
+	return true
+}
+
+// CloseIdle implements core.Egress.
+func (f *Fleet) CloseIdle(id string) {
+	if e := f.targets[id]; e != nil {
+		e.tell(dropIdle{})
+	}
+}
+
+type exchangeKey struct{}
+
+// WithExchange returns a request that carries its exchange through httputil.ReverseProxy to the RoundTripper.
+func WithExchange(r *http.Request, x *core.Exchange, body []byte) *http.Request {
+	return r.WithContext(context.WithValue(r.Context(), exchangeKey{}, &carried{x, body}))
+}
+
+type carried struct {
+	exchange *core.Exchange
+	body     []byte
+}
+
+// RoundTripper has the core decide and carry out the exchange that a request holds.
+type RoundTripper struct {
+	Core *core.Core
+	// Shed words a refusal; it may be nil.
+	Shed func(core.Answer) *http.Response
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *RoundTripper) RoundTrip(r *http.Request) (*http.Response, error) {
+	c := r.Context().Value(exchangeKey{}).(*carried)
+	c.exchange.Payload = encode(r, c.body)
+	a := t.Core.Do(r.Context(), *c.exchange)
+	resp := &http.Response{ProtoMajor: 1, ProtoMinor: 1, Request: r}
+	switch a.Kind {
+	case core.Served:
+		reply := a.Reply.(*Reply)
+		resp.StatusCode, resp.Header = http.StatusOK, reply.Header
+		resp.ContentLength = int64(len(reply.Body))
+		resp.Header.Del("Content-Length")
+		resp.Header.Set("Content-Length", itoa(len(reply.Body)))
+		resp.Body = body{bytes.NewReader(reply.Body)}
+		return resp, nil
+	case core.Refused:
+		resp.StatusCode, resp.Header = http.StatusServiceUnavailable, http.Header{}
+		if a.RetryAfter > 0 {
+			resp.Header.Set("Retry-After", RetryAfter(a.RetryAfter))
+		}
+	case core.Left:
+		return nil, context.Canceled
+	default:
+		resp.StatusCode, resp.Header = http.StatusBadGateway, http.Header{}
+	}
+	resp.Header.Set("Content-Length", "0")
+	resp.Body = http.NoBody
+	return resp, nil
+}
+
+type body struct{ *bytes.Reader }
+
+func (body) Close() error { return nil }
+
+// encode writes the message to the target once, for all attempts.
+func encode(r *http.Request, body []byte) *Request {
+	var b bytes.Buffer
+	b.WriteString(r.Method + " " + r.URL.RequestURI() + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	h := r.Header
+	h.Del("X-Timeout")
+	h.Del("Content-Length")
+	if len(body) > 0 || r.Method == http.MethodPost {
+		h.Set("Content-Length", itoa(len(body)))
+	}
+	h.Write(&b)
+	return &Request{Method: r.Method, Head: b.Bytes(), Body: body}
+}
+
+func itoa(n int) string { return strconv.Itoa(n) }
+
+// RetryAfter words a wait in seconds, whole or decimal as the platform's clients read it.
+func RetryAfter(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
--- /dev/null
+++ b/internal/egress/target.go
@@ -0,0 +1,267 @@
+package egress
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"junctionring/control"
+	"junctionring/internal/core"
+)
+
+const (
+	mailboxSize = 256
+	mostDials   = 8  // at once to one target: a burst must not be a storm of handshakes
+	mostConns   = 64 // to one target
+	mostIdle    = 16
+	idleShare   = 0.6 // of the time after which a target closes an idle connection: never written to later
+)
+
+// Options are the figures that all targets share.
+type Options struct {
+	ConnectTimeout time.Duration
+	ConnIdle       time.Duration // a target closes connections idle for this long
+	Conns          int           // to all targets together
+	LoadFields     []string      // of a load report
+}
+
+type (
+	// lease asks for a connection; the actor answers once, nil if there is none to be had.
+	lease struct {
+		got chan *conn
+	}
+	unlease struct{ l *lease }         // the asker went away
+	dialed  struct{ c *conn }          // nil: it did not come up
+	back    struct{ c *conn }          // free for the next attempt
+	ended   struct{ silent time.Time } // closed; not zero: nothing was heard of an attempt sent then
+	route   struct {
+		address string
+		ready   bool
+	}
+	dropIdle struct{}
+	retire   struct{} // the target left the route table
+)
+
+// target is the actor of one egress target: it owns the connections. Each attempt runs in a goroutine of its
+// own, which leases a connection from here. The actor waits on nobody but its mailbox.
+type target struct {
+	opts    *Options
+	permits chan struct{} // one for each connection of all targets
+	mailbox chan any
+	ctx     context.Context // ends when the actor has ended
+	end     context.CancelFunc
+
+	retired bool
+	address string
+	ready   bool
+	idle    []*conn // the one used last at the end
+	waiting []*lease
+	dialing int
+	open    int
+	heard   time.Time
+}
+
+func (t *target) post(m any) bool {
+	select {
+	case t.mailbox <- m:
+		return true
+	case <-t.ctx.Done():
+		return false
+	}
+}
+
+func (t *target) run() {
+	sweep := time.NewTicker(t.idleLimit()/4 + time.Millisecond)
+	defer sweep.Stop()
+	defer t.end()
+	for !t.retired || t.open > 0 { // what is out when it leaves the table is still waited for
+		select {
+		case m := <-t.mailbox:
+			t.handle(m)
+		case <-sweep.C:
+			t.closeIdle(t.idleLimit())
+		}
+	}
+}
+
+func (t *target) idleLimit() time.Duration {
+	return time.Duration(idleShare * float64(t.opts.ConnIdle))
+}
+
+func (t *target) handle(m any) {
+	switch m := m.(type) {
+	case *lease:
+		t.lease(m)
+	case unlease:
+		for i, l := range t.waiting {
+			if l == m.l {
+				t.waiting = append(t.waiting[:i], t.waiting[i+1:]...)
+				return
+			}
+		}
+		if c := <-m.l.got; c != nil { // handed over just as the asker left
+			t.free(c)
+		}
+	case dialed:
+		t.dialing--
+		if m.c == nil {
+			t.release()
+			if len(t.waiting) > t.dialing { // one failed dial, one attempt that could not connect
+				t.waiting[0].got <- nil
+				t.waiting = t.waiting[1:]
+			}
+			return
+		}
+		t.free(m.c)
+	case back:
+		t.heard = time.Now()
+		t.free(m.c)
+	case ended:
+		t.release()
+		if m.silent.After(t.heard) { // a machine that vanished says nothing: the next attempt is to dial anew
+			t.closeIdle(0)
+		}
+		t.dial()
+	case route:
+		if t.address != m.address {
+			t.closeIdle(0)
+		}
+		t.address, t.ready = m.address, m.ready
+		if !t.ready {
+			t.refuseWaiting() // what is queued must not go to a target that drains
+			t.closeIdle(0)
+		}
+	case dropIdle:
+		t.closeIdle(0)
+	case retire:
+		t.retired, t.ready = true, false
+		t.refuseWaiting()
+		t.closeIdle(0)
+	}
+}
+
+func (t *target) lease(l *lease) {
+	if !t.ready {
+		l.got <- nil
+		return
+	}
+	for len(t.idle) > 0 {
+		c := t.idle[len(t.idle)-1]
+		t.idle = t.idle[:len(t.idle)-1]
+		if time.Since(c.used) < t.idleLimit() && c.alive() {
+			l.got <- c
+			return
+		}
+		c.Close()
+		t.release()
+	}
+	t.waiting = append(t.waiting, l)
+	t.dial()
+	if t.open == 0 {
+		t.refuseWaiting() // no permit, and no connection that could come back
+	}
+}
+
+// dial opens connections for those that wait, within the bounds.
+func (t *target) dial() {
+	for t.ready && t.dialing < len(t.waiting) && t.dialing < mostDials && t.open < mostConns {
+		select {
+		case t.permits <- struct{}{}:
+		default:
+			return
+		}
+		t.dialing++
+		t.open++
+		go func(address string) {
+			ctx, cancel := context.WithTimeout(t.ctx, t.opts.ConnectTimeout)
+			defer cancel()
+			var c *conn
+			if nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", address); err == nil {
+				c = newConn(nc, address)
+			}
+			t.post(dialed{c})
+		}(t.address)
+	}
+}
+
+func (t *target) free(c *conn) {
+	switch {
+	case !t.ready || c.address != t.address:
+	case len(t.waiting) > 0:
+		t.waiting[0].got <- c
+		t.waiting = t.waiting[1:]
+		return
+	case len(t.idle) < mostIdle:
+		t.idle = append(t.idle, c)
+		return
+	}
+	c.Close()
+	t.release()
+	t.dial()
+}
+
+func (t *target) release() {
+	t.open--
+	<-t.permits
+}
+
+func (t *target) refuseWaiting() {
+	for _, l := range t.waiting {
+		l.got <- nil
+	}
+	t.waiting = nil
+}
+
+func (t *target) closeIdle(older time.Duration) {
+	kept := t.idle[:0]
+	for _, c := range t.idle {
+		if time.Since(c.used) < older {
+			kept = append(kept, c)
+			continue
+		}
+		c.Close()
+		t.release()
+	}
+	t.idle = kept
+}
+
+// attempt carries one attempt out, in its own goroutine.
+func (t *target) attempt(a core.Attempt) {
+	a.Report(t.exchange(a.Ctx, a.Payload.(*Request)))
+}
+
+func (t *target) exchange(ctx context.Context, r *Request) core.Outcome {
+	l := &lease{got: make(chan *conn, 1)}
+	if !t.post(l) {
+		return core.Outcome{Status: control.ConnectFailed}
+	}
+	var c *conn
+	select {
+	case c = <-l.got:
+	case <-t.ctx.Done(): // it has left the list: nothing was sent
+		return core.Outcome{Status: control.ConnectFailed}
+	case <-ctx.Done():
+		t.post(unlease{l})
+		if ctx.Err() == context.DeadlineExceeded {
+			return core.Outcome{Status: control.ConnectFailed} // nothing was written
+		}
+		return core.Outcome{Status: control.Cancelled}
+	}
+	if c == nil {
+		return core.Outcome{Status: control.ConnectFailed}
+	}
+	sent := time.Now()
+	o, reuse := c.roundTrip(ctx, r, t.opts.LoadFields)
+	if reuse {
+		c.used = time.Now()
+		t.post(back{c})
+		return o
+	}
+	c.Close()
+	e := ended{}
+	if o.Status == control.Timeout {
+		e.silent = sent
+	}
+	t.post(e)
+	return o
+}
--- /dev/null
+++ b/internal/ingress/ingress.go
@@ -0,0 +1,104 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"sync/atomic"
+	"time"
+
+	"junctionring/internal/core"
+	"junctionring/internal/egress"
+)
+
+const (
+	maxHeader  = 16 << 10
+	headerWait = 10 * time.Second
+)
+
+// Server is a front's HTTP server with a drain.
+type Server struct {
+	http     *http.Server
+	draining atomic.Bool
+	ready    atomic.Bool
+}
+
+// NewServer serves h, with the readiness path in front of it.
+func NewServer(h http.Handler, log *slog.Logger) *Server {
+	s := &Server{}
+	s.http = &http.Server{
+		MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerWait,
+		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if s.draining.Load() { // clients keep a connection for as long as it stays open
+				w.Header().Set("Connection", "close")
+			}
+			if r.URL.Path == "/health/ready" {
+				if s.draining.Load() || !s.ready.Load() {
+					w.WriteHeader(http.StatusServiceUnavailable)
+				}
+				return
+			}
+			h.ServeHTTP(w, r)
+		}),
+	}
+	return s
+}
+
+// Serve takes connections until Drain has ended.
+func (s *Server) Serve(l net.Listener) error {
+	if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Ready lets the readiness path answer 200.
+func (s *Server) Ready() { s.ready.Store(true) }
+
+// Drain serves what still arrives for a while, then takes nothing new and waits until all that is held has
+// its answer, or ctx ends.
+func (s *Server) Drain(ctx context.Context, still time.Duration) error {
+	s.draining.Store(true)
+	wait := time.NewTimer(still)
+	defer wait.Stop()
+	select {
+	case <-wait.C:
+	case <-ctx.Done():
+	}
+	return s.http.Shutdown(ctx)
+}
+
+// Platform is the handler of the platform's protocol.
+func Platform(names *Names, c *core.Core, log *slog.Logger) http.Handler {
+	proxy := Proxy(&egress.RoundTripper{Core: c}, log)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		received := time.Now()
+		x, err := names.Decode(r, received)
+		if err != nil {
+			Reject(w, err)
+			return
+		}
+		body, err := ReadBody(r, egress.MaxBody)
+		if err != nil {
+			Reject(w, err)
+			return
+		}
+		proxy.ServeHTTP(w, egress.WithExchange(r, &x, body))
+	})
+}
+
+// Proxy is the reverse proxy on a RoundTripper of ours.
+func Proxy(t http.RoundTripper, log *slog.Logger) *httputil.ReverseProxy {
+	return &httputil.ReverseProxy{
+		Rewrite:   func(*httputil.ProxyRequest) {},
+		Transport: t,
+		ErrorLog:  slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+		ErrorHandler: func(w http.ResponseWriter, r *http.Request, err error) {
+			panic(http.ErrAbortHandler) // the client has left: nobody is told anything
+		},
+	}
+}
--- /dev/null
+++ b/internal/routetable/discovery.go
@@ -0,0 +1,122 @@
+// Package routetable is the actor of the list of egress targets: it follows discovery, or serves the
+// static list of an operator's file, and tells the core of every change at once.
+package routetable
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"junctionring/control"
+	"junctionring/internal/core"
+)
+
+const (
+	silent   = 5 * time.Second        // an empty line comes every 2 s while the watch lives
+	pauseMin = 50 * time.Millisecond  // between watches
+	pauseMax = 500 * time.Millisecond // discovery is on the own machine: asking costs little
+	longest  = 4 << 20                // of one line
+)
+
+var states = map[string]control.MemberState{
+	"SERVING": control.Ready, "DRAINING": control.Draining, "DELETED": control.Removed,
+}
+
+// Decode reads a list in discovery's form; zones are the names that the settings number.
+func Decode(raw []byte, zones []string) (core.Table, error) {
+	if !gjson.ValidBytes(raw) {
+		return core.Table{}, fmt.Errorf("the list is not JSON: %.80q", raw)
+	}
+	list := gjson.ParseBytes(raw)
+	t := core.Table{Version: list.Get("generation").Int()}
+	if list.Get("reset").Bool() {
+		t.Kind = control.Snapshot
+	}
+	for _, e := range list.Get("instances").Array() {
+		state, ok := states[e.Get("lifecycle").String()]
+		m := control.Member{
+			Server: e.Get("instanceId").String(), Weight: e.Get("weight").Float(), Zone: slices.Index(zones, e.Get("zone").String()),
+			Cell: int(e.Get("cell").Int()), Since: float64(e.Get("startedAtMs").Int()) / 1000, State: state,
+		}
+		if !ok || m.Server == "" {
+			return t, fmt.Errorf("an entry that cannot be read: %.80q", e.Raw)
+		}
+		t.Targets = append(t.Targets, core.Target{Member: m, Address: e.Get("hostPort").String()})
+	}
+	return t, nil
+}
+
+// Discovery follows the list of the platform's discovery agent.
+type Discovery struct {
+	Address string
+	From    int64 // version of the list that is known
+	Zones   []string
+	Tell    func(core.Table)
+	Log     *slog.Logger
+}
+
+// Run watches until ctx ends, from where it stands whenever a watch breaks.
+func (d *Discovery) Run(ctx context.Context) {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	pause := pauseMin
+	for ctx.Err() == nil {
+		lines, err := d.watch(ctx, client)
+		if lines > 0 {
+			pause = pauseMin
+		}
+		d.Log.Info("watch ended", "lines", lines, "err", err)
+		wait := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+		case <-wait.C:
+		}
+		wait.Stop()
+		pause = min(2*pause, pauseMax)
+	}
+}
+
+func (d *Discovery) watch(ctx context.Context, client *http.Client) (lines int, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	quiet := time.AfterFunc(silent, cancel) // an agent that hangs: a new watch brings what was missed
+	defer quiet.Stop()
+	url := fmt.Sprintf("http://%s/registry/instances?watch=1&from=%d", d.Address, d.From)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0, err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return 0, fmt.Errorf("discovery answered %s", resp.Status)
+	}
+	in := bufio.NewScanner(resp.Body)
+	in.Buffer(nil, longest)
+	for in.Scan() {
+		quiet.Reset(silent)
+		lines++
+		if len(in.Bytes()) == 0 {
+			continue
+		}
+		t, err := Decode(in.Bytes(), d.Zones)
+		if err != nil {
+			return lines, err
+		}
+		d.From = t.Version
+		d.Tell(t)
+	}
+	if in.Err() == nil {
+		return lines, io.EOF
+	}
+	return lines, in.Err()
+}
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -12,6 +12,21 @@
 	"strconv"
 
 	"junctionring/control"
+	"junctionring/internal/config"
+)
+
+// The words of the wire and what they stand for.
+var (
+	listKinds = map[string]control.MembersKind{
+		"diff": control.Delta, "snapshot": control.Snapshot, "disk": control.Cached, "error": control.Failed,
+	}
+	conditions = map[string]control.MemberState{
+		"active": control.Ready, "leaving": control.Draining, "left": control.Removed,
+	}
+	statuses = map[int]control.Status{
+		0: control.OK, 13: control.Error, 8: control.Full, 4: control.Timeout,
+		14: control.ConnectFailed, 10: control.Reset, 1: control.Cancelled, 9: control.Moot,
+	}
 )
 
 // host holds the instances of one process. They share nothing but the
@@ -103,7 +118,7 @@
 	if f.err != nil {
 		return 0
 	}
-	s, err := word(statuses, code, "disposition")
+	s, err := config.Word(statuses, code, "disposition")
 	if err != nil {
 		f.err = fmt.Errorf("%s: %w", f.name, err)
 	}
@@ -186,11 +201,11 @@
 	if f.err != nil {
 		return f.err
 	}
-	s, err := decodeSettings(raw)
+	s, err := config.DecodeSettings(raw)
 	if err != nil {
 		return fmt.Errorf("Configure: %w", err)
 	}
-	g, err := control.New(s, seed)
+	g, err := control.New(s.Module, seed)
 	if err != nil {
 		return fmt.Errorf("Configure: %w", err)
 	}
@@ -219,7 +234,7 @@
 			return e.err
 		}
 		var err error
-		if m.State, err = word(conditions, state, "condition"); err != nil {
+		if m.State, err = config.Word(conditions, state, "condition"); err != nil {
 			return fmt.Errorf("Inventory: %w", err)
 		}
 		members = append(members, m)
@@ -243,7 +258,7 @@
 			return nil, f.err
 		}
 		var err error
-		if e.Kind, err = word(listKinds, kind, "list kind"); err != nil {
+		if e.Kind, err = config.Word(listKinds, kind, "list kind"); err != nil {
 			return nil, fmt.Errorf("Announce: %w", err)
 		}
 		if e.Kind != control.Failed {
