Add the forward-auth front: checker, verdicts for proxies, Redis store, operator's file

Checks go through an egress actor of their own, since net/http's Transport may repeat a GET by itself.

--- a/cmd/junctionring/main.go
+++ b/cmd/junctionring/main.go
@@ -1,11 +1,14 @@
-// Command junctionring is the gateway. Without a sub-command it serves the platform.
+// Command junctionring is the gateway: it serves the platform's protocol, or forward authentication.
 package main
 
 import (
 	"fmt"
 	"runtime/debug"
+	"strings"
 
 	"github.com/alecthomas/kong"
+
+	"junctionring/internal/config"
 )
 
 type versionCommand struct{}
@@ -19,9 +22,27 @@
 	return nil
 }
 
+type checkCommand struct {
+	File string `arg:"" type:"existingfile" help:"An operator's file (TOML) or a platform configuration (JSON)."`
+}
+
+func (c checkCommand) Run() error {
+	var err error
+	if strings.HasSuffix(c.File, ".json") {
+		_, err = config.LoadPlatform(c.File)
+	} else {
+		_, err = config.LoadOperator(c.File)
+	}
+	if err == nil {
+		fmt.Println(c.File, "is in order")
+	}
+	return err
+}
+
 func main() {
 	var cli struct {
-		Serve   serveCommand   `cmd:"" help:"Serve the platform's protocol, as EDGE_CONFIG says."`
+		Serve   serveCommand   `cmd:"" help:"Serve the platform's protocol or, with an operator's file, forward authentication."`
+		Check   checkCommand   `cmd:"" help:"Check a configuration file."`
 		Version versionCommand `cmd:"" help:"Print the version."`
 	}
 	k := kong.Parse(&cli, kong.Name("junctionring"), kong.Description("A quota-keeping gateway."))
--- a/cmd/junctionring/serve.go
+++ b/cmd/junctionring/serve.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"math"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/signal"
@@ -18,6 +19,7 @@
 	"junctionring/internal/core"
 	"junctionring/internal/counter"
 	"junctionring/internal/egress"
+	"junctionring/internal/forwardauth"
 	"junctionring/internal/ingress"
 	"junctionring/internal/routetable"
 )
@@ -29,40 +31,47 @@
 )
 
 type serveCommand struct {
-	Config string `env:"EDGE_CONFIG" type:"existingfile" required:"" help:"The platform's configuration."`
+	Config   string `env:"EDGE_CONFIG" type:"existingfile" xor:"front" required:"" help:"The platform's configuration: serve its protocol."`
+	Operator string `type:"existingfile" xor:"front" required:"" help:"An operator's file: serve forward authentication."`
 }
 
 func (s serveCommand) Run() error {
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
-	p, err := config.LoadPlatform(s.Config)
-	if err != nil {
-		return err
-	}
-	limitRuntime(p.Cores, p.MemoryMB)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	if s.Operator != "" {
+		return serveOperator(ctx, work, s.Operator, log)
+	}
+	return servePlatform(ctx, work, s.Config, log)
+}
 
+func servePlatform(ctx, work context.Context, path string, log *slog.Logger) error {
+	p, err := config.LoadPlatform(path)
+	if err != nil {
+		return err
+	}
+	limitRuntime(p.Cores, p.MemoryMB)
 	set := p.Settings
 	fleet := egress.NewFleet(egress.Options{
 		ConnectTimeout: seconds(set.ConnectTimeout), ConnIdle: seconds(set.ConnIdle),
-		Conns: max(16, p.Sockets*2/5), LoadFields: set.Module.LoadFields,
+		Conns: egressConns(p.Sockets), LoadFields: set.Module.LoadFields,
 	})
 	tally := counter.NewLine(p.Counter, seconds(set.Module.Counter.Timeout))
 	c, err := core.New(set.Module, p.Seed, fleet, tally, log)
 	if err != nil {
 		return err
 	}
-	go c.Run(work)
-	if set.Module.Counter.Allowed {
-		go tally.Run(work)
-	}
 	known, err := routetable.Decode(p.Known, set.Zones)
 	if err != nil {
 		return fmt.Errorf("known: %w", err)
 	}
 	known.Kind = control.Cached
+	go c.Run(work)
+	if set.Module.Counter.Allowed {
+		go tally.Run(work)
+	}
 	c.Routes(known)
 	list := &routetable.Discovery{Address: p.Discovery, From: known.Version, Zones: set.Zones, Tell: c.Routes, Log: log}
 	go list.Run(work)
@@ -71,8 +80,38 @@
 	for _, class := range set.Module.Classes {
 		names.Repeats = append(names.Repeats, class.Repeat)
 	}
-	server := ingress.NewServer(ingress.Platform(names, c, log), log)
-	l, err := net.Listen("tcp", p.Listen)
+	server := ingress.NewServer(ingress.Platform(names, c, log), ingress.MaxHeader, log)
+	return serve(ctx, c, server, p.Listen, drainFor, log)
+}
+
+func serveOperator(ctx, work context.Context, path string, log *slog.Logger) error {
+	o, err := config.LoadOperator(path)
+	if err != nil {
+		return err
+	}
+	limitRuntime(o.Limits.Cores, o.Limits.MemoryMB)
+	fleet := egress.NewFleet(egress.Options{
+		ConnectTimeout: 250 * time.Millisecond, ConnIdle: 10 * time.Second, Conns: egressConns(o.Limits.Sockets),
+	})
+	tally := counter.NewRedis(o.Redis.Address, o.Redis.Timeout.Duration)
+	c, err := core.New(o.Module, rand.Uint64(), fleet, tally, log)
+	if err != nil {
+		return err
+	}
+	front, err := forwardauth.New(o, c, log)
+	if err != nil {
+		return err
+	}
+	defer front.Close()
+	go c.Run(work)
+	go tally.Run(work)
+	c.Routes(routetable.Static(o))
+	return serve(ctx, c, ingress.NewServer(front, o.MaxHeader, log), o.Listen, o.Drain.Duration, log)
+}
+
+// serve takes connections until ctx ends, then drains.
+func serve(ctx context.Context, c *core.Core, server *ingress.Server, listen string, drainFor time.Duration, log *slog.Logger) error {
+	l, err := net.Listen("tcp", listen)
 	if err != nil {
 		return err
 	}
@@ -80,20 +119,24 @@
 	go func() { failed <- server.Serve(l) }()
 	c.Settle()
 	server.Ready()
-	log.Info("serving", "name", p.Name, "listen", p.Listen)
+	log.Info("serving", "listen", l.Addr().String())
 	select {
 	case err := <-failed:
 		return err
 	case <-ctx.Done():
 	}
+	log.Info("draining")
 	drain, done := context.WithTimeout(context.Background(), drainFor)
 	defer done()
-	if err := server.Drain(drain, stillArrives); err != nil {
+	if err := server.Drain(drain, min(stillArrives, drainFor/2)); err != nil {
 		log.Warn("not all held exchanges ended in time", "err", err)
 	}
 	return nil
 }
 
+// egressConns is how many of the descriptors may be connections to egress targets.
+func egressConns(sockets int) int { return max(16, sockets*2/5) }
+
 func limitRuntime(cores float64, memoryMB int) {
 	if cores > 0 {
 		runtime.GOMAXPROCS(max(1, int(math.Ceil(cores))))
--- a/control/control.go
+++ b/control/control.go
@@ -544,10 +544,15 @@
 	g.purse = min(retryPurse, g.purse+retryEarn)
 	gain := g.allows(c, units)
 	if gain <= 0 {
-		g.do(Refuse{ID: e.ID, RetryAfter: g.hint((units - c.level) / max(c.plan.Rate, 1e-9))})
+		g.do(Refuse{ID: e.ID, RetryAfter: g.hint((units - c.level) / max(c.plan.Rate, 1e-9)), Over: true})
 		g.want(c)
 		return
 	}
+	if e.Ask { // whoever asks sends it on: its units count from now
+		g.take(c, units)
+		g.do(Admit{ID: e.ID})
+		return
+	}
 	r := &request{id: e.ID, class: e.Class, customer: c, units: units, deadline: g.now + e.TimeLeft}
 	s := g.choose(r)
 	if s == nil || g.shed(r, gain) {
@@ -555,11 +560,16 @@
 		return
 	}
 	g.requests[r.id] = r
+	g.take(c, units)
+	g.send(r, s)
+}
+
+// take books the units of a try that is let in.
+func (g *Gateway) take(c *customer, units float64) {
 	c.ceiling -= units
 	c.ownRate += units / rateMemory
 	g.settle(c, units)
 	g.want(c)
-	g.send(r, s)
 }
 
 func (g *Gateway) shed(r *request, gain float64) bool {
--- a/control/types.go
+++ b/control/types.go
@@ -171,6 +171,7 @@
 		Spread   int // number of gateways this customer's requests may come through
 		First    int // number of the first of them
 		Repeat   bool
+		Ask      bool // only the verdict is wanted: it is answered by Admit or Refuse, and nothing is sent
 	}
 
 	// Started tells that a streamed answer has begun.
@@ -274,8 +275,12 @@
 	Refuse struct {
 		ID         uint64
 		RetryAfter Seconds // 0: no hint
+		Over       bool    // for want of quota, not of servers
 	}
 
+	// Admit is the final answer to one that only asks.
+	Admit struct{ ID uint64 }
+
 	// Fail is a final answer that promises nothing.
 	Fail struct{ ID uint64 }
 
@@ -327,6 +332,7 @@
 func (Send) action()      {}
 func (Cancel) action()    {}
 func (Refuse) action()    {}
+func (Admit) action()     {}
 func (Fail) action()      {}
 func (SetTimer) action()  {}
 func (Probe) action()     {}
--- /dev/null
+++ b/internal/config/operator.go
@@ -0,0 +1,186 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/BurntSushi/toml"
+
+	"junctionring/control"
+)
+
+// Duration is a time in an operator's file, such as "800ms".
+type Duration struct{ time.Duration }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) (err error) {
+	d.Duration, err = time.ParseDuration(string(text))
+	return err
+}
+
+// Operator is an operator's file: the forward-auth front and all that it needs.
+type Operator struct {
+	Listen         string         `toml:"listen"`
+	Ordinal        int            `toml:"ordinal"`  // this gateway's number
+	Gateways       int            `toml:"gateways"` // all that share the store
+	TrustedProxies []netip.Prefix `toml:"trusted_proxies"`
+	MaxBody        int64          `toml:"max_body"`
+	MaxHeader      int            `toml:"max_header"`
+	MaxAttempts    int            `toml:"max_attempts"`
+	Drain          Duration       `toml:"drain"`
+	Limits         struct {
+		Cores    float64 `toml:"cores"`
+		MemoryMB int     `toml:"memory_mb"`
+		Sockets  int     `toml:"sockets"`
+	} `toml:"limits"`
+	Identity struct {
+		Account string `toml:"account_header"`
+		Plan    string `toml:"plan_header"`
+	} `toml:"identity"`
+	Checker struct {
+		URL             string   `toml:"url"` // empty: identity headers are taken from trusted proxies
+		Timeout         Duration `toml:"timeout"`
+		RequestHeaders  []string `toml:"request_headers"`  // passed to the checker; empty: all
+		ResponseHeaders []string `toml:"response_headers"` // of its 2xx, copied onward
+		RetryAfter      Duration `toml:"retry_after"`
+	} `toml:"checker"`
+	Asked struct {
+		Path string `toml:"path"` // where a proxy asks for a verdict; empty: nowhere
+	} `toml:"asked"`
+	Redis struct {
+		Address string   `toml:"address"`
+		Timeout Duration `toml:"timeout"`
+	} `toml:"redis"`
+	Classes []struct {
+		Name      string   `toml:"name"`
+		Aim       Duration `toml:"aim"`
+		Deadline  Duration `toml:"deadline"`
+		Worth     float64  `toml:"worth"`
+		LateWorth float64  `toml:"late_worth"`
+		Repeat    string   `toml:"repeat"` // safe, keyed, unsafe
+		Window    Duration `toml:"window"` // of keyed: how long targets drop a repeat
+	} `toml:"class"`
+	Plans []struct {
+		Name      string  `toml:"name"`
+		Rate      float64 `toml:"rate"`
+		Burst     float64 `toml:"burst"`
+		Open      int     `toml:"open"`
+		Worth     float64 `toml:"worth"`
+		OverWorth float64 `toml:"over_worth"`
+		OverCost  float64 `toml:"over_cost"`
+	} `toml:"plan"`
+	Targets []struct {
+		ID      string `toml:"id"`
+		Address string `toml:"address"`
+		Zone    int    `toml:"zone"`
+	} `toml:"target"`
+
+	Module control.Settings `toml:"-"` // what the module is told of all this
+}
+
+// LoadOperator reads and checks an operator's file. An error says plainly what is wrong.
+func LoadOperator(path string) (*Operator, error) {
+	o := &Operator{Gateways: 1, MaxBody: 64 << 10, MaxHeader: 16 << 10, MaxAttempts: 3}
+	o.Limits.Cores, o.Limits.MemoryMB, o.Limits.Sockets = 1, 192, 1024
+	o.Drain.Duration = 10 * time.Second
+	o.Identity.Account, o.Identity.Plan = "X-Auth-Account", "X-Auth-Plan"
+	o.Checker.Timeout.Duration, o.Checker.RetryAfter.Duration = 800*time.Millisecond, time.Second
+	o.Redis.Timeout.Duration = 50 * time.Millisecond
+	meta, err := toml.DecodeFile(path, o)
+	if err != nil {
+		return nil, err
+	}
+	if unknown := meta.Undecoded(); len(unknown) > 0 {
+		return nil, fmt.Errorf("%s: unknown key %s", path, unknown[0])
+	}
+	if err := errors.Join(o.check()...); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return o, nil
+}
+
+// check returns everything that is wrong, and fills in what the module is told.
+func (o *Operator) check() (faults []error) {
+	require := func(ok bool, format string, args ...any) {
+		if !ok {
+			faults = append(faults, fmt.Errorf(format, args...))
+		}
+	}
+	address := func(what, a string) {
+		_, port, err := net.SplitHostPort(a)
+		require(err == nil && port != "", "%s: %q is no host:port", what, a)
+	}
+	address("listen", o.Listen)
+	require(o.Gateways >= 1 && o.Ordinal >= 0 && o.Ordinal < o.Gateways,
+		"ordinal %d of %d gateways is out of range", o.Ordinal, o.Gateways)
+	require(o.MaxBody > 0 && o.MaxBody <= 64<<10, "max_body must be from 1 to 65536")
+	require(o.MaxHeader >= 1<<10, "max_header must be at least 1024")
+	require(o.MaxAttempts >= 1, "max_attempts must be at least 1")
+	require(o.Drain.Duration > 0, "drain must be above 0")
+	require(o.Limits.Cores > 0 && o.Limits.MemoryMB > 0 && o.Limits.Sockets >= 64,
+		"limits: cores and memory_mb must be above 0 and sockets at least 64")
+	require(o.Identity.Account != "" && o.Identity.Plan != "", "identity: both headers need a name")
+	if o.Checker.URL != "" {
+		u, err := url.Parse(o.Checker.URL)
+		require(err == nil && u.Scheme == "http" && u.Host != "", "checker: url must be http://host[:port]/path")
+		require(o.Checker.Timeout.Duration > 0, "checker: timeout must be above 0")
+		require(o.Checker.RetryAfter.Duration > 0, "checker: retry_after must be above 0")
+	} else {
+		require(len(o.TrustedProxies) > 0, "without a checker, trusted_proxies must name who says who a client is")
+	}
+	require(o.Asked.Path == "" || strings.HasPrefix(o.Asked.Path, "/"), "asked: path must begin with /")
+	require(o.Asked.Path == "" || len(o.TrustedProxies) > 0, "asked: trusted_proxies must name who may ask")
+	address("redis: address", o.Redis.Address)
+	require(o.Redis.Timeout.Duration > 0, "redis: timeout must be above 0")
+
+	o.Module = control.Settings{
+		Ordinal: o.Ordinal, Gateways: o.Gateways,
+		Limits: control.Limits{
+			MaxAttempts: o.MaxAttempts, Cancel: true, RetryAfter: true, MaxRetryAfter: 10,
+		},
+		Guarantees: control.Guarantees{ColdFrom: 0.15, Ramp: 18, FallMultiple: 3, FallAfter: 1.5},
+		Counter:    control.CounterInfo{Allowed: true, Price: 0.005, Timeout: o.Redis.Timeout.Seconds()},
+	}
+	require(len(o.Classes) > 0, "there is no [[class]]")
+	seen := map[string]bool{}
+	unique := func(what, name string) {
+		require(name != "" && !strings.ContainsAny(name, "/ "), "%s: %q is no name", what, name)
+		require(!seen[what+" "+name], "%s %q is named twice", what, name)
+		seen[what+" "+name] = true
+	}
+	repeats := map[string]control.Repeat{"safe": control.Safe, "keyed": control.Keyed, "unsafe": control.Unsafe}
+	for _, c := range o.Classes {
+		unique("class", c.Name)
+		repeat, err := Word(repeats, c.Repeat, "repeat")
+		require(err == nil, "class %s: repeat must be safe, keyed or unsafe", c.Name)
+		require(c.Aim.Duration > 0 && c.Deadline.Duration >= c.Aim.Duration,
+			"class %s: aim must be above 0 and deadline no shorter", c.Name)
+		require(c.Worth > 0 && c.LateWorth >= 0 && c.LateWorth <= 1, "class %s: worth or late_worth is out of range", c.Name)
+		require(repeat != control.Keyed || c.Window.Duration > 0, "class %s: keyed needs a window", c.Name)
+		o.Module.Classes = append(o.Module.Classes, control.Class{
+			Aim: c.Aim.Seconds(), Deadline: c.Deadline.Seconds(), Worth: c.Worth, LateWorth: c.LateWorth,
+			Repeat: repeat, Window: c.Window.Seconds(),
+		})
+	}
+	require(len(o.Plans) > 0, "there is no [[plan]]")
+	for _, p := range o.Plans {
+		unique("plan", p.Name)
+		require(p.Rate > 0 && p.Burst >= 1, "plan %s: rate must be above 0 and burst at least 1", p.Name)
+		require(p.Open >= 0 && p.Worth > 0 && p.OverWorth >= 0 && p.OverCost >= 0,
+			"plan %s: open, worth, over_worth or over_cost is out of range", p.Name)
+		o.Module.Plans = append(o.Module.Plans, control.Plan{
+			Rate: p.Rate, Burst: p.Burst, Open: p.Open, Worth: p.Worth, OverWorth: p.OverWorth, OverCost: p.OverCost,
+		})
+	}
+	require(len(o.Targets) > 0 || o.Asked.Path != "", "there is no [[target]], and nobody may ask")
+	for _, t := range o.Targets {
+		unique("target", t.ID)
+		address("target "+t.ID, t.Address)
+	}
+	return faults
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -19,6 +19,7 @@
 	Units         float64
 	Spread, First int
 	Repeat        bool
+	Ask           bool      // only the verdict is wanted; nothing is sent to a target
 	Deadline      time.Time // the client has its answer by then or never
 	Payload       any       // what egress sends on; the core never looks inside
 }
@@ -31,13 +32,16 @@
 	Failed  Kind = iota // promises nothing
 	Refused             // shed: trying again is harmless
 	Served
-	Left // the client went away; nobody reads the answer
+	Allowed // the verdict for one that only asks
+	Left    // the client went away; nobody reads the answer
 )
 
 // Answer is the one final answer of an exchange.
 type Answer struct {
 	Kind       Kind
 	RetryAfter time.Duration // of Refused; 0: no advice
+	Over       bool          // of Refused: for want of quota
+	MayHaveRun bool          // some attempt reached a target, or may have
 	Reply      any           // of Served, as egress brought it
 }
 
@@ -112,6 +116,7 @@
 	answer  chan Answer // of one place: a final answer never waits for its reader
 	cancels []context.CancelFunc
 	out     int
+	mayRan  bool
 	guard   *time.Timer
 }
 
@@ -162,7 +167,12 @@
 		return a
 	case <-ctx.Done():
 		c.post(left{h})
-		return Answer{Kind: Left}
+		select {
+		case a := <-h.answer: // a final answer that crossed the client's leaving stands
+			return a
+		case <-c.done:
+			return Answer{Kind: Left, MayHaveRun: true}
+		}
 	case <-c.done:
 		return Answer{Kind: Refused, RetryAfter: busyPause}
 	}
@@ -254,7 +264,7 @@
 	h.guard = time.AfterFunc(rest+overdue, func() { c.post(expired{h}) })
 	c.feed(control.Request{
 		ID: h.id, Class: h.Class, Plan: h.Plan, Customer: h.Customer, TimeLeft: rest.Seconds(),
-		Units: h.Units, Spread: h.Spread, First: h.First, Repeat: h.Repeat,
+		Units: h.Units, Spread: h.Spread, First: h.First, Repeat: h.Repeat, Ask: h.Ask,
 	})
 	c.forget(h)
 }
@@ -265,6 +275,7 @@
 		return
 	}
 	h.final = true
+	a.MayHaveRun = h.mayRan || h.out > 0
 	h.answer <- a
 	if h.guard != nil {
 		h.guard.Stop()
@@ -281,6 +292,9 @@
 func (c *Core) ended(e ended) {
 	e.h.out--
 	e.h.cancels[e.attempt]()
+	if e.Status != control.Full && e.Status != control.ConnectFailed && e.Status != control.Moot {
+		e.h.mayRan = true
+	}
 	if e.Status == control.OK {
 		c.end(e.h, Answer{Kind: Served, Reply: e.Reply})
 	}
@@ -310,7 +324,12 @@
 		}
 	case control.Refuse:
 		if h := c.held[a.ID]; h != nil {
-			c.end(h, Answer{Kind: Refused, RetryAfter: duration(a.RetryAfter)})
+			c.end(h, Answer{Kind: Refused, RetryAfter: duration(a.RetryAfter), Over: a.Over})
+			c.forget(h)
+		}
+	case control.Admit:
+		if h := c.held[a.ID]; h != nil {
+			c.end(h, Answer{Kind: Allowed})
 			c.forget(h)
 		}
 	case control.Fail:
--- a/internal/counter/line.go
+++ b/internal/counter/line.go
@@ -26,6 +26,8 @@
 
 // call is one add. Its timer and its answer race; both are handled by the actor, so one of them wins.
 type call struct {
+	redisAdd // of the Redis store
+
 	line   string
 	report report
 	timer  *time.Timer
--- /dev/null
+++ b/internal/counter/redis.go
@@ -0,0 +1,114 @@
+package counter
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/redis/go-redis/v9"
+	"github.com/redis/go-redis/v9/maintnotifications"
+
+	"junctionring/control"
+)
+
+const (
+	redisWorkers = 8
+	redisPrefix  = "junctionring:"
+)
+
+// Redis is the counter on a Redis store that all gateways share: a few workers behind one mailbox.
+type Redis struct {
+	client  *redis.Client
+	timeout time.Duration
+	mailbox chan *call
+}
+
+type redisAdd struct {
+	name   string
+	amount float64
+	ttl    time.Duration
+}
+
+// NewRedis makes the counter for the store at an address; each call is given up after timeout.
+func NewRedis(address string, timeout time.Duration) *Redis {
+	return &Redis{
+		timeout: timeout, mailbox: make(chan *call, mailboxSize),
+		client: redis.NewClient(&redis.Options{
+			Addr: address, Protocol: 2, DisableIdentity: true, PoolSize: redisWorkers,
+			// A lost answer may have been added: sent again it would count twice.
+			MaxRetries: -1, DialerRetries: 1,
+			DialTimeout: timeout, ReadTimeout: timeout, WriteTimeout: timeout, ContextTimeoutEnabled: true,
+			MaintNotificationsConfig: &maintnotifications.Config{Mode: maintnotifications.ModeDisabled},
+		}),
+	}
+}
+
+// Add implements core.Counter.
+func (r *Redis) Add(name uint64, amount float64, ttl time.Duration, report func(control.Status, float64)) bool {
+	c := &call{report: report, asked: time.Now(),
+		redisAdd: redisAdd{redisPrefix + strconv.FormatUint(name, 10), amount, max(ttl, time.Millisecond)}}
+	select {
+	case r.mailbox <- c:
+		return true
+	default:
+		return false
+	}
+}
+
+// Run works calls off until ctx ends.
+func (r *Redis) Run(ctx context.Context) {
+	defer r.client.Close()
+	done := make(chan struct{})
+	for range redisWorkers {
+		go func() {
+			defer func() { done <- struct{}{} }()
+			for {
+				select {
+				case <-ctx.Done():
+					return
+				case c := <-r.mailbox:
+					c.finish(r.add(ctx, c))
+				}
+			}
+		}()
+	}
+	for range redisWorkers {
+		<-done
+	}
+}
+
+// add makes one call. SET NX gives a new name its life; INCRBYFLOAT leaves that of an old one alone; as one
+// transaction no other gateway comes between the two, nor can a name be left without an end.
+func (r *Redis) add(ctx context.Context, c *call) (control.Status, float64) {
+	rest := r.timeout - time.Since(c.asked)
+	if rest <= 0 {
+		return control.Full, 0 // it waited here for all its time: nothing was added
+	}
+	ctx, cancel := context.WithTimeout(ctx, rest)
+	defer cancel()
+	tx := r.client.TxPipeline()
+	tx.SetNX(ctx, c.name, 0, c.ttl)
+	total := tx.IncrByFloat(ctx, c.name, c.amount)
+	if _, err := tx.Exec(ctx); err != nil {
+		return redisStatus(err), 0
+	}
+	return control.OK, total.Val()
+}
+
+// redisStatus tells what is known of an add that failed. What may have been added must not be added again.
+func redisStatus(err error) control.Status {
+	var op *net.OpError
+	switch {
+	case errors.As(err, &op) && op.Op == "dial":
+		return control.ConnectFailed
+	case errors.Is(err, redis.ErrPoolTimeout):
+		return control.Full
+	}
+	var answer redis.Error
+	if errors.As(err, &answer) && !errors.Is(err, redis.Nil) {
+		return control.Full // the store's own word: a transaction that it turns away adds nothing
+	}
+	return control.Timeout
+}
--- a/internal/egress/conn.go
+++ b/internal/egress/conn.go
@@ -27,8 +27,9 @@
 	Body   []byte
 }
 
-// Reply is a target's whole 200 answer.
+// Reply is a peer's whole answer.
 type Reply struct {
+	Status int
 	Header http.Header
 	Body   []byte
 }
@@ -110,10 +111,10 @@
 		return reset, false
 	}
 	o.Load = decodeLoad(resp.Header.Get("X-Server-Load"), fields)
+	o.Reply = &Reply{Status: resp.StatusCode, Header: resp.Header, Body: body}
 	switch {
 	case resp.StatusCode == http.StatusOK && len(body) <= MaxBody:
 		o.Status = control.OK
-		o.Reply = &Reply{Header: resp.Header, Body: body}
 	case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
 		resp.Header.Get("X-Not-Processed") == "1":
 		o.Status = control.Full
--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -118,72 +119,78 @@
 
 type exchangeKey struct{}
 
-// WithExchange returns a request that carries its exchange through httputil.ReverseProxy to the RoundTripper.
-func WithExchange(r *http.Request, x *core.Exchange, body []byte) *http.Request {
-	return r.WithContext(context.WithValue(r.Context(), exchangeKey{}, &carried{x, body}))
-}
-
+// carried is what rides through httputil.ReverseProxy in a request's context.
 type carried struct {
 	exchange *core.Exchange
 	body     []byte
+	ended    func(core.Answer)
+}
+
+// WithExchange returns a request that carries its exchange through httputil.ReverseProxy to the RoundTripper.
+// ended is told the final answer before the client is; it may be nil.
+func WithExchange(r *http.Request, x *core.Exchange, body []byte, ended func(core.Answer)) *http.Request {
+	return r.WithContext(context.WithValue(r.Context(), exchangeKey{}, &carried{x, body, ended}))
 }
 
 // RoundTripper has the core decide and carry out the exchange that a request holds.
 type RoundTripper struct {
-	Core *core.Core
-	// Shed words a refusal; it may be nil.
-	Shed func(core.Answer) *http.Response
+	Core       *core.Core
+	RetryAfter func(time.Duration) string // words a wait for the front's clients
 }
 
 // RoundTrip implements http.RoundTripper.
 func (t *RoundTripper) RoundTrip(r *http.Request) (*http.Response, error) {
 	c := r.Context().Value(exchangeKey{}).(*carried)
-	c.exchange.Payload = encode(r, c.body)
+	c.exchange.Payload = Encode(r.Method, r.URL.RequestURI(), r.Host, r.Header, c.body)
 	a := t.Core.Do(r.Context(), *c.exchange)
-	resp := &http.Response{ProtoMajor: 1, ProtoMinor: 1, Request: r}
+	if c.ended != nil {
+		c.ended(a)
+	}
+	resp := &http.Response{ProtoMajor: 1, ProtoMinor: 1, Request: r, Header: http.Header{}, Body: http.NoBody}
 	switch a.Kind {
 	case core.Served:
 		reply := a.Reply.(*Reply)
-		resp.StatusCode, resp.Header = http.StatusOK, reply.Header
+		resp.StatusCode, resp.Header = http.StatusOK, reply.Header.Clone()
 		resp.ContentLength = int64(len(reply.Body))
-		resp.Header.Del("Content-Length")
-		resp.Header.Set("Content-Length", itoa(len(reply.Body)))
-		resp.Body = body{bytes.NewReader(reply.Body)}
+		resp.Header.Set("Content-Length", strconv.Itoa(len(reply.Body)))
+		resp.Body = io.NopCloser(bytes.NewReader(reply.Body))
 		return resp, nil
 	case core.Refused:
-		resp.StatusCode, resp.Header = http.StatusServiceUnavailable, http.Header{}
+		resp.StatusCode = http.StatusServiceUnavailable
+		if a.Over {
+			resp.StatusCode = http.StatusTooManyRequests
+		}
 		if a.RetryAfter > 0 {
-			resp.Header.Set("Retry-After", RetryAfter(a.RetryAfter))
+			resp.Header.Set("Retry-After", t.RetryAfter(a.RetryAfter))
 		}
 	case core.Left:
 		return nil, context.Canceled
 	default:
-		resp.StatusCode, resp.Header = http.StatusBadGateway, http.Header{}
+		resp.StatusCode = http.StatusBadGateway
 	}
 	resp.Header.Set("Content-Length", "0")
-	resp.Body = http.NoBody
 	return resp, nil
 }
 
-type body struct{ *bytes.Reader }
-
-func (body) Close() error { return nil }
-
-// encode writes the message to the target once, for all attempts.
-func encode(r *http.Request, body []byte) *Request {
+// Encode writes a message once, for all attempts.
+func Encode(method, uri, host string, h http.Header, body []byte) *Request {
 	var b bytes.Buffer
-	b.WriteString(r.Method + " " + r.URL.RequestURI() + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
-	h := r.Header
+	b.WriteString(method + " " + uri + " HTTP/1.1\r\nHost: " + host + "\r\n")
+	h = h.Clone()
 	h.Del("X-Timeout")
+	h.Del("Expect") // answered here: the body has come in whole
 	h.Del("Content-Length")
-	if len(body) > 0 || r.Method == http.MethodPost {
-		h.Set("Content-Length", itoa(len(body)))
+	if len(body) > 0 || method == http.MethodPost {
+		h.Set("Content-Length", strconv.Itoa(len(body)))
 	}
-	h.Write(&b)
-	return &Request{Method: r.Method, Head: b.Bytes(), Body: body}
+	h.Write(&b) // into memory: it does not fail
+	return &Request{Method: method, Head: b.Bytes(), Body: body}
 }
 
-func itoa(n int) string { return strconv.Itoa(n) }
+// DecimalSeconds words a wait as the platform's clients read it.
+func DecimalSeconds(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
 
-// RetryAfter words a wait in seconds, whole or decimal as the platform's clients read it.
-func RetryAfter(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
+// WholeSeconds words a wait as HTTP at large does, rounded up.
+func WholeSeconds(d time.Duration) string {
+	return strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10)
+}
--- /dev/null
+++ b/internal/forwardauth/check.go
@@ -0,0 +1,103 @@
+package forwardauth
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"junctionring/internal/egress"
+)
+
+// refusal is a final answer given before the core.
+type refusal struct {
+	status     int
+	retryAfter time.Duration
+	text       string
+	reply      *egress.Reply // the checker's own answer, passed back as it is
+}
+
+func (r *refusal) write(w http.ResponseWriter) {
+	if r.reply != nil {
+		for name, values := range r.reply.Header {
+			if !slices.Contains(hopByHop, name) {
+				w.Header()[name] = values
+			}
+		}
+		w.Header().Set("Content-Length", strconv.Itoa(len(r.reply.Body)))
+		w.WriteHeader(r.reply.Status)
+		w.Write(r.reply.Body)
+		return
+	}
+	if r.retryAfter > 0 {
+		w.Header().Set("Retry-After", egress.WholeSeconds(r.retryAfter))
+	}
+	if r.text == "" {
+		r.text = http.StatusText(r.status)
+	}
+	http.Error(w, r.text, r.status)
+}
+
+// closed is what a client gets when no verdict is to be had: nothing has run, it may come again.
+func (f *Front) closed() *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, retryAfter: f.o.Checker.RetryAfter.Duration,
+		text: "the request could not be checked"}
+}
+
+// identify finds out who a client is: one check, with its own deadline inside the client's, or what a trusted
+// proxy says where there is no checker. It returns the headers to copy onward, or why not.
+func (f *Front) identify(ctx context.Context, h http.Header, origin map[string]string, trusted bool) (http.Header, *refusal) {
+	if f.checker == nil {
+		identity := http.Header{}
+		if trusted {
+			for _, name := range []string{f.o.Identity.Account, f.o.Identity.Plan} {
+				if v := h.Get(name); v != "" {
+					identity.Set(name, v)
+				}
+			}
+		}
+		return identity, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.o.Checker.Timeout.Duration)
+	defer cancel()
+	reply, status := f.checker.Ask(ctx, f.question(h, origin))
+	if reply == nil || ctx.Err() != nil { // none, or one that came too late to count
+		f.log.Warn("no verdict", "status", int(status), "err", ctx.Err())
+		return nil, f.closed()
+	}
+	switch {
+	case reply.Status >= 200 && reply.Status < 300:
+		identity := http.Header{}
+		for _, name := range append([]string{f.o.Identity.Account, f.o.Identity.Plan}, f.o.Checker.ResponseHeaders...) {
+			if values := reply.Header.Values(name); len(values) > 0 {
+				identity[http.CanonicalHeaderKey(name)] = values
+			}
+		}
+		return identity, nil
+	case reply.Status >= 300 && reply.Status < 500 && reply.Status != http.StatusNotModified:
+		return nil, &refusal{reply: reply}
+	}
+	f.log.Warn("the checker failed", "status", reply.Status)
+	return nil, f.closed()
+}
+
+// question is the message to the checker: the client's headers without its body, and what it asked for.
+func (f *Front) question(h http.Header, origin map[string]string) *egress.Request {
+	q := http.Header{}
+	for name, values := range h {
+		if len(f.o.Checker.RequestHeaders) == 0 || slices.ContainsFunc(f.o.Checker.RequestHeaders, func(n string) bool {
+			return http.CanonicalHeaderKey(n) == name
+		}) {
+			q[name] = values
+		}
+	}
+	f.strip(q)
+	for _, name := range hopByHop {
+		q.Del(name)
+	}
+	for name, value := range origin {
+		q.Set(name, value)
+	}
+	return egress.Encode(http.MethodGet, f.checkURL.RequestURI(), f.checkURL.Host, q, nil)
+}
--- a/internal/ingress/decode.go
+++ b/internal/ingress/decode.go
@@ -83,7 +83,7 @@
 	}
 	x.Deadline = received.Add(wait - Margin)
 	x.Repeat = r.Header.Get("X-Retried") == "1"
-	return x, n.quota(r.Header.Get("X-Quota"), &x)
+	return x, n.Quota(r.Header.Get("X-Quota"), &x)
 }
 
 // ParseAccount reads a customer: 16 hex digits, below 2^33.
@@ -111,7 +111,8 @@
 	return time.Duration(v * float64(unit)), nil
 }
 
-func (n *Names) quota(text string, x *core.Exchange) error {
+// Quota reads the units that an exchange draws and the gateways that its customer comes through.
+func (n *Names) Quota(text string, x *core.Exchange) error {
 	for _, part := range strings.Split(text, ",") {
 		key, value, _ := strings.Cut(strings.TrimSpace(part), "=")
 		v, err := strconv.ParseFloat(value, 64)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -15,7 +15,8 @@
 )
 
 const (
-	maxHeader  = 16 << 10
+	// MaxHeader is what a client's headers may hold on the platform.
+	MaxHeader  = 16 << 10
 	headerWait = 10 * time.Second
 )
 
@@ -27,7 +28,7 @@
 }
 
 // NewServer serves h, with the readiness path in front of it.
-func NewServer(h http.Handler, log *slog.Logger) *Server {
+func NewServer(h http.Handler, maxHeader int, log *slog.Logger) *Server {
 	s := &Server{}
 	s.http = &http.Server{
 		MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerWait,
@@ -74,7 +75,7 @@
 
 // Platform is the handler of the platform's protocol.
 func Platform(names *Names, c *core.Core, log *slog.Logger) http.Handler {
-	proxy := Proxy(&egress.RoundTripper{Core: c}, log)
+	proxy := Proxy(&egress.RoundTripper{Core: c, RetryAfter: egress.DecimalSeconds}, log)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		received := time.Now()
 		x, err := names.Decode(r, received)
@@ -87,7 +88,7 @@
 			Reject(w, err)
 			return
 		}
-		proxy.ServeHTTP(w, egress.WithExchange(r, &x, body))
+		proxy.ServeHTTP(w, egress.WithExchange(r, &x, body, nil))
 	})
 }
 
--- /dev/null
+++ b/internal/routetable/static.go
@@ -0,0 +1,19 @@
+package routetable
+
+import (
+	"junctionring/control"
+	"junctionring/internal/config"
+	"junctionring/internal/core"
+)
+
+// Static is the list of an operator's file: it never changes.
+func Static(o *config.Operator) core.Table {
+	t := core.Table{Kind: control.Snapshot, Version: 1}
+	for _, e := range o.Targets {
+		t.Targets = append(t.Targets, core.Target{
+			Member:  control.Member{Server: e.ID, Weight: 1, Zone: e.Zone},
+			Address: e.Address,
+		})
+	}
+	return t
+}
