--- /dev/null
+++ b/internal/forwardauth/forwardauth_test.go
@@ -0,0 +1,473 @@
+package forwardauth_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"junctionring/internal/config"
+	"junctionring/internal/core"
+	"junctionring/internal/counter"
+	"junctionring/internal/egress"
+	"junctionring/internal/forwardauth"
+	"junctionring/internal/ingress"
+	"junctionring/internal/redistest"
+	"junctionring/internal/routetable"
+)
+
+// tables is a stand-in table server that counts how often each move key ran. It drops no repeats itself.
+type tables struct {
+	*httptest.Server
+	mu   sync.Mutex
+	runs map[string]int
+	seen []http.Header
+	hold chan struct{} // not nil: an answer waits for it
+}
+
+func newTables(t *testing.T) *tables {
+	s := &tables{runs: map[string]int{}}
+	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		s.runs[r.Header.Get("Idempotency-Key")]++
+		s.seen = append(s.seen, r.Header.Clone())
+		hold := s.hold
+		s.mu.Unlock()
+		if hold != nil {
+			<-hold
+		}
+		io.Copy(w, r.Body)
+	}))
+	t.Cleanup(s.Close)
+	return s
+}
+
+func (s *tables) total() (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.seen)
+}
+
+func (s *tables) ran(key string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[key]
+}
+
+// checker is a stand-in checker whose answers a test scripts.
+type checker struct {
+	*httptest.Server
+	asked chan http.Header
+	gone  chan struct{} // one for each question that the gateway gave up
+}
+
+func newChecker(t *testing.T, answer func(w http.ResponseWriter, r *http.Request)) *checker {
+	c := &checker{asked: make(chan http.Header, 256), gone: make(chan struct{}, 256)}
+	c.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c.asked <- r.Header.Clone()
+		answer(w, r)
+		if r.Context().Err() != nil {
+			c.gone <- struct{}{}
+		}
+	}))
+	t.Cleanup(c.Close)
+	return c
+}
+
+func allow(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Auth-Account", "ayumi")
+	w.Header().Set("X-Auth-Plan", "club")
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// gateway starts the front of an operator's file that knows the given peers.
+func gateway(t *testing.T, checkURL, redis string, table *tables, more ...string) string {
+	t.Helper()
+	text := `listen = "127.0.0.1:0"
+gateways = 2
+trusted_proxies = ["127.0.0.0/8"]
+asked = {path = "/verify"}
+checker = {url = "` + checkURL + `", timeout = "300ms", response_headers = ["X-Seat"]}
+redis = {address = "` + redis + `", timeout = "100ms"}
+class = [{name = "table-view", aim = "1s", deadline = "2s", worth = 2.0, repeat = "safe"},
+ {name = "move-submit", aim = "1s", deadline = "2s", worth = 6.0, repeat = "keyed", window = "4s"}]
+plan = [{name = "club", rate = 0.1, burst = 20.0, worth = 1.0, over_cost = 1.0}]
+target = [{id = "t1", address = "` + strings.TrimPrefix(table.URL, "http://") + `"}]
+`
+	for i := 0; i+1 < len(more); i += 2 {
+		text = strings.Replace(text, more[i], more[i+1], 1)
+	}
+	path := filepath.Join(t.TempDir(), "operator.toml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	o, err := config.LoadOperator(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := slog.New(slog.DiscardHandler)
+	tally := counter.NewRedis(redis, o.Redis.Timeout.Duration)
+	fleet := egress.NewFleet(egress.Options{ConnectTimeout: time.Second, ConnIdle: 10 * time.Second, Conns: 64})
+	c, err := core.New(o.Module, 1, fleet, tally, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	front, err := forwardauth.New(o, c, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go c.Run(ctx)
+	go tally.Run(ctx)
+	c.Routes(routetable.Static(o))
+	l, err := net.Listen("tcp", o.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := ingress.NewServer(front, o.MaxHeader, log)
+	go s.Serve(l)
+	t.Cleanup(func() {
+		now, stop := context.WithCancel(context.Background())
+		stop()
+		s.Drain(now, 0)
+		front.Close()
+		cancel()
+	})
+	return "http://" + l.Addr().String()
+}
+
+// ask sends one request and returns its answer with the body read.
+func ask(t *testing.T, method, url, key string, more ...string) (*http.Response, string) {
+	t.Helper()
+	r, err := http.NewRequest(method, url, bytes.NewReader([]byte("e2e4")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if method == http.MethodGet {
+		r.Body, r.ContentLength = nil, 0
+	}
+	if key != "" {
+		r.Header.Set("Idempotency-Key", key)
+	}
+	for i := 0; i+1 < len(more); i += 2 {
+		if more[i] != "" {
+			r.Header.Set(more[i], more[i+1])
+		}
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Error(err)
+		return &http.Response{Header: http.Header{}}, ""
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Error(err)
+	}
+	return resp, string(body)
+}
+
+func expect(t *testing.T, resp *http.Response, status int) {
+	t.Helper()
+	if resp.StatusCode != status {
+		t.Errorf("answered %d, want %d", resp.StatusCode, status)
+	}
+	if status == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") == "" {
+		t.Error("no Retry-After")
+	}
+}
+
+// A checked move reaches a table with the checker's word on who plays, and not with the client's own.
+func TestCheckedMoveIsServed(t *testing.T) {
+	table, store := newTables(t), redistest.Start(t)
+	check := newChecker(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Seat", "north")
+		allow(w, r)
+	})
+	url := gateway(t, check.URL+"/v?x=1", store.Addr(), table)
+	resp, body := ask(t, "POST", url+"/move-submit/7?turn=3", "k1",
+		"X-Auth-Account", "mallory", "X-Seat", "south", "X-Forwarded-Host", "club.example", "Authorization", "Bearer b")
+	expect(t, resp, http.StatusOK)
+	if body != "e2e4" {
+		t.Errorf("body %q", body)
+	}
+	q := <-check.asked
+	for name, want := range map[string]string{
+		"X-Forwarded-Method": "POST", "X-Forwarded-Uri": "/move-submit/7?turn=3", "X-Forwarded-Host": "club.example",
+		"X-Forwarded-Proto": "http", "X-Forwarded-For": "127.0.0.1", "Authorization": "Bearer b", "X-Auth-Account": "",
+	} {
+		if q.Get(name) != want {
+			t.Errorf("the checker saw %s: %q, want %q", name, q.Get(name), want)
+		}
+	}
+	got := table.seen[0]
+	if got.Get("X-Auth-Account") != "ayumi" || got.Get("X-Seat") != "north" {
+		t.Errorf("the table saw account %q, seat %q", got.Get("X-Auth-Account"), got.Get("X-Seat"))
+	}
+}
+
+// Whatever becomes of the check, there is one answer, at once, and without a 2xx nothing runs.
+func TestNoVerdictFailsClosed(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	for _, c := range []struct {
+		name   string
+		answer func(w http.ResponseWriter, r *http.Request)
+		status int
+	}{
+		{"401 goes back", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			http.Error(w, "who are you", http.StatusUnauthorized)
+		}, http.StatusUnauthorized},
+		{"redirect goes back", func(w http.ResponseWriter, r *http.Request) {
+			http.Redirect(w, r, "/login", http.StatusFound)
+		}, http.StatusFound},
+		{"5xx", func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(http.StatusInternalServerError) },
+			http.StatusServiceUnavailable},
+		{"reset", func(w http.ResponseWriter, r *http.Request) { panic(http.ErrAbortHandler) },
+			http.StatusServiceUnavailable},
+		{"2xx for nobody", func(w http.ResponseWriter, r *http.Request) {}, http.StatusServiceUnavailable},
+		{"stall of 3 s", func(w http.ResponseWriter, r *http.Request) {
+			wait := time.NewTimer(3 * time.Second)
+			defer wait.Stop()
+			select {
+			case <-wait.C:
+			case <-release:
+			case <-r.Context().Done():
+			}
+			allow(w, r) // too late to count
+		}, http.StatusServiceUnavailable},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			table, store, check := newTables(t), redistest.Start(t), newChecker(t, c.answer)
+			url := gateway(t, check.URL, store.Addr(), table)
+			noFollow := http.Client{CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+			r, _ := http.NewRequest("POST", url+"/move-submit/7", strings.NewReader("e2e4"))
+			r.Header.Set("Idempotency-Key", "k")
+			resp, err := noFollow.Do(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp.Body.Close()
+			expect(t, resp, c.status)
+			if c.name == "401 goes back" && resp.Header.Get("WWW-Authenticate") != "Bearer" {
+				t.Error("the checker's headers are lost")
+			}
+			if c.name == "stall of 3 s" {
+				<-check.gone // the question was given up, not left running
+			}
+			if n := table.total(); n != 0 {
+				t.Errorf("%d requests reached a table", n)
+			}
+			if n := len(check.asked); n != 1 {
+				t.Errorf("the checker was asked %d times", n)
+			}
+		})
+	}
+	t.Run("unreachable", func(t *testing.T) {
+		table, check := newTables(t), newChecker(t, allow)
+		check.Close()
+		resp, _ := ask(t, "GET", gateway(t, check.URL, redistest.Start(t).Addr(), table)+"/table-view/1", "")
+		expect(t, resp, http.StatusServiceUnavailable)
+	})
+}
+
+// A verdict that comes after the client has left sends nothing to a table.
+func TestClientLeavesDuringCheck(t *testing.T) {
+	table, store, verdict := newTables(t), redistest.Start(t), make(chan struct{})
+	check := newChecker(t, func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-verdict:
+		case <-r.Context().Done():
+		}
+		allow(w, r)
+	})
+	url := gateway(t, check.URL, store.Addr(), table, `timeout = "300ms"`, `timeout = "1900ms"`)
+	ctx, leave := context.WithCancel(context.Background())
+	r, _ := http.NewRequestWithContext(ctx, "POST", url+"/move-submit/7", strings.NewReader("e2e4"))
+	r.Header.Set("Idempotency-Key", "k")
+	done := make(chan error, 1)
+	go func() {
+		_, err := http.DefaultClient.Do(r)
+		done <- err
+	}()
+	<-check.asked
+	leave()
+	if err := <-done; err == nil {
+		t.Fatal("the client did not leave")
+	}
+	<-check.gone // the gateway noticed and gave the check up
+	close(verdict)
+	// The same key is free: nothing ran under it. This one's check passes, and it is the only one to run.
+	resp, _ := ask(t, "POST", url+"/move-submit/7", "k")
+	expect(t, resp, http.StatusOK)
+	if n := table.ran("k"); n != 1 {
+		t.Errorf("the move ran %d times", n)
+	}
+}
+
+// Concurrent repeats of a key: one runs, each gets one answer, and a later repeat gets the first one's.
+func TestKeyRunsOnce(t *testing.T) {
+	table, store, check := newTables(t), redistest.Start(t), newChecker(t, allow)
+	table.hold = make(chan struct{})
+	url := gateway(t, check.URL, store.Addr(), table)
+	const repeats = 8
+	statuses := make(chan int, repeats)
+	for range repeats {
+		go func() {
+			resp, _ := ask(t, "POST", url+"/move-submit/7", "k")
+			statuses <- resp.StatusCode
+		}()
+	}
+	for range repeats - 1 { // all but the one that runs are answered while it still does
+		if s := <-statuses; s != http.StatusConflict {
+			t.Errorf("a repeat was answered %d while the key was running", s)
+		}
+	}
+	close(table.hold)
+	if s := <-statuses; s != http.StatusOK {
+		t.Errorf("the first was answered %d", s)
+	}
+	resp, body := ask(t, "POST", url+"/move-submit/7", "k")
+	expect(t, resp, http.StatusOK)
+	if body != "e2e4" || resp.Header.Get("Idempotent-Replayed") != "true" {
+		t.Errorf("a later repeat got %q", body)
+	}
+	if n := table.ran("k"); n != 1 {
+		t.Errorf("the move ran %d times", n)
+	}
+}
+
+// A proxy asks for verdicts: the same quota as for what is sent on, 429 with Retry-After beyond it.
+func TestAskedForVerdicts(t *testing.T) {
+	table, store := newTables(t), redistest.Start(t)
+	check := newChecker(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Authorization") == "" {
+			w.WriteHeader(http.StatusForbidden)
+			return
+		}
+		allow(w, r)
+	})
+	url := gateway(t, check.URL, store.Addr(), table, "gateways = 2", "gateways = 1")
+	verdict := func(more ...string) *http.Response {
+		resp, _ := ask(t, "GET", url+"/verify", "", append(more, "X-Forwarded-Method", "GET",
+			"X-Forwarded-Uri", "/table-view/9", "X-Quota", "units=6,spread=1,first=0")...)
+		return resp
+	}
+	expect(t, verdict(), http.StatusForbidden)
+	for range 3 {
+		resp := verdict("Authorization", "b")
+		expect(t, resp, http.StatusOK)
+		if resp.Header.Get("X-Auth-Account") != "ayumi" {
+			t.Error("no identity to copy onward")
+		}
+	}
+	resp := verdict("Authorization", "b") // 18 of 20 units are spent
+	expect(t, resp, http.StatusTooManyRequests)
+	if resp.Header.Get("Retry-After") == "" {
+		t.Error("no Retry-After")
+	}
+	resp, _ = ask(t, "GET", url+"/table-view/9", "", "Authorization", "b", "X-Quota", "units=6,spread=1,first=0")
+	expect(t, resp, http.StatusTooManyRequests)
+	if n := table.total(); n != 0 {
+		t.Errorf("%d requests reached a table", n)
+	}
+	resp, _ = ask(t, "GET", url+"/verify", "", "X-Forwarded-Method", "GET", "X-Forwarded-Uri", "table-view")
+	expect(t, resp, http.StatusBadRequest)
+}
+
+// Nobody but a configured proxy may ask, or be believed in what it forwards.
+func TestStrangersAreNotBelieved(t *testing.T) {
+	table, store, check := newTables(t), redistest.Start(t), newChecker(t, allow)
+	url := gateway(t, check.URL, store.Addr(), table, "127.0.0.0/8", "192.0.2.0/24")
+	resp, _ := ask(t, "GET", url+"/verify", "", "X-Forwarded-Method", "GET", "X-Forwarded-Uri", "/table-view/9")
+	expect(t, resp, http.StatusForbidden)
+	resp, _ = ask(t, "GET", url+"/table-view/9", "", "X-Forwarded-For", "192.0.2.9", "X-Forwarded-Uri", "/other")
+	expect(t, resp, http.StatusOK)
+	if q := <-check.asked; q.Get("X-Forwarded-For") != "127.0.0.1" || q.Get("X-Forwarded-Uri") != "/table-view/9" {
+		t.Errorf("the checker was told For %q, Uri %q", q.Get("X-Forwarded-For"), q.Get("X-Forwarded-Uri"))
+	}
+}
+
+// Malformed input is answered at once, outside the core, without a question to the checker.
+func TestMalformedIsRejected(t *testing.T) {
+	table, store, check := newTables(t), redistest.Start(t), newChecker(t, allow)
+	url := gateway(t, check.URL, store.Addr(), table)
+	for _, c := range []struct {
+		method, path, key, header, value string
+		status                           int
+	}{
+		{"GET", "/no-such/1", "", "", "", 404},
+		{"POST", "/table-view/1", "", "", "", 405},
+		{"POST", "/move-submit/1", "", "", "", 400},
+		{"GET", "/table-view/1", "", "X-Timeout", "soon", 400},
+		{"GET", "/table-view/1", "", "X-Quota", "units=-1,spread=1,first=0", 400},
+		{"GET", "/table-view/1", "", "X-Long", strings.Repeat("x", 32<<10), 431},
+	} {
+		resp, _ := ask(t, c.method, url+c.path, c.key, c.header, c.value)
+		expect(t, resp, c.status)
+	}
+	r, _ := http.NewRequest("POST", url+"/move-submit/1", bytes.NewReader(make([]byte, 64<<10+1)))
+	r.Header.Set("Idempotency-Key", "k")
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	expect(t, resp, http.StatusRequestEntityTooLarge)
+	if len(check.asked) != 0 || table.total() != 0 {
+		t.Error("something malformed went further")
+	}
+}
+
+// Two gateways on one store hold one quota between them; a silent or emptied store stops neither.
+func TestTwoGatewaysOneQuota(t *testing.T) {
+	table, store, check := newTables(t), redistest.Start(t), newChecker(t, allow)
+	urls := []string{
+		gateway(t, check.URL, store.Addr(), table),
+		gateway(t, check.URL, store.Addr(), table, "gateways = 2", "gateways = 2\nordinal = 1"),
+	}
+	// The store's word arrives beside the requests: each is sent once the one before it has been counted.
+	const each = 4.0
+	quota := []string{"X-Quota", "units=4,spread=2,first=0"}
+	units := 0.0
+	for i := range 16 {
+		resp, _ := ask(t, "GET", urls[i%2]+"/table-view/1", "", quota...)
+		switch resp.StatusCode {
+		case http.StatusOK:
+			units += each
+			store.AwaitSum(t, units)
+		case http.StatusTooManyRequests:
+		default:
+			t.Fatalf("answered %d", resp.StatusCode)
+		}
+	}
+	// Each alone would let in 20, both 40. A gateway may be one view behind.
+	if units < 2*each || units > 20+2*each {
+		t.Errorf("%g units were let in, of a quota of 20", units)
+	}
+	for _, life := range store.Life() {
+		if life <= 0 || life > time.Minute {
+			t.Errorf("a name lives on for %v", life)
+		}
+	}
+	store.Empty()
+	resp, _ := ask(t, "GET", urls[0]+"/table-view/1", "", quota...)
+	if resp.StatusCode != http.StatusTooManyRequests {
+		t.Errorf("an emptied store refilled the quota: %d", resp.StatusCode)
+	}
+	store.Silence()
+	resp, _ = ask(t, "GET", urls[1]+"/table-view/2", "", quota...)
+	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusTooManyRequests {
+		t.Errorf("a silent store gave %d", resp.StatusCode)
+	}
+}
--- /dev/null
+++ b/internal/redistest/redistest.go
@@ -0,0 +1,246 @@
+// Package redistest is a small stand-in for a Redis store, written from the RESP specification, for tests
+// over loopback: SET NX PX, INCRBYFLOAT and MULTI/EXEC, and the faults that a store may have.
+package redistest
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Store is the stand-in.
+type Store struct {
+	listener net.Listener
+	mu       sync.Mutex
+	changed  *sync.Cond
+	values   map[string]float64
+	ends     map[string]time.Time
+	added    float64 // all amounts ever added
+	silent   bool
+	conns    []net.Conn
+}
+
+// Start starts a store that ends with the test.
+func Start(t *testing.T) *Store {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &Store{listener: l, values: map[string]float64{}, ends: map[string]time.Time{}}
+	s.changed = sync.NewCond(&s.mu)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.conns = append(s.conns, c)
+			s.mu.Unlock()
+			go s.serve(c)
+		}
+	}()
+	t.Cleanup(func() {
+		l.Close()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for _, c := range s.conns {
+			c.Close()
+		}
+	})
+	return s
+}
+
+// Addr is where the store listens.
+func (s *Store) Addr() string { return s.listener.Addr().String() }
+
+// Empty forgets all numbers.
+func (s *Store) Empty() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.values)
+	clear(s.ends)
+}
+
+// Silence makes the store read on and answer nothing from now on.
+func (s *Store) Silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = true
+}
+
+// Life is how long each name with an end has left.
+func (s *Store) Life() (lives []time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, end := range s.ends {
+		lives = append(lives, time.Until(end))
+	}
+	return lives
+}
+
+// AwaitSum waits until the amounts added come to a sum.
+func (s *Store) AwaitSum(t *testing.T, sum float64) {
+	t.Helper()
+	late := time.AfterFunc(10*time.Second, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.changed.Broadcast()
+	})
+	defer late.Stop()
+	by := time.Now().Add(10 * time.Second)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for s.added < sum-1e-6 {
+		if time.Now().After(by) {
+			t.Fatalf("the store was told of %g units, want %g", s.added, sum)
+		}
+		s.changed.Wait()
+	}
+}
+
+// serve speaks RESP: arrays of bulk strings in; simple strings, bulk strings, arrays and errors out.
+func (s *Store) serve(c net.Conn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	var queued [][]string
+	multi := false
+	for {
+		args, err := readCommand(in)
+		if err != nil {
+			return
+		}
+		var out string
+		switch name := strings.ToUpper(args[0]); {
+		case name == "MULTI":
+			multi, queued, out = true, nil, "+OK\r\n"
+		case name == "EXEC":
+			out = s.exec(queued)
+			multi = false
+		case multi:
+			queued, out = append(queued, args), "+QUEUED\r\n"
+		case name == "PING":
+			out = "+PONG\r\n"
+		default:
+			out = "-ERR unknown command\r\n"
+		}
+		s.mu.Lock()
+		silent := s.silent
+		s.mu.Unlock()
+		if !silent {
+			io.WriteString(c, out)
+		}
+	}
+}
+
+func readCommand(in *bufio.Reader) ([]string, error) {
+	n, err := readLength(in, '*')
+	if err != nil {
+		return nil, err
+	}
+	args := make([]string, n)
+	for i := range args {
+		size, err := readLength(in, '$')
+		if err != nil {
+			return nil, err
+		}
+		b := make([]byte, size+2)
+		if _, err := io.ReadFull(in, b); err != nil {
+			return nil, err
+		}
+		args[i] = string(b[:size])
+	}
+	return args, nil
+}
+
+func readLength(in *bufio.Reader, kind byte) (int, error) {
+	line, err := in.ReadString('\n')
+	if err != nil {
+		return 0, err
+	}
+	if line[0] != kind {
+		return 0, fmt.Errorf("RESP: %q where %q is due", line, kind)
+	}
+	n, err := strconv.Atoi(strings.TrimSpace(line[1:]))
+	if err == nil && (n < 1 && kind == '*' || n < 0 || n > 1<<20) {
+		err = fmt.Errorf("RESP: a length of %d", n)
+	}
+	return n, err
+}
+
+func (s *Store) exec(commands [][]string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := fmt.Sprintf("*%d\r\n", len(commands))
+	for _, args := range commands {
+		out += s.run(args)
+	}
+	s.changed.Broadcast()
+	return out
+}
+
+func (s *Store) run(args []string) string {
+	now := time.Now()
+	for key, end := range s.ends {
+		if now.After(end) {
+			delete(s.ends, key)
+			delete(s.values, key)
+		}
+	}
+	switch strings.ToUpper(args[0]) {
+	case "SET":
+		return s.set(args, now)
+	case "INCRBYFLOAT":
+		amount, err := strconv.ParseFloat(args[2], 64)
+		if err != nil {
+			return "-ERR value is not a valid float\r\n"
+		}
+		s.values[args[1]] += amount
+		s.added += amount
+		text := strconv.FormatFloat(s.values[args[1]], 'f', -1, 64)
+		return fmt.Sprintf("$%d\r\n%s\r\n", len(text), text)
+	}
+	return "-ERR unknown command\r\n"
+}
+
+// set takes SET key value with the options NX, EX and PX in any order.
+func (s *Store) set(args []string, now time.Time) string {
+	value, err := strconv.ParseFloat(args[2], 64)
+	if err != nil {
+		return "-ERR value is not a valid float\r\n"
+	}
+	life := time.Duration(0)
+	_, there := s.values[args[1]]
+	for i := 3; i < len(args); i++ {
+		switch strings.ToUpper(args[i]) {
+		case "NX":
+			if there {
+				return "$-1\r\n"
+			}
+		case "EX", "PX":
+			n, err := strconv.Atoi(args[i+1])
+			if err != nil {
+				return "-ERR value is not an integer\r\n"
+			}
+			life = time.Duration(n) * time.Millisecond
+			if strings.EqualFold(args[i], "EX") {
+				life *= 1000
+			}
+			i++
+		default:
+			return "-ERR syntax error\r\n"
+		}
+	}
+	s.values[args[1]] = value
+	if life > 0 {
+		s.ends[args[1]] = now.Add(life)
+	}
+	return "+OK\r\n"
+}
