Answer what is malformed at once, and test the network code over scripted peers

Seen: the test of a body that is announced too large hung. net/http waits for up to 256 KB of an unread body before it writes an answer on a connection that stays open (internal/ingress/decode.go, Reject). Such answers now close the connection; ruled out: the decoding itself, which had ended. The other stories passed as written: cut answers, a stale connection, a reset, a deadline, a client that leaves, a drain with a queued send; late, busy and broken counter calls; a watch that breaks half a line in.

--- /dev/null
+++ b/internal/counter/counter_test.go
@@ -0,0 +1,191 @@
+package counter_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"junctionring/control"
+	"junctionring/internal/counter"
+	"junctionring/internal/redistest"
+)
+
+type answer struct {
+	status control.Status
+	total  float64
+}
+
+// adder runs a counter and makes calls on it.
+type adder interface {
+	Add(uint64, float64, time.Duration, func(control.Status, float64)) bool
+	Run(context.Context)
+}
+
+func run(t *testing.T, c adder) func(name uint64, amount float64) chan answer {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { c.Run(ctx); close(ended) }()
+	t.Cleanup(func() { cancel(); <-ended })
+	return func(name uint64, amount float64) chan answer {
+		t.Helper()
+		got := make(chan answer, 2)
+		if !c.Add(name, amount, 4*time.Second, func(s control.Status, total float64) { got <- answer{s, total} }) {
+			t.Fatal("the call was not taken")
+		}
+		return got
+	}
+}
+
+// store accepts connections for a test to script; pings are answered by itself.
+type store struct {
+	net.Listener
+	lines chan string
+	conns chan net.Conn
+}
+
+func newStore(t *testing.T) *store {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &store{l, make(chan string, 64), make(chan net.Conn, 64)}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.conns <- c
+			go func() {
+				in := bufio.NewScanner(c)
+				for in.Scan() {
+					if in.Text() == "ping" {
+						io.WriteString(c, "pong\r\n")
+						continue
+					}
+					s.lines <- in.Text()
+				}
+			}()
+		}
+	}()
+	return s
+}
+
+// A call given up keeps its place: its late answer is not taken for the next one's.
+func TestLateAnswerIsReadOff(t *testing.T) {
+	s := newStore(t)
+	add := run(t, counter.NewLine(s.Addr().String(), 50*time.Millisecond))
+	c := <-s.conns
+	first := add(7, 2.5)
+	if line := <-s.lines; line != "bump 7 2.5 4000" {
+		t.Errorf("the counter was told %q", line)
+	}
+	if a := <-first; a.status != control.Timeout { // it may have been added
+		t.Errorf("an unanswered call ended as %v", a)
+	}
+	second := add(8, 1)
+	<-s.lines
+	io.WriteString(c, "ok 2.5\r\nok 41\r\n")
+	if a := <-second; a != (answer{control.OK, 41}) {
+		t.Errorf("the second call was answered %v", a)
+	}
+	busy, wrong := add(9, 1), add(9, 0)
+	<-s.lines
+	<-s.lines
+	io.WriteString(c, "busy\r\nerror\r\n")
+	if a, b := <-busy, <-wrong; a.status != control.Full || b.status != control.Full {
+		t.Errorf("turned away: %v, %v", a, b)
+	}
+	if len(first) != 0 {
+		t.Error("one call was reported twice")
+	}
+}
+
+// A broken connection ends what is out on it as in doubt, and the next call goes out on a new one. A counter
+// that is not there adds nothing.
+func TestCounterBreaksAndIsGone(t *testing.T) {
+	s := newStore(t)
+	add := run(t, counter.NewLine(s.Addr().String(), 5*time.Second))
+	c := <-s.conns
+	out := add(7, 1)
+	<-s.lines
+	c.Close()
+	if a := <-out; a.status != control.Timeout {
+		t.Errorf("a call on a broken connection ended as %v", a)
+	}
+	c = <-s.conns
+	again := add(7, 1)
+	<-s.lines
+	io.WriteString(c, "ok 1\r\n")
+	if a := <-again; a != (answer{control.OK, 1}) {
+		t.Errorf("after the break: %v", a)
+	}
+	s.Close()
+	c.Close()
+	for {
+		if a := <-add(7, 1); a.status == control.ConnectFailed {
+			break
+		} else if a.status != control.Timeout { // written just as the connection broke
+			t.Fatalf("with no counter there: %v", a)
+		}
+	}
+}
+
+// Calls made in a row are written in a row, in order, over one connection.
+func TestCallsArePipelined(t *testing.T) {
+	s := newStore(t)
+	add := run(t, counter.NewLine(s.Addr().String(), 5*time.Second))
+	c := <-s.conns
+	var calls []chan answer
+	for i := range 5 {
+		calls = append(calls, add(uint64(i), 1))
+	}
+	for i := range calls { // all are there before any is answered
+		if line := <-s.lines; !strings.HasPrefix(line, "bump "+string(rune('0'+i))+" ") {
+			t.Errorf("call %d came as %q", i, line)
+		}
+	}
+	io.WriteString(c, "ok 10\r\nok 11\r\nok 12\r\nok 13\r\nok 14\r\n")
+	for i, call := range calls {
+		if a := <-call; a != (answer{control.OK, float64(10 + i)}) {
+			t.Errorf("call %d was answered %v", i, a)
+		}
+	}
+}
+
+// On Redis a name gets its life when it is new, and a lost answer is in doubt: it is not sent again.
+func TestRedis(t *testing.T) {
+	s := redistest.Start(t)
+	add := run(t, counter.NewRedis(s.Addr(), 5*time.Second))
+	for i, want := range []float64{2.5, 5} {
+		if a := <-add(7, 2.5); a != (answer{control.OK, want}) {
+			t.Errorf("add %d: %v", i, a)
+		}
+	}
+	if lives := s.Life(); len(lives) != 1 || lives[0] > 4*time.Second || lives[0] <= 0 {
+		t.Errorf("lives %v", lives)
+	}
+	s.Empty()
+	if a := <-add(7, 1); a != (answer{control.OK, 1}) {
+		t.Errorf("an emptied store: %v", a)
+	}
+	short := run(t, counter.NewRedis(s.Addr(), 100*time.Millisecond))
+	<-short(8, 0) // it has its connection
+	s.Silence()
+	if a := <-short(8, 1); a.status != control.Timeout {
+		t.Errorf("a silent store: %v", a)
+	}
+	s.AwaitSum(t, 7)
+	if sum := s.Sum(); sum != 7 { // 5, 1, and the one in doubt once
+		t.Errorf("%g units were added, want 7", sum)
+	}
+	gone := run(t, counter.NewRedis("127.0.0.1:1", 5*time.Second))
+	if a := <-gone(8, 1); a.status != control.ConnectFailed {
+		t.Errorf("no store there: %v", a)
+	}
+}
--- a/internal/forwardauth/forwardauth.go
+++ b/internal/forwardauth/forwardauth.go
@@ -98,12 +98,12 @@
 	}
 	x, err := f.decode(r, received)
 	if err != nil {
-		ingress.Reject(w, err)
+		ingress.Reject(w, r, err)
 		return
 	}
 	body, err := ingress.ReadBody(r, f.o.MaxBody)
 	if err != nil {
-		ingress.Reject(w, err)
+		ingress.Reject(w, r, err)
 		return
 	}
 	trusted := f.trusted(r)
@@ -178,12 +178,12 @@
 	origin := f.origin(r, true)
 	u, err := url.ParseRequestURI(origin["X-Forwarded-Uri"])
 	if err != nil {
-		ingress.Reject(w, &ingress.Malformed{Status: http.StatusBadRequest, Text: "X-Forwarded-Uri is missing or no path"})
+		ingress.Reject(w, r, &ingress.Malformed{Status: http.StatusBadRequest, Text: "X-Forwarded-Uri is missing or no path"})
 		return
 	}
 	x, err := f.decode(&http.Request{Method: origin["X-Forwarded-Method"], URL: u, Header: r.Header}, received)
 	if err != nil {
-		ingress.Reject(w, err)
+		ingress.Reject(w, r, err)
 		return
 	}
 	x.Ask = true
--- a/internal/ingress/decode.go
+++ b/internal/ingress/decode.go
@@ -152,8 +152,12 @@
 	return body, nil
 }
 
-// Reject answers what is malformed.
-func Reject(w http.ResponseWriter, err error) {
+// Reject answers what is malformed, at once: net/http would first wait for a body that was not read, if the
+// connection were to stay open.
+func Reject(w http.ResponseWriter, r *http.Request, err error) {
+	if r.ContentLength != 0 {
+		w.Header().Set("Connection", "close")
+	}
 	status := http.StatusBadRequest
 	if m, ok := err.(*Malformed); ok {
 		status = m.Status
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -80,12 +80,12 @@
 		received := time.Now()
 		x, err := names.Decode(r, received)
 		if err != nil {
-			Reject(w, err)
+			Reject(w, r, err)
 			return
 		}
 		body, err := ReadBody(r, egress.MaxBody)
 		if err != nil {
-			Reject(w, err)
+			Reject(w, r, err)
 			return
 		}
 		proxy.ServeHTTP(w, egress.WithExchange(r, &x, body, nil))
--- /dev/null
+++ b/internal/ingress/ingress_test.go
@@ -0,0 +1,365 @@
+package ingress_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"junctionring/control"
+	"junctionring/internal/core"
+	"junctionring/internal/egress"
+	"junctionring/internal/ingress"
+)
+
+// uncounted is a counter that takes nothing in.
+type uncounted struct{}
+
+func (uncounted) Add(uint64, float64, time.Duration, func(control.Status, float64)) bool {
+	return false
+}
+
+// peer is a table server whose every message and answer a test scripts.
+type peer struct {
+	net.Listener
+	got  chan *received
+	open chan net.Conn // every connection, as it comes
+}
+
+type received struct {
+	*http.Request
+	body string
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+func newPeer(t *testing.T) *peer {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &peer{l, make(chan *received, 64), make(chan net.Conn, 64)}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			p.open <- c
+			go p.read(c, bufio.NewReader(c))
+		}
+	}()
+	return p
+}
+
+// read takes one message in; answer reads the next one.
+func (p *peer) read(c net.Conn, in *bufio.Reader) {
+	r, err := http.ReadRequest(in)
+	if err != nil {
+		return
+	}
+	b, _ := io.ReadAll(r.Body)
+	p.got <- &received{r, string(b), c, in}
+}
+
+func (p *peer) answer(r *received, text string) {
+	io.WriteString(r.conn, text)
+	go p.read(r.conn, r.in)
+}
+
+const ok = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-Board: 7\r\n\r\nhere"
+
+// closed waits until the gateway has closed the connection of a message.
+func (r *received) closed(t *testing.T) {
+	t.Helper()
+	r.conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+	if _, err := r.in.ReadByte(); err == nil {
+		t.Error("the gateway sent more on a connection that it was to close")
+	} else if e, timeout := err.(net.Error); timeout && e.Timeout() {
+		t.Error("the gateway keeps an attempt open that nobody wants")
+	}
+}
+
+// start runs core, egress and front round the peers and returns the front's address.
+func start(t *testing.T, fleet *egress.Fleet, peers ...*peer) (string, *core.Core) {
+	t.Helper()
+	log := slog.New(slog.DiscardHandler)
+	c, err := core.New(control.Settings{
+		Gateways: 1,
+		Classes: []control.Class{
+			{Aim: 1, Deadline: 5, Worth: 2, Repeat: control.Safe},
+			{Aim: 1, Deadline: 5, Worth: 6, Repeat: control.Keyed, Window: 4},
+		},
+		Plans:      []control.Plan{{Rate: 100, Burst: 100, Worth: 1, OverCost: 1}},
+		Limits:     control.Limits{MaxAttempts: 3, Cancel: true, RetryAfter: true, MaxRetryAfter: 1},
+		Guarantees: control.Guarantees{ColdFrom: 0.2, Ramp: 5, FallMultiple: 3, FallAfter: 1.5},
+	}, 1, fleet, uncounted{}, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go c.Run(ctx)
+	c.Routes(table(control.Ready, peers...))
+	names := &ingress.Names{Classes: []string{"table-view", "move-submit"}, Plans: []string{"club"},
+		Repeats: []control.Repeat{control.Safe, control.Keyed}, Gateways: 1}
+	s := ingress.NewServer(ingress.Platform(names, c, log), ingress.MaxHeader, log)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go s.Serve(l)
+	t.Cleanup(func() {
+		cancel()
+		l.Close()
+	})
+	return l.Addr().String(), c
+}
+
+func table(state control.MemberState, peers ...*peer) core.Table {
+	t := core.Table{Kind: control.Snapshot}
+	for _, p := range peers {
+		t.Targets = append(t.Targets, core.Target{
+			Member: control.Member{Server: p.Addr().String(), State: state}, Address: p.Addr().String()})
+	}
+	return t
+}
+
+func fleet() *egress.Fleet {
+	return egress.NewFleet(egress.Options{ConnectTimeout: time.Second, ConnIdle: time.Minute, Conns: 16})
+}
+
+// client is one connection of a client, as raw as the platform's are.
+type client struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+func dial(t *testing.T, address string) *client {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	return &client{c, bufio.NewReader(c)}
+}
+
+const headers = "Host: origin.svc\r\nX-Request-ID: 9b1f03aa5c7e2d41\r\nX-Plan: club\r\n" +
+	"Cookie: account=00000000b4d65521\r\nX-Timeout: 3000m\r\nX-Quota: units=2,spread=1,first=0\r\n"
+
+const view = "GET /table-view/3?seat=2 HTTP/1.1\r\n" + headers + "\r\n"
+const move = "POST /move-submit/3 HTTP/1.1\r\n" + headers + "Idempotency-Key: k1\r\nContent-Length: 4\r\n\r\ne2e4"
+
+func (c *client) read(t *testing.T) (*http.Response, string) {
+	t.Helper()
+	resp, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp, string(body)
+}
+
+func (c *client) ask(t *testing.T, message string) (*http.Response, string) {
+	t.Helper()
+	io.WriteString(c, message)
+	return c.read(t)
+}
+
+// What a target answers reaches the client unchanged; what passes on is the client's, with the time left.
+func TestServesUnchanged(t *testing.T) {
+	p := newPeer(t)
+	address, _ := start(t, fleet(), p)
+	c := dial(t, address)
+	io.WriteString(c, move)
+	r := <-p.got
+	if r.Method != "POST" || r.URL.Path != "/move-submit/3" || r.body != "e2e4" ||
+		r.Header.Get("Idempotency-Key") != "k1" || r.Header.Get("X-Request-ID") != "9b1f03aa5c7e2d41" {
+		t.Errorf("the target got %s %s %q %v", r.Method, r.URL, r.body, r.Header)
+	}
+	if left, err := ingress.ParseTimeout(r.Header.Get("X-Timeout")); err != nil || left >= 3*time.Second {
+		t.Errorf("the time left is said to be %v (%v)", left, err)
+	}
+	p.answer(r, ok)
+	resp, body := c.read(t)
+	if resp.StatusCode != 200 || body != "here" || resp.Header.Get("X-Board") != "7" {
+		t.Errorf("the client got %d %q", resp.StatusCode, body)
+	}
+	io.WriteString(c, view)
+	r = <-p.got
+	if r.URL.RequestURI() != "/table-view/3?seat=2" {
+		t.Errorf("the target got %s", r.URL.RequestURI())
+	}
+	p.answer(r, ok)
+	c.read(t)
+	if n := len(p.open); n != 1 {
+		t.Errorf("%d connections to the target for two exchanges in a row", n)
+	}
+}
+
+// A cut answer is not passed on as if it were whole, and one attempt ends before the next one goes out.
+func TestCutAnswerIsNotServed(t *testing.T) {
+	p, q := newPeer(t), newPeer(t)
+	address, _ := start(t, fleet(), p, q)
+	c := dial(t, address)
+	io.WriteString(c, view)
+	for range 3 {
+		var r *received
+		select {
+		case r = <-p.got:
+		case r = <-q.got:
+		}
+		if len(p.got)+len(q.got) > 0 {
+			t.Error("two attempts are out at once")
+		}
+		io.WriteString(r.conn, ok[:len(ok)-2])
+		r.conn.Close()
+	}
+	if resp, body := c.read(t); resp.StatusCode != 503 || body != "" || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("the client got %d %q", resp.StatusCode, body)
+	}
+}
+
+// A target that closed an idle connection gets the next exchange on a new one, once: no hidden resend.
+func TestStaleConnectionIsNotWrittenTo(t *testing.T) {
+	p := newPeer(t)
+	address, _ := start(t, fleet(), p)
+	c := dial(t, address)
+	io.WriteString(c, view)
+	r := <-p.got
+	io.WriteString(r.conn, ok)
+	c.read(t)
+	r.conn.Close() // on loopback the end is there before the next message is
+	io.WriteString(c, move)
+	p.answer(<-p.got, ok)
+	if resp, _ := c.read(t); resp.StatusCode != 200 {
+		t.Errorf("answered %d", resp.StatusCode)
+	}
+	if len(p.got) != 0 || len(p.open) != 2 {
+		t.Errorf("%d more messages, %d connections", len(p.got), len(p.open))
+	}
+}
+
+// A reset of a reused connection with a keyed exchange on it is told to the module, not hidden: at most one
+// attempt is out, and the next goes out only after the first has ended.
+func TestResetIsNotHidden(t *testing.T) {
+	p := newPeer(t)
+	address, _ := start(t, fleet(), p)
+	c := dial(t, address)
+	io.WriteString(c, move)
+	p.answer(<-p.got, ok)
+	c.read(t)
+	io.WriteString(c, move)
+	r := <-p.got
+	r.conn.(*net.TCPConn).SetLinger(0)
+	r.conn.Close()
+	p.answer(<-p.got, ok) // within its window the class permits a repeat
+	if resp, _ := c.read(t); resp.StatusCode != 200 {
+		t.Errorf("answered %d", resp.StatusCode)
+	}
+}
+
+// A silent target: the client has its one answer by its deadline, and the attempt is given up by closing.
+func TestAnswersByTheDeadline(t *testing.T) {
+	p := newPeer(t)
+	address, _ := start(t, fleet(), p)
+	c := dial(t, address)
+	message := strings.Replace(move, "3000m", "1000m", 1)
+	sent := time.Now()
+	resp, _ := c.ask(t, message)
+	if took := time.Since(sent); took < 500*time.Millisecond {
+		t.Errorf("given up after %v of 1 s", took)
+	}
+	if resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("answered %d, Retry-After %q", resp.StatusCode, resp.Header.Get("Retry-After"))
+	}
+	(<-p.got).closed(t)
+}
+
+// A client that leaves has its attempt called off at once.
+func TestClientLeaves(t *testing.T) {
+	p := newPeer(t)
+	address, _ := start(t, fleet(), p)
+	c := dial(t, address)
+	io.WriteString(c, view)
+	r := <-p.got
+	c.Close()
+	r.closed(t)
+}
+
+// What waits for a connection to a target that starts to drain is not sent there.
+func TestQueuedSendIsDroppedOnDrain(t *testing.T) {
+	p := newPeer(t)
+	f := egress.NewFleet(egress.Options{ConnectTimeout: time.Second, ConnIdle: time.Minute, Conns: 1})
+	address, c := start(t, f, p)
+	one, two := dial(t, address), dial(t, address)
+	io.WriteString(one, view)
+	r := <-p.got // it holds the only connection
+	io.WriteString(two, view)
+	other := make(chan int, 1)
+	go func() {
+		resp, err := http.ReadResponse(two.in, nil)
+		if err != nil {
+			other <- 0
+			return
+		}
+		other <- resp.StatusCode
+	}()
+	c.Settle()
+	c.Routes(table(control.Draining, p))
+	if status := <-other; status != 503 {
+		t.Errorf("the queued exchange was answered %d", status)
+	}
+	p.answer(r, ok) // what was out is finished
+	if resp, _ := one.read(t); resp.StatusCode != 200 {
+		t.Errorf("the held exchange was answered %d", resp.StatusCode)
+	}
+	if len(p.got) != 0 {
+		t.Error("a draining target got something new")
+	}
+}
+
+// Each kind of malformed message gets a 4xx at once; no target hears of it.
+func TestMalformed(t *testing.T) {
+	p := newPeer(t)
+	address, _ := start(t, fleet(), p)
+	for _, c := range []struct {
+		name, old, new string
+		status         int
+	}{
+		{"class", "/move-submit/", "/no-such/", 404},
+		{"method", "POST", "PUT", 405},
+		{"account", "account=00000000b4d65521", "account=zz", 400},
+		{"account too large", "00000000b4d65521", "0000000200000000", 400},
+		{"no account", "Cookie: account", "Cookie: other", 400},
+		{"plan", "X-Plan: club", "X-Plan: gold", 400},
+		{"units", "units=2", "units=-2", 400},
+		{"not a number", "units=2", "units=NaN", 400},
+		{"spread", "spread=1", "spread=0", 400},
+		{"no quota", "X-Quota: ", "X-Other: ", 400},
+		{"timeout", "3000m", "3000", 400},
+		{"timeout below zero", "3000m", "-3m", 400},
+		{"key", "Idempotency-Key: k1\r\n", "", 400},
+		{"id", "X-Request-ID", "X-Other-ID", 400},
+		{"body", "Content-Length: 4", "Content-Length: 65537", 413},
+		{"headers", "X-Plan", "X-Long: " + strings.Repeat("x", 32<<10) + "\r\nX-Plan", 431},
+	} {
+		resp, _ := dial(t, address).ask(t, strings.Replace(move, c.old, c.new, 1))
+		if resp.StatusCode != c.status {
+			t.Errorf("%s: answered %d, want %d", c.name, resp.StatusCode, c.status)
+		}
+	}
+	if len(p.open) != 0 {
+		t.Error("a target was called")
+	}
+}
--- a/internal/redistest/redistest.go
+++ b/internal/redistest/redistest.go
@@ -244,3 +244,10 @@
 	}
 	return "+OK\r\n"
 }
+
+// Sum is all that was ever added.
+func (s *Store) Sum() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.added
+}
--- /dev/null
+++ b/internal/routetable/discovery_test.go
@@ -0,0 +1,65 @@
+package routetable_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"junctionring/control"
+	"junctionring/internal/core"
+	"junctionring/internal/routetable"
+)
+
+func line(version int, reset bool, id, state string) string {
+	return fmt.Sprintf(`{"generation":%d,"reset":%t,"instances":[{"instanceId":%q,"hostPort":"10.1.0.18:8000",`+
+		`"zone":"hall-b","cell":3,"lifecycle":%q,"startedAtMs":1500}]}`+"\n", version, reset, id, state)
+}
+
+// A change is told as it comes; a watch that breaks, half a line in, is taken up from the last version.
+func TestWatchIsTakenUpAgain(t *testing.T) {
+	from, goOn := make(chan string, 4), make(chan struct{})
+	agent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		from <- r.URL.Query().Get("from")
+		switch r.URL.Query().Get("from") {
+		case "41":
+			fmt.Fprint(w, line(42, true, "s-1", "SERVING")+"\n")
+			w.(http.Flusher).Flush()
+			<-goOn
+			fmt.Fprint(w, line(43, false, "s-1", "DRAINING")+`{"generation":44,"res`)
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		default:
+			fmt.Fprint(w, line(45, false, "s-1", "DELETED"))
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		}
+	}))
+	defer agent.Close()
+	told := make(chan core.Table, 4)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	d := &routetable.Discovery{Address: strings.TrimPrefix(agent.URL, "http://"), From: 41,
+		Zones: []string{"hall-a", "hall-b"}, Tell: func(t core.Table) { told <- t }, Log: slog.New(slog.DiscardHandler)}
+	go func() { d.Run(ctx); close(ended) }()
+	first := <-told // while the watch is still open
+	if m := first.Targets[0]; first.Kind != control.Snapshot || m.Server != "s-1" || m.Zone != 1 || m.Cell != 3 ||
+		m.Since != 1.5 || m.State != control.Ready || m.Address != "10.1.0.18:8000" {
+		t.Errorf("told %+v", first)
+	}
+	close(goOn)
+	if second := <-told; second.Kind != control.Delta || second.Targets[0].State != control.Draining {
+		t.Errorf("told %+v", second)
+	}
+	if third := <-told; third.Version != 45 || third.Targets[0].State != control.Removed {
+		t.Errorf("told %+v", third)
+	}
+	if a, b := <-from, <-from; a != "41" || b != "43" {
+		t.Errorf("watched from %s, then from %s", a, b)
+	}
+	cancel()
+	<-ended
+}
