Shed what is still held at the end of a drain, instead of ending without an answer

Seen by reading: at the drain's deadline serve ended and closed connections that still waited (cmd/junctionring/serve.go); a table-view may be held 7.5 s, SIGKILL may come 3.7 s after SIGTERM. The core now answers the rest 3.3 s after SIGTERM: refused where a repeat is harmless, else failed.

--- a/cmd/junctionring/serve.go
+++ b/cmd/junctionring/serve.go
@@ -26,7 +26,8 @@
 
 const (
 	stillArrives = 500 * time.Millisecond  // after SIGTERM connections keep coming for 0.2 to 0.4 s
-	drainFor     = 3500 * time.Millisecond // SIGKILL comes 3.7 s after SIGTERM at the earliest
+	drainFor     = 3300 * time.Millisecond // SIGKILL comes 3.7 s after SIGTERM at the earliest
+	lastWords    = 200 * time.Millisecond  // for the answers of what is shed at the end of a drain
 	memoryShare  = 0.7                     // of the limit: the runtime's own, the sockets' buffers and files count too
 )
 
@@ -129,7 +130,11 @@
 	drain, done := context.WithTimeout(context.Background(), drainFor)
 	defer done()
 	if err := server.Drain(drain, min(stillArrives, drainFor/2)); err != nil {
-		log.Warn("not all held exchanges ended in time", "err", err)
+		log.Warn("not all held exchanges ended in time: the rest is shed", "err", err)
+		c.Shed()
+		last, done := context.WithTimeout(context.Background(), lastWords)
+		defer done()
+		return server.Drain(last, 0)
 	}
 	return nil
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -105,7 +105,8 @@
 		took    control.Seconds
 		Outcome
 	}
-	flush struct{ done chan struct{} }
+	flush   struct{ done chan struct{} }
+	shedAll struct{}
 )
 
 // held is an exchange in the table.
@@ -125,6 +126,7 @@
 	gateway *control.Gateway
 	egress  Egress
 	counter Counter
+	classes []control.Class
 	log     *slog.Logger
 
 	mailbox chan any
@@ -147,7 +149,7 @@
 	}
 	now := time.Now()
 	return &Core{
-		gateway: g, egress: egress, counter: counter, log: log,
+		gateway: g, egress: egress, counter: counter, classes: s.Classes, log: log,
 		mailbox: make(chan any, mailboxSize), done: make(chan struct{}),
 		base: now, baseSec: float64(now.UnixMicro()) / 1e6, held: map[uint64]*held{},
 	}, nil
@@ -191,6 +193,29 @@
 	}
 }
 
+// Shed gives every held exchange its final answer now: the program is about to end.
+func (c *Core) Shed() {
+	c.post(shedAll{})
+	c.Settle()
+}
+
+func (c *Core) shed() {
+	for _, h := range c.held {
+		if h.final {
+			continue
+		}
+		a := Answer{Kind: Refused, RetryAfter: busyPause}
+		class := c.classes[h.Class]
+		again := class.Repeat == control.Safe || class.Repeat == control.Keyed && class.Group == control.GroupAll
+		if !again && (h.mayRan || h.out > 0) { // a refusal would say that trying again is harmless
+			a = Answer{Kind: Failed}
+		}
+		c.end(h, a)
+		c.feed(control.Gone{ID: h.id})
+		c.forget(h)
+	}
+}
+
 func (c *Core) post(m any) {
 	select {
 	case c.mailbox <- m:
@@ -245,6 +270,8 @@
 		c.feed(members)
 	case flush:
 		close(m.done)
+	case shedAll:
+		c.shed()
 	case control.Event:
 		c.feed(m)
 	default:
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -297,6 +297,20 @@
 	r.closed(t)
 }
 
+// A program that must end sheds what it still holds: the client has its answer, the attempt is called off.
+func TestShedAtTheEnd(t *testing.T) {
+	p := newPeer(t)
+	address, core := start(t, fleet(), p)
+	c := dial(t, address)
+	io.WriteString(c, view)
+	r := <-p.got
+	core.Shed()
+	if resp, _ := c.read(t); resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("answered %d", resp.StatusCode)
+	}
+	r.closed(t)
+}
+
 // What waits for a connection to a target that starts to drain is not sent there.
 func TestQueuedSendIsDroppedOnDrain(t *testing.T) {
 	p := newPeer(t)
