--- a/cmd/junctionring/serve.go
+++ b/cmd/junctionring/serve.go
@@ -82,7 +82,7 @@
 		names.Repeats = append(names.Repeats, class.Repeat)
 	}
 	server := ingress.NewServer(ingress.Platform(names, c, log), ingress.MaxHeader, log)
-	return serve(ctx, c, server, p.Listen, drainFor, log)
+	return serve(ctx, c, server, p.Listen, ingressConns(p.Sockets), drainFor, log)
 }
 
 func serveOperator(ctx, work context.Context, path string, log *slog.Logger) error {
@@ -107,17 +107,17 @@
 	go c.Run(work)
 	go tally.Run(work)
 	c.Routes(routetable.Static(o))
-	return serve(ctx, c, ingress.NewServer(front, o.MaxHeader, log), o.Listen, o.Drain.Duration, log)
+	return serve(ctx, c, ingress.NewServer(front, o.MaxHeader, log), o.Listen, ingressConns(o.Limits.Sockets), o.Drain.Duration, log)
 }
 
 // serve takes connections until ctx ends, then drains.
-func serve(ctx context.Context, c *core.Core, server *ingress.Server, listen string, drainFor time.Duration, log *slog.Logger) error {
+func serve(ctx context.Context, c *core.Core, server *ingress.Server, listen string, conns int, drainFor time.Duration, log *slog.Logger) error {
 	l, err := net.Listen("tcp", listen)
 	if err != nil {
 		return err
 	}
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(l) }()
+	go func() { failed <- server.Serve(l, conns) }()
 	c.Settle()
 	server.Ready()
 	log.Info("serving", "listen", l.Addr().String())
@@ -139,6 +139,9 @@
 	return nil
 }
 
+// ingressConns is how many of the descriptors may be connections of clients.
+func ingressConns(sockets int) int { return max(16, sockets*9/20) }
+
 // egressConns is how many of the descriptors may be connections to egress targets.
 func egressConns(sockets int) int { return max(16, sockets*2/5) }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -284,7 +284,7 @@
 	h.id = c.lastID
 	rest := time.Until(h.Deadline)
 	if rest <= 0 {
-		c.end(h, Answer{Kind: Refused})
+		c.end(h, Answer{Kind: Refused, RetryAfter: busyPause})
 		return
 	}
 	c.held[h.id] = h
--- a/internal/forwardauth/forwardauth.go
+++ b/internal/forwardauth/forwardauth.go
@@ -108,6 +108,8 @@
 	}
 	trusted := f.trusted(r)
 	origin := f.origin(r, trusted)
+	// What is checked is what is sent on: no header may say that it is something else.
+	origin["X-Forwarded-Method"], origin["X-Forwarded-Uri"] = r.Method, r.URL.RequestURI()
 	ctx, cancel := context.WithDeadline(r.Context(), x.Deadline)
 	identity, refusal := f.identify(ctx, r.Header, origin, trusted)
 	cancel()
--- a/internal/forwardauth/forwardauth_test.go
+++ b/internal/forwardauth/forwardauth_test.go
@@ -134,7 +134,7 @@
 		t.Fatal(err)
 	}
 	s := ingress.NewServer(front, o.MaxHeader, log)
-	go s.Serve(l)
+	go s.Serve(l, 64)
 	t.Cleanup(func() {
 		now, stop := context.WithCancel(context.Background())
 		stop()
@@ -195,7 +195,7 @@
 	})
 	url := gateway(t, check.URL+"/v?x=1", store.Addr(), table)
 	resp, body := ask(t, "POST", url+"/move-submit/7?turn=3", "k1",
-		"X-Auth-Account", "mallory", "X-Seat", "south", "X-Forwarded-Host", "club.example", "Authorization", "Bearer b")
+		"X-Auth-Account", "mallory", "X-Seat", "south", "X-Forwarded-Host", "club.example", "X-Forwarded-Uri", "/table-view/1", "Authorization", "Bearer b")
 	expect(t, resp, http.StatusOK)
 	if body != "e2e4" {
 		t.Errorf("body %q", body)
--- a/internal/ingress/decode.go
+++ b/internal/ingress/decode.go
@@ -19,6 +19,11 @@
 // Margin is how long before the client gives up its answer is to be on its way.
 const Margin = 5 * time.Millisecond
 
+const (
+	lingerFor  = 300 * time.Millisecond
+	lingerMost = 256 << 10
+)
+
 // Malformed is what is wrong with a message, and the status that says so.
 type Malformed struct {
 	Status int
@@ -152,15 +157,23 @@
 	return body, nil
 }
 
-// Reject answers what is malformed, at once: net/http would first wait for a body that was not read, if the
-// connection were to stay open.
+// Reject answers what is malformed, at once: net/http would first wait for a body that was not read. What is
+// still on its way is then read off for a moment, since closing on unread bytes resets the connection and may
+// take the answer with it.
 func Reject(w http.ResponseWriter, r *http.Request, err error) {
-	if r.ContentLength != 0 {
-		w.Header().Set("Connection", "close")
-	}
 	status := http.StatusBadRequest
 	if m, ok := err.(*Malformed); ok {
 		status = m.Status
 	}
+	if r.ContentLength == 0 {
+		http.Error(w, err.Error(), status)
+		return
+	}
+	control := http.NewResponseController(w)
+	control.EnableFullDuplex() // where these are not supported the answer is only slower
+	w.Header().Set("Connection", "close")
 	http.Error(w, err.Error(), status)
+	control.Flush()
+	control.SetReadDeadline(time.Now().Add(lingerFor))
+	io.Copy(io.Discard, io.LimitReader(r.Body, lingerMost))
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -18,6 +18,7 @@
 	// MaxHeader is what a client's headers may hold on the platform.
 	MaxHeader  = 16 << 10
 	headerWait = 10 * time.Second
+	idleWait   = 2 * time.Minute // clients that went away without a word must not hold descriptors for ever
 )
 
 // Server is a front's HTTP server with a drain.
@@ -31,7 +32,7 @@
 func NewServer(h http.Handler, maxHeader int, log *slog.Logger) *Server {
 	s := &Server{}
 	s.http = &http.Server{
-		MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerWait,
+		MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerWait, IdleTimeout: idleWait,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if s.draining.Load() { // clients keep a connection for as long as it stays open
@@ -49,14 +50,37 @@
 	return s
 }
 
-// Serve takes connections until Drain has ended.
-func (s *Server) Serve(l net.Listener) error {
-	if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+// Serve takes connections until Drain has ended, at most so many at once: descriptors are few.
+func (s *Server) Serve(l net.Listener, most int) error {
+	limited := bounded{l, make(chan struct{}, most)}
+	s.http.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateClosed || state == http.StateHijacked {
+			<-limited.slots
+		}
+	}
+	if err := s.http.Serve(limited); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
 }
 
+// bounded is a listener that waits for a slot before it takes a connection. It hands out the connections as
+// they are: netutil's LimitListener wraps them, which hides CloseWrite from net/http, so that an answer to
+// headers that are too large was lost in a reset.
+type bounded struct {
+	net.Listener
+	slots chan struct{}
+}
+
+func (b bounded) Accept() (net.Conn, error) {
+	b.slots <- struct{}{}
+	c, err := b.Listener.Accept()
+	if err != nil {
+		<-b.slots
+	}
+	return c, err
+}
+
 // Ready lets the readiness path answer 200.
 func (s *Server) Ready() { s.ready.Store(true) }
 
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -113,7 +113,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	go s.Serve(l)
+	go s.Serve(l, 64)
 	t.Cleanup(func() {
 		cancel()
 		l.Close()
