--- a/internal/forwardauth/forwardauth_test.go
+++ b/internal/forwardauth/forwardauth_test.go
@@ -471,3 +471,23 @@
 		t.Errorf("a silent store gave %d", resp.StatusCode)
 	}
 }
+
+// A move whose end is in doubt is not run again once table servers no longer drop its repeat.
+func TestKeyInDoubtIsNotRunAgain(t *testing.T) {
+	table, store, check := newTables(t), redistest.Start(t), newChecker(t, allow)
+	table.hold = make(chan struct{})
+	defer close(table.hold)
+	url := gateway(t, check.URL, store.Addr(), table, `window = "4s"`, `window = "400ms"`)
+	resp, _ := ask(t, "POST", url+"/move-submit/7", "k") // held by the table until the window has passed
+	expect(t, resp, http.StatusServiceUnavailable)
+	resp, _ = ask(t, "POST", url+"/move-submit/7", "k")
+	expect(t, resp, http.StatusConflict)
+	if n := table.ran("k"); n != 1 {
+		t.Errorf("the move ran %d times", n)
+	}
+	resp, _ = ask(t, "POST", url+"/move-submit/7", "other", "X-Timeout", "300m") // another key is not held up
+	expect(t, resp, http.StatusServiceUnavailable)
+	if n := table.ran("other"); n != 1 {
+		t.Errorf("the other move ran %d times", n)
+	}
+}
