Read the rest of a list past an entry that is not understood

Seen by reading: an unknown lifecycle ended the watch (routetable/discovery.go, Decode), which then began again from the same version for ever: one odd entry would have frozen the whole route table. It now counts as draining, and an entry with no id is passed over; ConnIdle and ConnectTimeout have defaults.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -3,6 +3,7 @@
 package config
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 
@@ -153,6 +154,8 @@
 			CeilingRate: p.num("HardRate"), CeilingBurst: p.num("CeilingBurst"), CeilingSlack: p.num("Tolerance"),
 		})
 	})
-	out.Module, out.ConnIdle, out.ConnectTimeout = s, limits.num("ConnIdle"), limits.num("ConnectTimeout")
+	out.Module = s
+	// Where a figure is missing, a careful one: 0 would close every connection at once.
+	out.ConnIdle, out.ConnectTimeout = cmp.Or(limits.num("ConnIdle"), 10), cmp.Or(limits.num("ConnectTimeout"), 0.25)
 	return out, err
 }
--- a/internal/routetable/discovery.go
+++ b/internal/routetable/discovery.go
@@ -41,12 +41,15 @@
 	}
 	for _, e := range list.Get("instances").Array() {
 		state, ok := states[e.Get("lifecycle").String()]
+		if !ok { // one entry that is not understood must not hide the rest of the list
+			state = control.Draining
+		}
 		m := control.Member{
 			Server: e.Get("instanceId").String(), Weight: e.Get("weight").Float(), Zone: slices.Index(zones, e.Get("zone").String()),
 			Cell: int(e.Get("cell").Int()), Since: float64(e.Get("startedAtMs").Int()) / 1000, State: state,
 		}
-		if !ok || m.Server == "" {
-			return t, fmt.Errorf("an entry that cannot be read: %.80q", e.Raw)
+		if m.Server == "" {
+			continue
 		}
 		t.Targets = append(t.Targets, core.Target{Member: m, Address: e.Get("hostPort").String()})
 	}
--- a/internal/routetable/discovery_test.go
+++ b/internal/routetable/discovery_test.go
@@ -63,3 +63,17 @@
 	cancel()
 	<-ended
 }
+
+// One entry that is not understood gets nothing new, and does not hide the others.
+func TestOddEntryDoesNotHideTheRest(t *testing.T) {
+	text := strings.Replace(line(7, true, "s-1", "RESTING"), `"instances":[`,
+		`"instances":[{"zone":"hall-a"},{"instanceId":"s-2","hostPort":"10.1.0.19:8000","lifecycle":"SERVING"},`, 1)
+	table, err := routetable.Decode([]byte(text), nil)
+	if err != nil || len(table.Targets) != 2 {
+		t.Fatalf("read %+v, %v", table, err)
+	}
+	if a, b := table.Targets[0], table.Targets[1]; a.Server != "s-2" || a.State != control.Ready ||
+		b.Server != "s-1" || b.State != control.Draining {
+		t.Errorf("read %+v", table)
+	}
+}
