--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -377,3 +377,31 @@
 		t.Error("a target was called")
 	}
 }
+
+// A probe brings the target's load report, by the fields that the settings name.
+func TestProbeBringsTheLoad(t *testing.T) {
+	p := newPeer(t)
+	f := egress.NewFleet(egress.Options{ConnectTimeout: 5 * time.Second, ConnIdle: time.Minute, Conns: 4,
+		LoadFields: []string{"q", "rif"}})
+	f.Update(table(control.Ready, p))
+	type probed struct {
+		status control.Status
+		load   []float64
+	}
+	got := make(chan probed, 2)
+	if !f.Probe(p.Addr().String(), func(s control.Status, load []float64) { got <- probed{s, load} }) {
+		t.Fatal("the target is not known")
+	}
+	r := <-p.got
+	if r.Method != "GET" || r.URL.Path != "/stats" {
+		t.Errorf("probed by %s %s", r.Method, r.URL.Path)
+	}
+	p.answer(r, "HTTP/1.1 200 OK\r\nContent-Length: 26\r\n\r\n{\"inflight\":7, \"queue\": 2}")
+	if a := <-got; a.status != control.OK || len(a.load) != 2 || a.load[0] != 2 || a.load[1] != 7 {
+		t.Errorf("the probe ended as %+v", a)
+	}
+	f.Update(core.Table{Kind: control.Snapshot}) // the target leaves the list
+	if f.Probe(p.Addr().String(), nil) {
+		t.Error("a target that left the list is probed")
+	}
+}
