Close the longest resting client connection when slots run short

Nearly no CPU, memory flat at 11 MB: so neither load nor a leak of memory. The logs show no error.

At fault: bounded.Accept waited for a slot with no way to make one (ingress.go, Serve and bounded); only the idle wait of 2 min would. Silent connections had 10 s for a head (headerWait).

Now the listener keeps the connections without an open request in the order in which they came to rest, and closes the first when fewer than an eighth of the slots are free and it has rested 2 s; where none is free, one that never said a word goes after 250 ms. Heads must be whole after 1.5 s.

Both tests fail on the former code (accept never comes).

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -17,8 +17,8 @@
 const (
 	// MaxHeader is what a client's headers may hold on the platform.
 	MaxHeader  = 16 << 10
-	headerWait = 10 * time.Second
-	idleWait   = 2 * time.Minute // clients that went away without a word must not hold descriptors for ever
+	headerWait = 1500 * time.Millisecond // from the accept on: who sends no whole head holds a slot for nothing
+	idleWait   = 2 * time.Minute         // clients that went away without a word must not hold descriptors for ever
 )
 
 // Server is a front's HTTP server with a drain.
@@ -50,37 +50,16 @@
 	return s
 }
 
-// Serve takes connections until Drain has ended, at most so many at once: descriptors are few.
+// Serve takes connections until Drain has ended, at most so many at once.
 func (s *Server) Serve(l net.Listener, most int) error {
-	limited := bounded{l, make(chan struct{}, most)}
-	s.http.ConnState = func(_ net.Conn, state http.ConnState) {
-		if state == http.StateClosed || state == http.StateHijacked {
-			<-limited.slots
-		}
-	}
+	limited := newSlots(l, most)
+	s.http.ConnState = limited.state
 	if err := s.http.Serve(limited); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
 }
 
-// bounded is a listener that waits for a slot before it takes a connection. It hands out the connections as
-// they are: netutil's LimitListener wraps them, which hides CloseWrite from net/http, so that an answer to
-// headers that are too large was lost in a reset.
-type bounded struct {
-	net.Listener
-	slots chan struct{}
-}
-
-func (b bounded) Accept() (net.Conn, error) {
-	b.slots <- struct{}{}
-	c, err := b.Listener.Accept()
-	if err != nil {
-		<-b.slots
-	}
-	return c, err
-}
-
 // Ready lets the readiness path answer 200.
 func (s *Server) Ready() { s.ready.Store(true) }
 
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -88,6 +88,12 @@
 
 // start runs core, egress and front round the peers and returns the front's address.
 func start(t *testing.T, fleet *egress.Fleet, peers ...*peer) (string, *core.Core) {
+	t.Helper()
+	return startServer(t, 64, fleet, peers...)
+}
+
+// startServer is start with so many slots for clients.
+func startServer(t *testing.T, most int, fleet *egress.Fleet, peers ...*peer) (string, *core.Core) {
 	t.Helper()
 	log := slog.New(slog.DiscardHandler)
 	c, err := core.New(control.Settings{
@@ -113,7 +119,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	go s.Serve(l, 64)
+	s.Ready()
+	go s.Serve(l, most)
 	t.Cleanup(func() {
 		cancel()
 		l.Close()
@@ -405,3 +412,52 @@
 		t.Error("a target that left the list is probed")
 	}
 }
+
+// closedBy waits until the gateway has ended a connection, with an answer first or without.
+func (c *client) closedBy(t *testing.T, patience time.Duration, who string) {
+	t.Helper()
+	c.SetReadDeadline(time.Now().Add(patience))
+	if _, err := io.Copy(io.Discard, c.in); err != nil {
+		if e, timeout := err.(net.Error); timeout && e.Timeout() {
+			t.Errorf("%s: the connection stays open", who)
+		}
+	}
+}
+
+// Clients that asked once and keep their connections for good do not shut others out: the one that has
+// rested longest makes room, and the one that asked last is still served on its connection.
+func TestRestingConnectionsMakeRoom(t *testing.T) {
+	address, _ := startServer(t, 8, fleet())
+	stay := make([]*client, 8)
+	for i := range stay {
+		stay[i] = dial(t, address)
+		stay[i].ask(t, "GET /health/ready HTTP/1.1\r\nHost: g\r\n\r\n")
+	}
+	one := dial(t, address)
+	if resp, _ := one.ask(t, "GET /health/ready HTTP/1.1\r\nHost: g\r\n\r\n"); resp.StatusCode != 200 {
+		t.Errorf("answered %d", resp.StatusCode)
+	}
+	stay[0].closedBy(t, 20*time.Second, "the longest at rest")
+	if resp, _ := stay[7].ask(t, "GET /health/ready HTTP/1.1\r\nHost: g\r\n\r\n"); resp.StatusCode != 200 {
+		t.Errorf("the last to ask was answered %d", resp.StatusCode)
+	}
+}
+
+// Connections that say nothing, or only half a head, fill every slot: the next client is served all the same,
+// and all of them are closed.
+func TestSilentConnectionsAreClosed(t *testing.T) {
+	address, _ := startServer(t, 8, fleet())
+	silent := make([]*client, 24)
+	for i := range silent {
+		silent[i] = dial(t, address)
+		if i%2 == 1 {
+			io.WriteString(silent[i], "GET /table-view/3 HTTP/1.1\r\nX-Half: ")
+		}
+	}
+	if resp, _ := dial(t, address).ask(t, "GET /health/ready HTTP/1.1\r\nHost: g\r\n\r\n"); resp.StatusCode != 200 {
+		t.Errorf("answered %d", resp.StatusCode)
+	}
+	for _, c := range silent {
+		c.closedBy(t, 8*time.Second, "a silent client")
+	}
+}
--- /dev/null
+++ b/internal/ingress/slots.go
@@ -0,0 +1,123 @@
+package ingress
+
+import (
+	"container/list"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	restful    = 2 * time.Second        // without an open request: the platform lets it be closed then
+	firstWord  = 250 * time.Millisecond // clients that mean to ask send as they connect
+	spareSlots = 8                      // one part in so many is kept free, lest a client wait for a close
+	slotPause  = 20 * time.Millisecond  // between looks while every slot is taken
+)
+
+// slots is a listener that takes so many connections at once, since descriptors are few, and makes room:
+// clients that ask once and keep their connection for good, or connect and say nothing, would fill every
+// slot and shut the others out. When slots run short the connection that has rested longest is closed. It
+// does not close all early: a close that crosses a request costs the client that request.
+//
+// It hands out the connections as they are: netutil's LimitListener wraps them, which hides CloseWrite from
+// net/http, so that an answer to headers that are too large was lost in a reset.
+type slots struct {
+	net.Listener
+	most  int
+	freed chan struct{} // of one place: a slot may be free
+
+	mu      sync.Mutex
+	open    int
+	resting *list.List // of *rest: those without an open request, the longest first
+	rests   map[net.Conn]*list.Element
+}
+
+type rest struct {
+	conn  net.Conn
+	since time.Time
+	asked bool // at least once
+}
+
+func newSlots(l net.Listener, most int) *slots {
+	return &slots{Listener: l, most: most, freed: make(chan struct{}, 1),
+		resting: list.New(), rests: map[net.Conn]*list.Element{}}
+}
+
+// Accept implements net.Listener.
+func (s *slots) Accept() (net.Conn, error) {
+	for !s.take() {
+		wait := time.NewTimer(slotPause)
+		select {
+		case <-s.freed:
+		case <-wait.C:
+		}
+		wait.Stop()
+	}
+	c, err := s.Listener.Accept()
+	if err != nil {
+		s.release()
+	}
+	return c, err
+}
+
+// take takes a slot if one is free, and closes one connection if few are.
+func (s *slots) take() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	full := s.open >= s.most
+	if !full {
+		s.open++
+	}
+	if s.open > s.most-s.most/spareSlots {
+		s.evict(full)
+	}
+	return !full
+}
+
+// evict closes the connection that has rested longest. Where no slot is left, those that have never said a
+// word go sooner than those that are known to ask.
+func (s *slots) evict(full bool) {
+	for e := s.resting.Front(); e != nil; e = e.Next() {
+		r := e.Value.(*rest)
+		age := time.Since(r.since)
+		if age >= restful || full && !r.asked && age >= firstWord {
+			s.forget(r.conn)
+			r.conn.Close() // its slot is free once net/http has noticed
+			return
+		}
+		if age < firstWord {
+			return // all behind it are younger
+		}
+	}
+}
+
+func (s *slots) forget(c net.Conn) {
+	if e := s.rests[c]; e != nil {
+		s.resting.Remove(e)
+		delete(s.rests, c)
+	}
+}
+
+func (s *slots) release() {
+	s.mu.Lock()
+	s.open--
+	s.mu.Unlock()
+	select {
+	case s.freed <- struct{}{}:
+	default:
+	}
+}
+
+// state follows net/http's connections.
+func (s *slots) state(c net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	s.forget(c)
+	if state == http.StateNew || state == http.StateIdle {
+		s.rests[c] = s.resting.PushBack(&rest{c, time.Now(), state == http.StateIdle})
+	}
+	s.mu.Unlock()
+	if state == http.StateClosed || state == http.StateHijacked {
+		s.release()
+	}
+}
