Take up new discovery and counter addresses on SIGHUP instead of ending

At fault: serve.go caught SIGTERM and interrupt only. Nothing could move the watch (Discovery.Run held one address) or the counter (Line kept what is out in the actor, so a second connection had no place).

Now SIGHUP is caught before the file is first read. The file is read again without the environment; a bad one is logged and nothing changes. Discovery cuts its watch and goes on from the version held; Line keeps the calls out with the connection they were written to, so the old one may still answer for 1.5 s, and what is cut there ends as in doubt. On the operator's front SIGHUP is logged only.

--- a/cmd/junctionring/program_test.go
+++ b/cmd/junctionring/program_test.go
@@ -40,7 +40,8 @@
 func start(t *testing.T, args ...string) (*exec.Cmd, string) {
 	t.Helper()
 	cmd := exec.Command(program, append([]string{"serve"}, args...)...)
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "TMPDIR=" + t.TempDir()} // nothing of a platform's
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "TMPDIR=" + t.TempDir(), // nothing of a platform's but
+		"EDGE_DISCOVERY=" + os.Getenv("EDGE_DISCOVERY")}
 	log, err := cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -124,6 +125,94 @@
 	return status
 }
 
+// platform is a configuration of the platform's front.
+func platform(discovery, counter, known string) string {
+	return `{"name":"n0","listen":"127.0.0.1:0","discovery":"` + discovery + `","seed":"8c1f30d27a5be964",
+		"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"counter":"` + counter + `",
+		"known":` + known + `,"settings":{"Ordinal":0,"Balancers":1,"Areas":["hall-a"],
+		"RequestClasses":[{"Name":"move-submit","Aim":1,"HardLimit":4,"Worth":6,"Repeat":"idempotency_key","Group":"all","Window":4}],
+		"Plans":[{"Name":"club","PerSecond":50,"PeakUnits":50,"WorthFactor":1,"ExcessCost":1}],
+		"Limits":{"MaxAttempts":3,"Cancelling":true,"ConnIdle":30,"ConnectTimeout":0.25,"RetryAfter":true,"MaxRetryAfter":1},
+		"Domain":{"MayCount":true,"CountLimit":0.03},"Discovery":"automatic","LoadInfo":{"Via":"none"},
+		"Guarantees":{"ColdFrom":0.15,"RampTime":18,"OverloadFactor":3,"OverloadFor":1.5}}}`
+}
+
+// watched is a discovery agent that tells of every watch, by the version it starts from, and says nothing.
+func watched(t *testing.T) (address string, from chan string) {
+	from = make(chan string, 16)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.(http.Flusher).Flush()
+		from <- r.URL.Query().Get("from")
+		<-r.Context().Done()
+	}))
+	t.Cleanup(s.CloseClientConnections)
+	return strings.TrimPrefix(s.URL, "http://"), from
+}
+
+// dialled is a counter that tells of every connection.
+func dialled(t *testing.T) (address string, came chan net.Conn) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	came = make(chan net.Conn, 16)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			came <- c
+		}
+	}()
+	return l.Addr().String(), came
+}
+
+// On SIGHUP the watch, from the version held, and the counter go to the addresses of the new file, even over
+// the environment of the start; a file that cannot be read is not taken, and the program goes on.
+func TestHangupMoves(t *testing.T) {
+	oldList, oldFrom := watched(t)
+	newList, newFrom := watched(t)
+	oldCounter, oldCame := dialled(t)
+	newCounter, newCame := dialled(t)
+	known := `{"generation":41,"reset":true,"instances":[]}`
+	path := write(t, "config.json", platform("127.0.0.1:1", oldCounter, known))
+	t.Setenv("EDGE_DISCOVERY", oldList)
+	cmd, address := start(t, "--config", path)
+	if from := <-oldFrom; from != "41" {
+		t.Errorf("watched from %s", from)
+	}
+	<-oldCame
+	replace := func(text string) {
+		if err := os.WriteFile(path+".new", []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Rename(path+".new", path); err != nil {
+			t.Fatal(err)
+		}
+		cmd.Process.Signal(syscall.SIGHUP)
+	}
+	replace(`{"discovery":`)
+	replace(platform("nowhere", newCounter, known))
+	replace(platform(newList, newCounter, known))
+	if from := <-newFrom; from != "41" {
+		t.Errorf("the new agent is watched from %s", from)
+	}
+	<-newCame
+	if len(oldCame)+len(oldFrom) > 0 {
+		t.Error("the old addresses were gone to again")
+	}
+	resp, err := http.Get("http://" + address + "/health/ready")
+	if err != nil || resp.StatusCode != 200 {
+		t.Fatal("not ready", err)
+	}
+	resp.Body.Close()
+	cmd.Process.Signal(syscall.SIGTERM)
+	cmd.Process.Signal(syscall.SIGHUP)
+	exits(t, cmd)
+}
+
 // On the platform: a client is served as soon as the gateway says that it is ready; after SIGTERM what still
 // arrives is served, what is held is finished, and the program ends by itself, in good order.
 func TestPlatformServesAndDrains(t *testing.T) {
@@ -144,15 +233,7 @@
 		t.Fatal(err)
 	}
 	defer counts.Close()
-	path := write(t, "config.json", `{"name":"n0","listen":"127.0.0.1:0","discovery":"`+
-		strings.TrimPrefix(discovery.URL, "http://")+`","seed":"8c1f30d27a5be964",
-		"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"counter":"`+counts.Addr().String()+`",
-		"known":`+entry("s-1", "SERVING")+`,"settings":{"Ordinal":0,"Balancers":1,"Areas":["hall-a"],
-		"RequestClasses":[{"Name":"move-submit","Aim":1,"HardLimit":4,"Worth":6,"Repeat":"idempotency_key","Group":"all","Window":4}],
-		"Plans":[{"Name":"club","PerSecond":50,"PeakUnits":50,"WorthFactor":1,"ExcessCost":1}],
-		"Limits":{"MaxAttempts":3,"Cancelling":true,"ConnIdle":30,"ConnectTimeout":0.25,"RetryAfter":true,"MaxRetryAfter":1},
-		"Domain":{"MayCount":true,"CountLimit":0.03},"Discovery":"automatic","LoadInfo":{"Via":"none"},
-		"Guarantees":{"ColdFrom":0.15,"RampTime":18,"OverloadFactor":3,"OverloadFor":1.5}}}`)
+	path := write(t, "config.json", platform(strings.TrimPrefix(discovery.URL, "http://"), counts.Addr().String(), entry("s-1", "SERVING")))
 	cmd, address := start(t, "--config", path)
 	resp, err := http.Get("http://" + address + "/health/ready")
 	if err != nil || resp.StatusCode != 200 {
@@ -221,6 +302,11 @@
 	if len(got) != 0 {
 		t.Error("something ran without a verdict")
 	}
+	cmd.Process.Signal(syscall.SIGHUP) // there is nothing to take up here, and no reason to end
+	letGo <- struct{}{}
+	if status := <-ask(t, "http://"+address+"/move-submit/1", "k3"); status != 200 {
+		t.Errorf("after SIGHUP answered %d", status)
+	}
 	cmd.Process.Signal(syscall.SIGTERM)
 	exits(t, cmd)
 }
--- a/cmd/junctionring/serve.go
+++ b/cmd/junctionring/serve.go
@@ -40,15 +40,18 @@
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	// Caught before anything else: a gateway that is told of new addresses must not end by it.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	if s.Operator != "" {
-		return serveOperator(ctx, work, s.Operator, log)
+		return serveOperator(ctx, work, hup, s.Operator, log)
 	}
-	return servePlatform(ctx, work, s.Config, log)
+	return servePlatform(ctx, work, hup, s.Config, log)
 }
 
-func servePlatform(ctx, work context.Context, path string, log *slog.Logger) error {
+func servePlatform(ctx, work context.Context, hup <-chan os.Signal, path string, log *slog.Logger) error {
 	p, err := config.LoadPlatform(path)
 	if err != nil {
 		return err
@@ -74,8 +77,28 @@
 		go tally.Run(work)
 	}
 	c.Routes(known)
-	list := &routetable.Discovery{Address: p.Discovery, From: known.Version, Zones: set.Zones, Tell: c.Routes, Log: log}
+	moves := make(chan string, 1)
+	list := &routetable.Discovery{Address: p.Discovery, From: known.Version, Zones: set.Zones, Moves: moves, Tell: c.Routes, Log: log}
 	go list.Run(work)
+	go eachHangup(work, hup, func() {
+		p, err := config.ReadPlatform(path)
+		if err == nil {
+			err = p.Addresses()
+		}
+		if err != nil {
+			log.Error("the new configuration is not taken: the old one stays", "err", err)
+			return
+		}
+		log.Info("new configuration", "discovery", p.Discovery, "counter", p.Counter)
+		select { // one that the watch has not yet gone to is out of date
+		case <-moves:
+		default:
+		}
+		moves <- p.Discovery
+		if set.Module.Counter.Allowed {
+			tally.Move(p.Counter)
+		}
+	})
 
 	names := &ingress.Names{Classes: set.Classes, Plans: set.Plans, Gateways: max(1, set.Module.Gateways)}
 	for _, class := range set.Module.Classes {
@@ -85,7 +108,7 @@
 	return serve(ctx, c, server, p.Listen, ingressConns(p.Sockets), drainFor, log)
 }
 
-func serveOperator(ctx, work context.Context, path string, log *slog.Logger) error {
+func serveOperator(ctx, work context.Context, hup <-chan os.Signal, path string, log *slog.Logger) error {
 	o, err := config.LoadOperator(path)
 	if err != nil {
 		return err
@@ -104,12 +127,25 @@
 		return err
 	}
 	defer front.Close()
+	go eachHangup(work, hup, func() { log.Warn("SIGHUP: the operator's file is read at the start only") })
 	go c.Run(work)
 	go tally.Run(work)
 	c.Routes(routetable.Static(o))
 	return serve(ctx, c, ingress.NewServer(front, o.MaxHeader, log), o.Listen, ingressConns(o.Limits.Sockets), o.Drain.Duration, log)
 }
 
+// eachHangup calls reload for each SIGHUP until ctx ends.
+func eachHangup(ctx context.Context, hup <-chan os.Signal, reload func()) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			reload()
+		}
+	}
+}
+
 // serve takes connections until ctx ends, then drains.
 func serve(ctx context.Context, c *core.Core, server *ingress.Server, listen string, conns int, drainFor time.Duration, log *slog.Logger) error {
 	l, err := net.Listen("tcp", listen)
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -1,7 +1,9 @@
 package config
 
 import (
+	"cmp"
 	"fmt"
+	"net"
 	"os"
 	"strconv"
 
@@ -20,6 +22,21 @@
 
 // LoadPlatform reads the file that EDGE_CONFIG names. The other variables win over it.
 func LoadPlatform(path string) (Platform, error) {
+	p, err := ReadPlatform(path)
+	if err != nil {
+		return p, err
+	}
+	p.Name, p.Listen = cmp.Or(os.Getenv("EDGE_NAME"), p.Name), cmp.Or(os.Getenv("EDGE_LISTEN"), p.Listen)
+	p.Discovery = cmp.Or(os.Getenv("EDGE_DISCOVERY"), p.Discovery)
+	if p.Listen == "" {
+		return p, fmt.Errorf("%s: no address to listen on", path)
+	}
+	return p, nil
+}
+
+// ReadPlatform reads the file alone. It is how a running gateway learns of new addresses: the variables are
+// those of its start and know nothing of them.
+func ReadPlatform(path string) (Platform, error) {
 	var p Platform
 	raw, err := os.ReadFile(path)
 	if err != nil {
@@ -29,14 +46,8 @@
 		return p, fmt.Errorf("%s is not JSON", path)
 	}
 	top := gjson.ParseBytes(raw)
-	or := func(variable, key string) string {
-		if v := os.Getenv(variable); v != "" {
-			return v
-		}
-		return top.Get(key).String()
-	}
-	p.Name, p.Listen = or("EDGE_NAME", "name"), or("EDGE_LISTEN", "listen")
-	p.Discovery, p.Counter = or("EDGE_DISCOVERY", "discovery"), top.Get("counter").String()
+	p.Name, p.Listen = top.Get("name").String(), top.Get("listen").String()
+	p.Discovery, p.Counter = top.Get("discovery").String(), top.Get("counter").String()
 	if p.Seed, err = strconv.ParseUint(top.Get("seed").String(), 16, 64); err != nil {
 		return p, fmt.Errorf("%s: seed: %w", path, err)
 	}
@@ -47,8 +58,18 @@
 	if p.Settings, err = DecodeSettings([]byte(top.Get("settings").Raw)); err != nil {
 		return p, fmt.Errorf("%s: %w", path, err)
 	}
-	if p.Listen == "" {
-		return p, fmt.Errorf("%s: no address to listen on", path)
-	}
 	return p, nil
 }
+
+// Addresses tells whether discovery and, where it is called, the counter have addresses to go to.
+func (p *Platform) Addresses() error {
+	for key, address := range map[string]string{"discovery": p.Discovery, "counter": p.Counter} {
+		if key == "counter" && !p.Settings.Module.Counter.Allowed {
+			continue
+		}
+		if _, port, err := net.SplitHostPort(address); err != nil || port == "" {
+			return fmt.Errorf("%s: %q is no host:port", key, address)
+		}
+	}
+	return nil
+}
--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -189,3 +189,34 @@
 		t.Errorf("no store there: %v", a)
 	}
 }
+
+// A counter that moves gets new calls at its new address at once; what is out at the old one still counts when
+// it is answered, and is in doubt when it is cut.
+func TestCounterMoves(t *testing.T) {
+	first, second := newStore(t), newStore(t)
+	line := counter.NewLine(first.Addr().String(), 5*time.Second)
+	add := run(t, line)
+	old := <-first.conns
+	answered, cut := add(7, 1), add(8, 1)
+	<-first.lines
+	<-first.lines
+	line.Move(second.Addr().String())
+	c := <-second.conns
+	late := add(9, 1)
+	<-second.lines
+	io.WriteString(c, "ok 3\r\n")
+	if a := <-late; a != (answer{control.OK, 3}) {
+		t.Errorf("at the new address: %v", a)
+	}
+	io.WriteString(old, "ok 2\r\n")
+	if a := <-answered; a != (answer{control.OK, 2}) {
+		t.Errorf("answered at the old address: %v", a)
+	}
+	old.Close()
+	if a := <-cut; a.status != control.Timeout {
+		t.Errorf("cut at the old address: %v", a)
+	}
+	if len(first.conns) != 0 {
+		t.Error("the old address was dialled again")
+	}
+}
--- a/internal/counter/line.go
+++ b/internal/counter/line.go
@@ -20,6 +20,7 @@
 	keepAlive   = 2 * time.Second        // the counter closes idle connections after about 10 s
 	redialPause = 100 * time.Millisecond // so that a dead counter is not stormed with dials
 	dialWait    = 250 * time.Millisecond
+	moveWait    = 1500 * time.Millisecond // for answers from an address that the counter has left
 )
 
 type report = func(control.Status, float64)
@@ -51,16 +52,24 @@
 type (
 	timedOut struct{ c *call }
 	dialed   struct {
-		conn net.Conn
-		err  error
+		conn    net.Conn
+		address string
+		err     error
 	}
 	answered struct {
-		conn net.Conn
+		wire *wire
 		line string
 	}
-	broken struct{ conn net.Conn }
+	broken struct{ wire *wire }
+	moved  struct{ address string }
 )
 
+// wire is a connection and the calls written to it that have no answer yet, in order.
+type wire struct {
+	net.Conn
+	out []*call
+}
+
 // Line is the counter on the line protocol: an actor that pipelines calls over one connection. A call given
 // up keeps its place in the line, since its answer must still be read off before the next one's.
 type Line struct {
@@ -69,11 +78,10 @@
 	mailbox chan any
 	done    chan struct{}
 
-	conn    net.Conn
+	wire    *wire // nil: none that takes calls
 	dialing bool
 	retryAt time.Time
 	waiting []*call // for a connection
-	out     []*call // on the connection, in order
 	lastUse time.Time
 }
 
@@ -102,6 +110,9 @@
 	}
 }
 
+// Move goes over to the counter at another address. Calls that are out at the old one may still be answered.
+func (l *Line) Move(address string) { l.post(moved{address}) }
+
 // Run is the actor.
 func (l *Line) Run(ctx context.Context) {
 	defer close(l.done)
@@ -111,7 +122,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			l.drop(control.Timeout)
+			l.drop(l.wire)
 			return
 		case m := <-l.mailbox:
 			l.handle(ctx, m)
@@ -126,8 +137,8 @@
 	case *call:
 		m.timer = time.AfterFunc(l.timeout-time.Since(m.asked), func() { l.post(timedOut{m}) })
 		l.waiting = append(l.waiting, m)
-		if l.conn != nil && len(l.out) > 0 && time.Since(l.out[0].asked) > silence {
-			l.drop(control.Timeout) // what is gone silent may be a machine that vanished
+		if l.wire != nil && len(l.wire.out) > 0 && time.Since(l.wire.out[0].asked) > silence {
+			l.drop(l.wire) // what is gone silent may be a machine that vanished
 		}
 		l.connect(ctx)
 		l.write()
@@ -142,6 +153,13 @@
 		m.c.finish(control.Timeout, 0)
 	case dialed:
 		l.dialing = false
+		if m.address != l.address { // it moved meanwhile: what waits has not been written anywhere
+			if m.conn != nil {
+				m.conn.Close()
+			}
+			l.connect(ctx)
+			return
+		}
 		if m.err != nil {
 			l.retryAt = time.Now().Add(redialPause)
 			for _, c := range l.waiting {
@@ -150,28 +168,45 @@
 			l.waiting = nil
 			return
 		}
-		l.conn, l.lastUse = m.conn, time.Now()
-		go l.read(m.conn)
+		l.wire, l.lastUse = &wire{Conn: m.conn}, time.Now()
+		go l.read(l.wire)
 		l.write()
 	case answered:
 		l.answer(m)
 	case broken:
-		if m.conn == l.conn {
-			l.drop(control.Timeout)
-			l.connect(ctx)
+		l.drop(m.wire)
+		l.connect(ctx)
+	case moved:
+		l.move(ctx, m.address)
+	}
+}
+
+// move leaves the connection to the old address to its reader for as long as answers may still come.
+func (l *Line) move(ctx context.Context, address string) {
+	if address == l.address {
+		return
+	}
+	l.address, l.retryAt = address, time.Time{}
+	if old := l.wire; old != nil {
+		l.wire = nil
+		if len(old.out) == 0 {
+			old.Close()
 		}
+		old.SetReadDeadline(time.Now().Add(moveWait))
 	}
+	l.connect(ctx)
 }
 
 func (l *Line) connect(ctx context.Context) {
-	if l.conn != nil || l.dialing || time.Now().Before(l.retryAt) {
+	if l.wire != nil || l.dialing || time.Now().Before(l.retryAt) {
 		return
 	}
 	l.dialing = true
+	address := l.address
 	go func() {
-		conn, err := (&net.Dialer{Timeout: dialWait}).DialContext(ctx, "tcp", l.address)
+		conn, err := (&net.Dialer{Timeout: dialWait}).DialContext(ctx, "tcp", address)
 		select {
-		case l.mailbox <- dialed{conn, err}:
+		case l.mailbox <- dialed{conn, address, err}:
 		case <-l.done:
 			if conn != nil {
 				conn.Close()
@@ -182,10 +217,11 @@
 
 // write sends all that waits in one piece.
 func (l *Line) write() {
-	if l.conn == nil || len(l.waiting) == 0 {
+	w := l.wire
+	if w == nil || len(l.waiting) == 0 {
 		return
 	}
-	n := min(len(l.waiting), mostOut-len(l.out))
+	n := min(len(l.waiting), mostOut-len(w.out))
 	if n <= 0 {
 		return // the rest times out in the line, with nothing added
 	}
@@ -193,45 +229,48 @@
 	for _, c := range l.waiting[:n] {
 		b.WriteString(c.line)
 	}
-	l.out = append(l.out, l.waiting[:n]...)
+	w.out = append(w.out, l.waiting[:n]...)
 	l.waiting = append([]*call(nil), l.waiting[n:]...)
 	l.lastUse = time.Now()
-	l.conn.SetWriteDeadline(l.lastUse.Add(l.timeout)) // a peer that takes nothing in must not stop the actor
-	if _, err := l.conn.Write([]byte(b.String())); err != nil {
-		l.drop(control.Timeout) // a part may have gone out
+	w.SetWriteDeadline(l.lastUse.Add(l.timeout)) // a peer that takes nothing in must not stop the actor
+	if _, err := w.Write([]byte(b.String())); err != nil {
+		l.drop(w) // a part may have gone out
 	}
 }
 
-// drop gives the connection up; what was written to it may have been added.
-func (l *Line) drop(s control.Status) {
-	if l.conn == nil {
+// drop gives a connection up; what was written to it may have been added.
+func (l *Line) drop(w *wire) {
+	if w == nil {
 		return
 	}
-	l.conn.Close()
-	l.conn = nil
-	for _, c := range l.out {
-		c.finish(s, 0)
+	w.Close()
+	if w == l.wire {
+		l.wire = nil
 	}
-	l.out = nil
+	for _, c := range w.out {
+		c.finish(control.Timeout, 0)
+	}
+	w.out = nil
 }
 
 // tend pings an idle connection, lest the counter close it as a call is written.
 func (l *Line) tend(ctx context.Context, now time.Time) {
 	switch {
-	case l.conn == nil:
+	case l.wire == nil:
 		l.connect(ctx)
-	case len(l.out) == 0 && now.Sub(l.lastUse) >= keepAlive/2:
+	case len(l.wire.out) == 0 && now.Sub(l.lastUse) >= keepAlive/2:
 		l.waiting = append(l.waiting, &call{line: "ping\r\n", asked: now})
 		l.write()
 	}
 }
 
 func (l *Line) answer(a answered) {
-	if a.conn != l.conn || len(l.out) == 0 {
+	w := a.wire
+	if len(w.out) == 0 {
 		return
 	}
-	c := l.out[0]
-	l.out = l.out[1:]
+	c := w.out[0]
+	w.out = w.out[1:]
 	word, rest, _ := strings.Cut(a.line, " ")
 	switch word {
 	case "ok":
@@ -246,16 +285,19 @@
 	default: // busy, error: nothing was added
 		c.finish(control.Full, 0)
 	}
+	if w != l.wire && len(w.out) == 0 {
+		w.Close() // the counter has moved, and this was the last answer
+	}
 }
 
-func (l *Line) read(conn net.Conn) {
-	in := bufio.NewReader(conn)
+func (l *Line) read(w *wire) {
+	in := bufio.NewReader(w)
 	for {
 		line, err := in.ReadString('\n')
 		if err != nil {
-			l.post(broken{conn})
+			l.post(broken{w})
 			return
 		}
-		l.post(answered{conn, strings.TrimRight(line, "\r\n")})
+		l.post(answered{w, strings.TrimRight(line, "\r\n")})
 	}
 }
--- a/internal/routetable/discovery.go
+++ b/internal/routetable/discovery.go
@@ -61,27 +61,42 @@
 	Address string
 	From    int64 // version of the list that is known
 	Zones   []string
+	Moves   <-chan string // addresses that the agent moves to; may be nil
 	Tell    func(core.Table)
 	Log     *slog.Logger
 }
 
-// Run watches until ctx ends, from where it stands whenever a watch breaks.
+// Run watches until ctx ends, from where it stands whenever a watch breaks or the agent moves.
 func (d *Discovery) Run(ctx context.Context) {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	pause := pauseMin
 	for ctx.Err() == nil {
-		lines, err := d.watch(ctx, client)
-		if lines > 0 {
-			pause = pauseMin
-		}
-		d.Log.Info("watch ended", "lines", lines, "err", err)
-		wait := time.NewTimer(pause)
+		watching, cancel := context.WithCancel(ctx)
+		ended := make(chan int, 1)
+		go func() {
+			lines, err := d.watch(watching, client)
+			d.Log.Info("watch ended", "lines", lines, "err", err)
+			ended <- lines
+		}()
 		select {
-		case <-ctx.Done():
-		case <-wait.C:
+		case lines := <-ended:
+			if lines > 0 {
+				pause = pauseMin
+			}
+			wait := time.NewTimer(pause)
+			select {
+			case <-ctx.Done():
+			case <-wait.C:
+			case d.Address = <-d.Moves:
+			}
+			wait.Stop()
+			pause = min(2*pause, pauseMax)
+		case address := <-d.Moves: // at once: the old agent may stay silent and open
+			cancel()
+			<-ended
+			d.Address, pause = address, pauseMin
 		}
-		wait.Stop()
-		pause = min(2*pause, pauseMax)
+		cancel()
 	}
 }
 
--- a/internal/routetable/discovery_test.go
+++ b/internal/routetable/discovery_test.go
@@ -77,3 +77,38 @@
 		t.Errorf("read %+v", table)
 	}
 }
+
+// An agent that moves is watched at its new address at once, from the version held, while the old one is still
+// open and silent.
+func TestWatchMoves(t *testing.T) {
+	from := make(chan string, 4)
+	agent := func(text string) (*httptest.Server, string) {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			from <- r.URL.Query().Get("from")
+			fmt.Fprint(w, text)
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		}))
+		return s, strings.TrimPrefix(s.URL, "http://")
+	}
+	first, address := agent(line(42, true, "s-1", "SERVING"))
+	second, next := agent(line(43, false, "s-1", "DRAINING"))
+	told, moves := make(chan core.Table, 4), make(chan string, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	d := &routetable.Discovery{Address: address, From: 41, Moves: moves,
+		Tell: func(t core.Table) { told <- t }, Log: slog.New(slog.DiscardHandler)}
+	go func() { d.Run(ctx); close(ended) }()
+	<-told
+	moves <- next
+	if t2 := <-told; t2.Version != 43 || t2.Targets[0].State != control.Draining {
+		t.Errorf("told %+v", t2)
+	}
+	if a, b := <-from, <-from; a != "41" || b != "42" {
+		t.Errorf("watched from %s, then from %s", a, b)
+	}
+	cancel()
+	<-ended
+	first.Close()
+	second.Close()
+}
