Refuse odd framing, doubled headers, wild numbers and open ids at ingress

A goroutine dump every 4 s and a CPU profile (both temporary) showed the core standing in control.poissonAtMost (43% of the CPU) with 41 exchanges waiting behind it, and at 12 s 160 of 172 slots held by idle connections, none rested for 2 s.

Sent in a usual customer's name, such units enter the module's rates of asking, so that customer is refused from then on. A Content-Length hidden beside a Transfer-Encoding, bodies on GETs, and an id open already were taken too; bodies had no read deadline; a rejected client kept its connection; and full slots waited for a rest of 2 s.

Now a message is checked once, where it is decoded: framing, one of each header, plain finite numbers within the settings (UnitsTop, gateways), a wait of at most the class's deadline, an id that is not open. Rejects close. With no slot left the longest at rest goes after 250 ms.

--- a/cmd/junctionring/serve.go
+++ b/cmd/junctionring/serve.go
@@ -100,8 +100,9 @@
 		}
 	})
 
-	names := &ingress.Names{Classes: set.Classes, Plans: set.Plans, Gateways: max(1, set.Module.Gateways)}
+	names := &ingress.Names{Classes: set.Classes, Plans: set.Plans, Gateways: max(1, set.Module.Gateways), MaxUnits: set.MaxUnits}
 	for _, class := range set.Module.Classes {
+		names.Longest = append(names.Longest, class.Deadline)
 		names.Repeats = append(names.Repeats, class.Repeat)
 	}
 	server := ingress.NewServer(ingress.Platform(names, c, log), ingress.MaxHeader, log)
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -90,6 +90,7 @@
 	Classes        []string // names, by the module's number of the class
 	Plans          []string
 	Zones          []string
+	MaxUnits       float64 // of one exchange; 0: not stated
 	ConnIdle       control.Seconds
 	ConnectTimeout control.Seconds
 }
@@ -154,7 +155,7 @@
 			CeilingRate: p.num("HardRate"), CeilingBurst: p.num("CeilingBurst"), CeilingSlack: p.num("Tolerance"),
 		})
 	})
-	out.Module = s
+	out.Module, out.MaxUnits = s, domain.num("UnitsTop")
 	// Where a figure is missing, a careful one: 0 would close every connection at once.
 	out.ConnIdle, out.ConnectTimeout = cmp.Or(limits.num("ConnIdle"), 10), cmp.Or(limits.num("ConnectTimeout"), 0.25)
 	return out, err
--- a/internal/forwardauth/forwardauth.go
+++ b/internal/forwardauth/forwardauth.go
@@ -101,7 +101,7 @@
 		ingress.Reject(w, r, err)
 		return
 	}
-	body, err := ingress.ReadBody(r, f.o.MaxBody)
+	body, err := ingress.ReadBody(w, r, f.o.MaxBody)
 	if err != nil {
 		ingress.Reject(w, r, err)
 		return
--- a/internal/ingress/decode.go
+++ b/internal/ingress/decode.go
@@ -3,6 +3,7 @@
 package ingress
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"math"
@@ -20,6 +21,10 @@
 const Margin = 5 * time.Millisecond
 
 const (
+	mostID     = 128  // bytes of an X-Request-ID
+	mostUnits  = 1000 // of one exchange, where nothing is stated
+	mostDigits = 16   // of a number: it fits an int and a float64
+	bodyWait   = time.Second
 	lingerFor  = 300 * time.Millisecond
 	lingerMost = 256 << 10
 )
@@ -40,13 +45,15 @@
 type Names struct {
 	Classes  []string
 	Plans    []string
-	Repeats  []control.Repeat // by class
+	Repeats  []control.Repeat  // by class
+	Longest  []control.Seconds // by class: no client waits longer; 0 or none: any wait
 	Gateways int
+	MaxUnits float64 // of one exchange; 0: mostUnits
 }
 
 // Class finds the class of a path and checks that the method suits it.
 func (n *Names) Class(r *http.Request) (int, error) {
-	first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), "/"), "/")
 	class := slices.Index(n.Classes, first)
 	if class < 0 {
 		return 0, &Malformed{http.StatusNotFound, fmt.Sprintf("no such class: %.40q", first)}
@@ -58,37 +65,84 @@
 	if r.Method != want {
 		return 0, &Malformed{http.StatusMethodNotAllowed, first + " takes " + want}
 	}
-	if n.Repeats[class] == control.Keyed && r.Header.Get("Idempotency-Key") == "" {
+	key, err := one(r.Header, "Idempotency-Key")
+	if err != nil {
+		return 0, err
+	}
+	if n.Repeats[class] == control.Keyed && key == "" {
 		return 0, bad("%s needs an Idempotency-Key", first)
 	}
 	return class, nil
 }
 
+// Framing refuses what the platform's clients never send and what two readers may take for different
+// messages. net/http has dropped a Content-Length that stood beside a Transfer-Encoding: behind such a head a
+// second request may be hidden in the body.
+func Framing(r *http.Request) error {
+	switch {
+	case !r.ProtoAtLeast(1, 1):
+		return &Malformed{http.StatusHTTPVersionNotSupported, "HTTP/1.1 is spoken here"}
+	case len(r.TransferEncoding) > 0:
+		return bad("Transfer-Encoding is not taken")
+	case r.URL.Host != "" || !strings.HasPrefix(r.RequestURI, "/"):
+		return bad("the target must be a path")
+	case r.Method == http.MethodGet && r.ContentLength != 0:
+		return bad("a GET has no body")
+	case r.Method == http.MethodPost && r.Header.Get("Content-Length") == "":
+		return &Malformed{http.StatusLengthRequired, "Content-Length is missing"}
+	}
+	return nil
+}
+
+// one returns the value of a header that may stand once at most: of two, nobody knows which one the next
+// reader would take.
+func one(h http.Header, name string) (string, error) {
+	switch values := h[name]; len(values) {
+	case 0:
+		return "", nil
+	case 1:
+		return values[0], nil
+	}
+	return "", bad("%s stands more than once", name)
+}
+
 // Decode reads a client's message, but for its body. received is when it was taken in.
 func (n *Names) Decode(r *http.Request, received time.Time) (x core.Exchange, err error) {
+	if err = Framing(r); err != nil {
+		return x, err
+	}
 	if x.Class, err = n.Class(r); err != nil {
 		return x, err
 	}
-	if r.Header.Get("X-Request-ID") == "" {
-		return x, bad("X-Request-ID is missing")
+	var values [5]string
+	for i, name := range [...]string{"X-Request-Id", "X-Plan", "Cookie", "X-Timeout", "X-Quota"} {
+		if values[i], err = one(r.Header, name); err != nil {
+			return x, err
+		}
 	}
-	if x.Plan = slices.Index(n.Plans, r.Header.Get("X-Plan")); x.Plan < 0 {
-		return x, bad("no such plan: %.40q", r.Header.Get("X-Plan"))
+	if id := values[0]; id == "" || len(id) > mostID {
+		return x, bad("X-Request-ID is missing or too long")
 	}
-	account, err := r.Cookie("account")
-	if err != nil {
-		return x, bad("the account cookie is missing")
+	if x.Plan = slices.Index(n.Plans, values[1]); x.Plan < 0 {
+		return x, bad("no such plan: %.40q", values[1])
+	}
+	accounts := r.CookiesNamed("account")
+	if len(accounts) != 1 {
+		return x, bad("there must be one account cookie")
 	}
-	if x.Customer, err = ParseAccount(account.Value); err != nil {
+	if x.Customer, err = ParseAccount(accounts[0].Value); err != nil {
 		return x, err
 	}
-	wait, err := ParseTimeout(r.Header.Get("X-Timeout"))
+	wait, err := ParseTimeout(values[3])
 	if err != nil {
 		return x, err
 	}
+	if x.Class < len(n.Longest) && n.Longest[x.Class] > 0 {
+		wait = min(wait, time.Duration(n.Longest[x.Class]*float64(time.Second)))
+	}
 	x.Deadline = received.Add(wait - Margin)
 	x.Repeat = r.Header.Get("X-Retried") == "1"
-	return x, n.Quota(r.Header.Get("X-Quota"), &x)
+	return x, n.Quota(values[4], &x)
 }
 
 // ParseAccount reads a customer: 16 hex digits, below 2^33.
@@ -109,21 +163,32 @@
 	case strings.HasSuffix(text, "u"):
 		unit = time.Microsecond
 	}
-	v, err := strconv.ParseFloat(text[:max(0, len(text)-1)], 64)
+	v, err := parseNumber(text[:max(0, len(text)-1)])
 	if unit == 0 || err != nil || !(v > 0 && v*float64(unit) < float64(24*time.Hour)) {
 		return 0, bad("no timeout: %.40q", text)
 	}
 	return time.Duration(v * float64(unit)), nil
 }
 
+// parseNumber reads a plain decimal number, nothing below 0. strconv also takes signs, exponents, hex, Inf and
+// NaN, none of which clients send: one of them in a sum that is kept would spoil it for good.
+func parseNumber(text string) (float64, error) {
+	if len(text) > mostDigits || strings.Trim(text, "0123456789.") != "" {
+		return 0, strconv.ErrSyntax
+	}
+	return strconv.ParseFloat(text, 64)
+}
+
 // Quota reads the units that an exchange draws and the gateways that its customer comes through.
 func (n *Names) Quota(text string, x *core.Exchange) error {
-	for _, part := range strings.Split(text, ",") {
+	seen := map[string]bool{}
+	for part := range strings.SplitSeq(text, ",") {
 		key, value, _ := strings.Cut(strings.TrimSpace(part), "=")
-		v, err := strconv.ParseFloat(value, 64)
-		if err != nil || math.IsNaN(v) {
+		v, err := parseNumber(value)
+		if err != nil || seen[key] {
 			return bad("no quota: %.60q", text)
 		}
+		seen[key] = true
 		switch key {
 		case "units":
 			x.Units = v
@@ -131,23 +196,32 @@
 			x.Spread = int(v)
 		case "first":
 			x.First = int(v)
+		default:
+			continue
+		}
+		if key != "units" && v != math.Trunc(v) {
+			return bad("no quota: %.60q", text)
 		}
 	}
-	if !(x.Units > 0 && x.Units <= 1e6) || x.Spread < 1 || x.First < 0 || x.First >= n.Gateways {
+	most := cmp.Or(n.MaxUnits, mostUnits)
+	if !(x.Units > 0 && x.Units <= most) || x.Spread < 1 || x.Spread > n.Gateways || x.First < 0 || x.First >= n.Gateways {
 		return bad("quota out of range: %.60q", text)
 	}
 	return nil
 }
 
-// ReadBody takes a whole body in, up to the limit.
-func ReadBody(r *http.Request, limit int64) ([]byte, error) {
+// ReadBody takes a whole body in, up to the limit. A client that stops in the middle does not hold its slot.
+func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	if r.ContentLength > limit {
 		return nil, &Malformed{http.StatusRequestEntityTooLarge, "the body is too large"}
 	}
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
+	control := http.NewResponseController(w)
+	control.SetReadDeadline(time.Now().Add(bodyWait)) // where it is not supported, a client may be slow
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	control.SetReadDeadline(time.Time{})
 	if int64(len(body)) > limit {
 		return nil, &Malformed{http.StatusRequestEntityTooLarge, "the body is too large"}
 	}
@@ -157,21 +231,21 @@
 	return body, nil
 }
 
-// Reject answers what is malformed, at once: net/http would first wait for a body that was not read. What is
-// still on its way is then read off for a moment, since closing on unread bytes resets the connection and may
-// take the answer with it.
+// Reject answers what is malformed, at once, and closes: a client that sends such things gets no slot to keep.
+// net/http would first wait for a body that was not read. What is still on its way is read off for a moment,
+// since closing on unread bytes resets the connection and may take the answer with it.
 func Reject(w http.ResponseWriter, r *http.Request, err error) {
 	status := http.StatusBadRequest
 	if m, ok := err.(*Malformed); ok {
 		status = m.Status
 	}
+	w.Header().Set("Connection", "close")
 	if r.ContentLength == 0 {
 		http.Error(w, err.Error(), status)
 		return
 	}
 	control := http.NewResponseController(w)
 	control.EnableFullDuplex() // where these are not supported the answer is only slower
-	w.Header().Set("Connection", "close")
 	http.Error(w, err.Error(), status)
 	control.Flush()
 	control.SetReadDeadline(time.Now().Add(lingerFor))
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httputil"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -79,6 +80,7 @@
 // Platform is the handler of the platform's protocol.
 func Platform(names *Names, c *core.Core, log *slog.Logger) http.Handler {
 	proxy := Proxy(&egress.RoundTripper{Core: c, RetryAfter: egress.DecimalSeconds}, log)
+	var open sync.Map // ids of the exchanges that are held
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		received := time.Now()
 		x, err := names.Decode(r, received)
@@ -86,11 +88,19 @@
 			Reject(w, r, err)
 			return
 		}
-		body, err := ReadBody(r, egress.MaxBody)
+		body, err := ReadBody(w, r, egress.MaxBody)
 		if err != nil {
 			Reject(w, r, err)
 			return
 		}
+		// Ids are fresh on every request: one that is open is another client's, and two attempts with it would
+		// be two copies of that one.
+		id := r.Header.Get("X-Request-ID")
+		if _, taken := open.LoadOrStore(id, nil); taken {
+			Reject(w, r, &Malformed{http.StatusConflict, "this X-Request-ID is in use"})
+			return
+		}
+		defer open.Delete(id)
 		proxy.ServeHTTP(w, egress.WithExchange(r, &x, body, nil))
 	})
 }
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -113,7 +113,7 @@
 	go c.Run(ctx)
 	c.Routes(table(control.Ready, peers...))
 	names := &ingress.Names{Classes: []string{"table-view", "move-submit"}, Plans: []string{"club"},
-		Repeats: []control.Repeat{control.Safe, control.Keyed}, Gateways: 1}
+		Repeats: []control.Repeat{control.Safe, control.Keyed}, Gateways: 1, MaxUnits: 6}
 	s := ingress.NewServer(ingress.Platform(names, c, log), ingress.MaxHeader, log)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -326,7 +326,7 @@
 	one, two := dial(t, address), dial(t, address)
 	io.WriteString(one, view)
 	r := <-p.got // it holds the only connection
-	io.WriteString(two, view)
+	io.WriteString(two, strings.Replace(view, "9b1f03aa5c7e2d41", "9b1f03aa5c7e2d42", 1))
 	other := make(chan int, 1)
 	go func() {
 		resp, err := http.ReadResponse(two.in, nil)
@@ -370,15 +370,40 @@
 		{"no quota", "X-Quota: ", "X-Other: ", 400},
 		{"timeout", "3000m", "3000", 400},
 		{"timeout below zero", "3000m", "-3m", 400},
+		{"timeout not a number", "3000m", "NaNm", 400},
+		{"timeout without end", "3000m", "Infm", 400},
+		{"timeout with an exponent", "3000m", "3e3m", 400},
+		{"units in hex", "units=2", "units=0x2", 400},
+		{"units beyond the most", "units=2", "units=7", 400},
+		{"units twice", "units=2", "units=2,units=1", 400},
+		{"units without end", "units=2", "units=Infinity", 400},
+		{"spread beyond the gateways", "spread=1", "spread=2", 400},
+		{"spread of no size", "spread=1", "spread=99999999999999999999", 400},
+		{"spread in parts", "spread=1", "spread=1.5", 400},
+		{"first below zero", "first=0", "first=-1", 400},
+		{"plan twice", "X-Plan: club", "X-Plan: club\r\nX-Plan: club", 400},
+		{"id twice", "X-Plan: club", "X-Request-ID: 1\r\nX-Plan: club", 400},
+		{"account twice", "Cookie: account", "Cookie: account=0000000000000001; account", 400},
+		{"key twice", "Idempotency-Key: k1", "Idempotency-Key: k1\r\nIdempotency-Key: k2", 400},
+		{"whole address", "POST /", "POST http://elsewhere/", 400},
+		{"class in disguise", "move-submit", "move%2Dsubmit", 404},
+		{"old version", "HTTP/1.1", "HTTP/1.0", 505},
+		{"chunked", "Content-Length: 4\r\n\r\ne2e4", "Transfer-Encoding: chunked\r\n\r\n4\r\ne2e4\r\n0\r\n\r\n", 400},
+		{"two lengths", "Content-Length: 4", "Content-Length: 4\r\nContent-Length: 5", 400},
+		{"length below zero", "Content-Length: 4", "Content-Length: -4", 400},
+		{"no length", "Content-Length: 4\r\n", "", 411},
+		{"body on a safe class", move, strings.Replace(view, "\r\n\r\n", "\r\nContent-Length: 4\r\n\r\ne2e4", 1), 400},
 		{"key", "Idempotency-Key: k1\r\n", "", 400},
 		{"id", "X-Request-ID", "X-Other-ID", 400},
 		{"body", "Content-Length: 4", "Content-Length: 65537", 413},
 		{"headers", "X-Plan", "X-Long: " + strings.Repeat("x", 32<<10) + "\r\nX-Plan", 431},
 	} {
-		resp, _ := dial(t, address).ask(t, strings.Replace(move, c.old, c.new, 1))
+		sent := dial(t, address)
+		resp, _ := sent.ask(t, strings.Replace(move, c.old, c.new, 1))
 		if resp.StatusCode != c.status {
 			t.Errorf("%s: answered %d, want %d", c.name, resp.StatusCode, c.status)
 		}
+		sent.closedBy(t, 20*time.Second, c.name)
 	}
 	if len(p.open) != 0 {
 		t.Error("a target was called")
@@ -461,3 +486,71 @@
 		c.closedBy(t, 8*time.Second, "a silent client")
 	}
 }
+
+// A request that is hidden in the chunked body of another, behind a length that says otherwise, is not passed
+// on; nor is one that follows on the same connection.
+func TestHiddenRequestIsNotPassedOn(t *testing.T) {
+	p := newPeer(t)
+	address, _ := start(t, fleet(), p)
+	c := dial(t, address)
+	resp, _ := c.ask(t, strings.Replace(move, "Content-Length: 4\r\n\r\ne2e4",
+		"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 1)+view)
+	if resp.StatusCode != 400 {
+		t.Errorf("answered %d", resp.StatusCode)
+	}
+	c.closedBy(t, 20*time.Second, "the connection with the hidden request")
+	if len(p.open) != 0 {
+		t.Error("a target was called")
+	}
+}
+
+// An id that is open belongs to the client that sent it: another's request with it is turned away, and is
+// served once the first has its answer.
+func TestOpenIDIsNotTakenTwice(t *testing.T) {
+	p := newPeer(t)
+	address, _ := start(t, fleet(), p)
+	one := dial(t, address)
+	io.WriteString(one, view)
+	r := <-p.got
+	if resp, _ := dial(t, address).ask(t, view); resp.StatusCode != 409 {
+		t.Errorf("the second was answered %d", resp.StatusCode)
+	}
+	p.answer(r, ok)
+	if resp, _ := one.read(t); resp.StatusCode != 200 {
+		t.Errorf("the first was answered %d", resp.StatusCode)
+	}
+	if len(p.got) != 0 {
+		t.Error("a target got both")
+	}
+}
+
+// A body that never comes whole holds its slot for no longer than a bad client is owed.
+func TestHalfABodyIsRejected(t *testing.T) {
+	p := newPeer(t)
+	address, _ := start(t, fleet(), p)
+	c := dial(t, address)
+	if resp, _ := c.ask(t, strings.TrimSuffix(move, "e4")); resp.StatusCode != 400 {
+		t.Errorf("answered %d", resp.StatusCode)
+	}
+	c.closedBy(t, 20*time.Second, "half a body")
+	if len(p.open) != 0 {
+		t.Error("a target was called")
+	}
+}
+
+// What a head says never spoils a sum that is kept: numbers are plain, finite and in range.
+func FuzzQuota(f *testing.F) {
+	for _, text := range []string{"units=2,spread=1,first=0", "units=NaN", "units=1e9,spread=0x2,first=-0", "spread=1..2", "units=.,,="} {
+		f.Add(text)
+	}
+	names := &ingress.Names{Gateways: 4, MaxUnits: 6}
+	f.Fuzz(func(t *testing.T, text string) {
+		var x core.Exchange
+		if names.Quota(text, &x) == nil && !(x.Units > 0 && x.Units <= 6 && x.Spread >= 1 && x.Spread <= 4 && x.First >= 0 && x.First < 4) {
+			t.Errorf("%q was read as %+v", text, x)
+		}
+		if d, err := ingress.ParseTimeout(text); err == nil && (d < 0 || d > 24*time.Hour) {
+			t.Errorf("%q was read as %v", text, d)
+		}
+	})
+}
--- a/internal/ingress/slots.go
+++ b/internal/ingress/slots.go
@@ -10,7 +10,7 @@
 
 const (
 	restful    = 2 * time.Second        // without an open request: the platform lets it be closed then
-	firstWord  = 250 * time.Millisecond // clients that mean to ask send as they connect
+	firstWord  = 250 * time.Millisecond // clients that mean to ask send as they connect; where no slot is left
 	spareSlots = 8                      // one part in so many is kept free, lest a client wait for a close
 	slotPause  = 20 * time.Millisecond  // between looks while every slot is taken
 )
@@ -36,7 +36,6 @@
 type rest struct {
 	conn  net.Conn
 	since time.Time
-	asked bool // at least once
 }
 
 func newSlots(l net.Listener, most int) *slots {
@@ -75,20 +74,17 @@
 	return !full
 }
 
-// evict closes the connection that has rested longest. Where no slot is left, those that have never said a
-// word go sooner than those that are known to ask.
+// evict closes the connection that has rested longest. Where no slot is left it need not have rested long: a
+// close that crosses a request has the client send it once more, but one that finds no slot waits in vain.
 func (s *slots) evict(full bool) {
-	for e := s.resting.Front(); e != nil; e = e.Next() {
-		r := e.Value.(*rest)
-		age := time.Since(r.since)
-		if age >= restful || full && !r.asked && age >= firstWord {
-			s.forget(r.conn)
-			r.conn.Close() // its slot is free once net/http has noticed
-			return
-		}
-		if age < firstWord {
-			return // all behind it are younger
-		}
+	e := s.resting.Front()
+	if e == nil {
+		return
+	}
+	r := e.Value.(*rest)
+	if age := time.Since(r.since); age >= restful || full && age >= firstWord {
+		s.forget(r.conn)
+		r.conn.Close() // its slot is free once net/http has noticed
 	}
 }
 
@@ -114,7 +110,7 @@
 	s.mu.Lock()
 	s.forget(c)
 	if state == http.StateNew || state == http.StateIdle {
-		s.rests[c] = s.resting.PushBack(&rest{c, time.Now(), state == http.StateIdle})
+		s.rests[c] = s.resting.PushBack(&rest{c, time.Now()})
 	}
 	s.mu.Unlock()
 	if state == http.StateClosed || state == http.StateHijacked {
