Tell spoilt answers of targets and the counter from good ones

At fault: line.go took any other word for "nothing added" and kept the connection, so each noise shifted all later totals to the wrong call, NaN and Inf were totals, and a line had no limit; conn.go stopped at a 1xx, read heads and 3 GB answers without a limit until the attempt's time was out, and read an odd load report as 0, an idle server; target.go handed a connection to a waiter without a look at what lay on it.

Now an answer has a byte budget, 1xx are skipped within it, an end must be stated, an odd report is none, a connection is looked at before any reuse; counter lines count to the letter, and anything else drops the connection with the calls on it in doubt.

--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -220,3 +220,33 @@
 		t.Error("the old address was dialled again")
 	}
 }
+
+// What is not an answer to the letter leaves its call in doubt, and the ones behind it; the connection is given
+// up, and the next call goes out on another.
+func TestSpoiltAnswerIsInDoubt(t *testing.T) {
+	for name, spoilt := range map[string]string{
+		"noise": "\x80\xff\x00\r\n", "no total": "ok\r\n", "a word": "ok many\r\n", "not a number": "ok nan\r\n",
+		"without end": "ok inf\r\n", "hex": "ok 0x10\r\n", "out of range": "ok 1e999\r\n", "more behind": "busy now\r\n",
+		"line feed": "busy\n", "another's answer": "pong\r\n", "half a line": "\x80 ok 4", "long": strings.Repeat("o", 4096),
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStore(t)
+			add := run(t, counter.NewLine(s.Addr().String(), 5*time.Second))
+			c := <-s.conns
+			first, behind := add(7, 1), add(8, 1)
+			<-s.lines
+			<-s.lines
+			io.WriteString(c, spoilt)
+			if a, b := <-first, <-behind; a.status != control.Timeout || b.status != control.Timeout {
+				t.Errorf("ended as %v and %v", a, b)
+			}
+			c = <-s.conns
+			next := add(9, 1)
+			<-s.lines
+			io.WriteString(c, "ok 1.25e+03\r\n")
+			if a := <-next; a != (answer{control.OK, 1250}) {
+				t.Errorf("the next call was answered %v", a)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/counter/fuzz_test.go
@@ -0,0 +1,24 @@
+package counter
+
+import (
+	"math"
+	"testing"
+
+	"junctionring/control"
+)
+
+// Whatever the counter says, a total is a finite number, and only the exact words promise that nothing was added.
+func FuzzAnswer(f *testing.F) {
+	for _, line := range []string{"ok 12", "ok -0.5", "ok 1e999", "ok NaN", "busy", "error", "pong", "ok", "ok 1 2"} {
+		f.Add(line)
+	}
+	f.Fuzz(func(t *testing.T, line string) {
+		status, total := decodeAnswer(line, false)
+		if math.IsNaN(total) || math.IsInf(total, 0) {
+			t.Errorf("%q holds %v", line, total)
+		}
+		if status == control.Full && line != "busy" && line != "error" {
+			t.Errorf("%q: nothing added?", line)
+		}
+	})
+}
--- a/internal/counter/line.go
+++ b/internal/counter/line.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"net"
 	"strconv"
@@ -20,6 +21,9 @@
 	keepAlive   = 2 * time.Second        // the counter closes idle connections after about 10 s
 	redialPause = 100 * time.Millisecond // so that a dead counter is not stormed with dials
 	dialWait    = 250 * time.Millisecond
+	longestLine = 256                     // bytes of an answer
+	mostDigits  = 32                      // of a total
+	lineWait    = 100 * time.Millisecond  // for the rest of a line that has begun
 	moveWait    = 1500 * time.Millisecond // for answers from an address that the counter has left
 )
 
@@ -173,6 +177,7 @@
 		l.write()
 	case answered:
 		l.answer(m)
+		l.connect(ctx)
 	case broken:
 		l.drop(m.wire)
 		l.connect(ctx)
@@ -267,37 +272,60 @@
 func (l *Line) answer(a answered) {
 	w := a.wire
 	if len(w.out) == 0 {
+		l.drop(w) // nobody asked
 		return
 	}
 	c := w.out[0]
-	w.out = w.out[1:]
-	word, rest, _ := strings.Cut(a.line, " ")
-	switch word {
-	case "ok":
-		total, err := strconv.ParseFloat(rest, 64)
-		if err != nil {
-			c.finish(control.Timeout, 0) // it may have been added
-			return
-		}
-		c.finish(control.OK, total)
-	case "pong":
-		c.finish(control.OK, 0)
-	default: // busy, error: nothing was added
-		c.finish(control.Full, 0)
+	status, total := decodeAnswer(a.line, c.report == nil)
+	if status == control.Timeout {
+		l.drop(w) // not the answer to this call: nor can any behind it be told apart from noise
+		return
 	}
+	w.out = w.out[1:]
+	c.finish(status, total)
 	if w != l.wire && len(w.out) == 0 {
 		w.Close() // the counter has moved, and this was the last answer
 	}
 }
 
+// decodeAnswer reads a line. What is not in order, to the letter, is in doubt: it may have been added.
+func decodeAnswer(line string, ping bool) (control.Status, float64) {
+	word, rest, _ := strings.Cut(line, " ")
+	switch {
+	case line == "busy", line == "error":
+		return control.Full, 0
+	case ping:
+		if line == "pong" {
+			return control.OK, 0
+		}
+	case word == "ok" && rest != "" && len(rest) <= mostDigits && strings.Trim(rest, "0123456789.+-eE") == "":
+		if total, err := strconv.ParseFloat(rest, 64); err == nil { // an infinite one is out of range: an error
+			return control.OK, total
+		}
+	}
+	return control.Timeout, 0
+}
+
+// read hands lines over. One that is too long, does not end as lines do, or does not come whole ends the
+// connection.
 func (l *Line) read(w *wire) {
-	in := bufio.NewReader(w)
+	in := bufio.NewReaderSize(w, longestLine)
 	for {
-		line, err := in.ReadString('\n')
-		if err != nil {
+		in.Peek(1) // waits; an error shows below
+		part, _ := in.Peek(in.Buffered())
+		cut := len(part) > 0 && bytes.IndexByte(part, '\n') < 0
+		if cut {
+			w.SetReadDeadline(time.Now().Add(lineWait))
+		}
+		line, err := in.ReadSlice('\n')
+		text, whole := strings.CutSuffix(string(line), "\r\n")
+		if err != nil || !whole {
 			l.post(broken{w})
 			return
 		}
-		l.post(answered{w, strings.TrimRight(line, "\r\n")})
+		if cut {
+			w.SetReadDeadline(time.Time{})
+		}
+		l.post(answered{w, text})
 	}
 }
--- a/internal/egress/conn.go
+++ b/internal/egress/conn.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -19,6 +21,11 @@
 // MaxBody is the most that a body may hold, either way.
 const MaxBody = 64 << 10
 
+const (
+	mostHead  = 16 << 10 // bytes of an answer's head, with all 1xx answers in front
+	mostChunk = 4        // a chunked body may take so many times its size
+)
+
 // Request is an exchange's message to its egress target, encoded once; only the time that is left is
 // written anew for each attempt.
 type Request struct {
@@ -40,12 +47,15 @@
 type conn struct {
 	net.Conn
 	address string
+	budget  io.LimitedReader // what may still be read of the present answer: some never end
 	in      *bufio.Reader
 	used    time.Time
 }
 
 func newConn(nc net.Conn, address string) *conn {
-	return &conn{Conn: nc, address: address, in: bufio.NewReaderSize(nc, 4096), used: time.Now()}
+	c := &conn{Conn: nc, address: address, budget: io.LimitedReader{R: nc}, used: time.Now()}
+	c.in = bufio.NewReaderSize(&c.budget, 4096)
+	return c
 }
 
 // alive looks whether the target has closed an idle connection (or written to it unasked) without waiting.
@@ -98,22 +108,27 @@
 	return o, reuse && stop()
 }
 
-// read takes the whole answer in before anything of it is passed on: a cut one is a reset, and may be
-// repeated where the class permits it, instead of reaching the client as half an answer.
+// read takes the whole answer in before anything of it is passed on: a cut or spoilt one is a reset, and may
+// be repeated where the class permits it, instead of reaching the client as half an answer. Nothing that lies
+// behind the answer is read as the next one: the connection is then not used again.
 func (c *conn) read(method string, fields []string) (o core.Outcome, reuse bool) {
 	reset := core.Outcome{Status: control.Reset}
+	c.budget.N = mostHead
 	resp, err := http.ReadResponse(c.in, &http.Request{Method: method})
+	for err == nil && resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
+		resp, err = http.ReadResponse(c.in, &http.Request{Method: method}) // 1xx: the answer is still to come
+	}
 	if err != nil {
 		return reset, false
 	}
-	body, err := readBody(resp)
+	body, err := c.readBody(resp)
 	if err != nil {
 		return reset, false
 	}
 	o.Load = decodeLoad(resp.Header.Get("X-Server-Load"), fields)
 	o.Reply = &Reply{Status: resp.StatusCode, Header: resp.Header, Body: body}
 	switch {
-	case resp.StatusCode == http.StatusOK && len(body) <= MaxBody:
+	case resp.StatusCode == http.StatusOK:
 		o.Status = control.OK
 	case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
 		resp.Header.Get("X-Not-Processed") == "1":
@@ -121,17 +136,29 @@
 	default:
 		o.Status = control.Error
 	}
-	return o, !resp.Close && c.in.Buffered() == 0 && len(body) <= MaxBody
+	return o, !resp.Close && c.in.Buffered() == 0
 }
 
-func readBody(resp *http.Response) ([]byte, error) {
-	defer resp.Body.Close()
-	if n := resp.ContentLength; n >= 0 && n <= MaxBody {
+var errNoEnd = errors.New("the answer is too long, or nothing says where it ends")
+
+func (c *conn) readBody(resp *http.Response) ([]byte, error) {
+	switch n := resp.ContentLength; {
+	case n > MaxBody:
+		return nil, errNoEnd
+	case n >= 0:
+		c.budget.N += n
 		body := make([]byte, n)
 		_, err := io.ReadFull(resp.Body, body)
 		return body, err
+	case len(resp.TransferEncoding) == 0 && resp.ProtoAtLeast(1, 1) && resp.Header.Get("Connection") != "close":
+		return nil, errNoEnd // the end of the connection would end it, but it is to stay open
+	}
+	c.budget.N += mostChunk * MaxBody
+	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxBody+1))
+	if err == nil && len(body) > MaxBody {
+		err = errNoEnd
 	}
-	return io.ReadAll(io.LimitReader(resp.Body, MaxBody+1))
+	return body, err
 }
 
 // loadNames tells how the settings' names of a load report's fields stand in the report itself.
@@ -139,6 +166,8 @@
 	"rif": "inflight", "q": "queue", "busy": "util", "lat_ms": "latency_ms", "rate": "qps", "fail_rate": "eps",
 }
 
+// decodeLoad reads a load report. One that cannot be read whole is none: a field taken for 0 would make the
+// target look idle.
 func decodeLoad(text string, fields []string) []float64 {
 	if text == "" || len(fields) == 0 || !gjson.Valid(text) {
 		return nil
@@ -149,7 +178,9 @@
 		if !v.Exists() {
 			v = report.Get(loadNames[f])
 		}
-		load[i] = v.Float()
+		if load[i] = v.Float(); v.Type != gjson.Number || !(load[i] >= 0 && load[i] <= math.MaxFloat64) {
+			return nil
+		}
 	}
 	return load
 }
--- a/internal/egress/target.go
+++ b/internal/egress/target.go
@@ -187,6 +187,7 @@
 func (t *target) free(c *conn) {
 	switch {
 	case !t.ready || c.address != t.address:
+	case len(t.waiting) > 0 && !c.alive(): // closed, or something unasked came that must not be read as the next answer
 	case len(t.waiting) > 0:
 		t.waiting[0].got <- c
 		t.waiting = t.waiting[1:]
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -432,6 +433,14 @@
 	if a := <-got; a.status != control.OK || len(a.load) != 2 || a.load[0] != 2 || a.load[1] != 7 {
 		t.Errorf("the probe ended as %+v", a)
 	}
+	for _, report := range []string{`{"inflight":7}`, `{"inflight":7,"queue":-1}`, `{"inflight":7,"queue":"2"}`,
+		`{"inflight":7,"queue":1e999}`, `{"inflight":7,"queue":null}`, `[7,2]`, `{"inflight":7,"queue":2`} {
+		f.Probe(p.Addr().String(), func(s control.Status, load []float64) { got <- probed{s, load} })
+		p.answer(<-p.got, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(report), report))
+		if a := <-got; a.status != control.OK || a.load != nil {
+			t.Errorf("%s was read as %+v", report, a)
+		}
+	}
 	f.Update(core.Table{Kind: control.Snapshot}) // the target leaves the list
 	if f.Probe(p.Addr().String(), nil) {
 		t.Error("a target that left the list is probed")
@@ -554,3 +563,67 @@
 		}
 	})
 }
+
+// A spoilt answer is a failed attempt that may have run: its connection is closed, and what the class permits to
+// run again is served by another attempt, on another connection.
+func TestSpoiltAnswerIsNotServed(t *testing.T) {
+	for name, spoilt := range map[string]string{
+		"noise":              "\x00\xfe\x81 nothing of use\r\n\r\n",
+		"status":             "HTTP/1.1 2x0 OK\r\nContent-Length: 4\r\n\r\nhere",
+		"head without end":   "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-More: and more\r\n", 4000),
+		"1xx without end":    strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 2000),
+		"length no number":   "HTTP/1.1 200 OK\r\nContent-Length: 4x\r\n\r\nhere",
+		"length below zero":  "HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\nhere",
+		"two lengths":        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 3\r\n\r\nhere",
+		"three gigabytes":    "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nhere it comes",
+		"no length":          "HTTP/1.1 200 OK\r\n\r\nhere",
+		"chunks":             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhere\r\nzz\r\n",
+		"chunks without end": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1000\r\n"+strings.Repeat("x", 0x1000)+"\r\n", 20),
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPeer(t)
+			address, _ := start(t, fleet(), p)
+			c := dial(t, address)
+			io.WriteString(c, view)
+			r := <-p.got
+			r.conn.SetWriteDeadline(time.Now().Add(10 * time.Second))
+			io.WriteString(r.conn, spoilt) // and the connection stays open
+			p.answer(<-p.got, ok)
+			if resp, body := c.read(t); resp.StatusCode != 200 || body != "here" {
+				t.Errorf("answered %d %q", resp.StatusCode, body)
+			}
+			r.closed(t)
+		})
+	}
+}
+
+// A good answer that brings more than belongs to it is served, and what lies behind it is not read as the
+// answer to the next request, not even to one that waits for the connection.
+func TestWhatLiesBehindIsNotTheNextAnswer(t *testing.T) {
+	const other = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nevil"
+	long := strings.Repeat("x", 9000) // past what one read takes in: the rest stays in the socket
+	for name, c := range map[string]struct{ text, body string }{
+		"1xx in front":         {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + ok, "here"},
+		"another behind":       {ok + other, "here"},
+		"another, not read in": {"HTTP/1.1 200 OK\r\nContent-Length: 9000\r\n\r\n" + long + other, long},
+		"noise behind":         {ok + "\x00\x01", "here"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPeer(t)
+			address, core := start(t, egress.NewFleet(egress.Options{ConnectTimeout: time.Second, ConnIdle: time.Minute, Conns: 1}), p)
+			one, two := dial(t, address), dial(t, address)
+			io.WriteString(one, view)
+			r := <-p.got
+			io.WriteString(two, strings.Replace(view, "9b1f03aa5c7e2d41", "9b1f03aa5c7e2d42", 1))
+			core.Settle()
+			p.answer(r, c.text)
+			if resp, body := one.read(t); resp.StatusCode != 200 || body != c.body {
+				t.Errorf("the first was answered %d %.20q", resp.StatusCode, body)
+			}
+			p.answer(<-p.got, ok)
+			if resp, body := two.read(t); resp.StatusCode != 200 || body != "here" {
+				t.Errorf("the second was answered %d %.20q", resp.StatusCode, body)
+			}
+		})
+	}
+}
