Pass the split of a cap on attempts out by the chance that others leave room

Ruled out: no server was left out, the counter answered, CPU was at half of its limit.

At fault: allows() in control.go refused every attempt past the gateway's split of the cap (7 out, over 2 to 4 gateways, is 1 to 3 here), though a split of a small number leaves most of it unused. Where the plan has a rate, the totals tell what the others take; with the time an answer needs that is what they likely have out. Beyond the split a try now goes by the chance that the cap holds it, as it did already for the units. The split stays where a plan has no rate, and the cap itself is never passed by own attempts alone.

members() now forgets servers that a whole list does not name: they were kept for good, unlisted.

--- a/control/control.go
+++ b/control/control.go
@@ -22,6 +22,7 @@
 	pricedCall   = 0.02  // call price at which intervals are doubled
 	blind        = 0.012 // s: a tick, a call and its way; use of others within it can't be seen
 	askPrior     = 0.5   // units at the usual rate that weigh against own asks: customers differ much
+	openSpike    = 0.7   // of what others likely ask is taken to be out, where attempts out are capped
 	askSpike     = 0.4   // of what others likely ask is taken as drawn, at the least
 	stale        = 1.5   // s after which a view tells little of what others ask
 	unknownUse   = 0.5   // of its rate that a customer not yet looked up is taken to use
@@ -115,6 +116,7 @@
 		purse:     retryPurse,
 		lateOK:    1, // until answers come
 		inTime:    1,
+		meanUnits: 1,
 		slots:     slotsPooled / float64(max(1, s.Gateways)),
 	}
 	for i, c := range s.Classes {
@@ -253,14 +255,15 @@
 }
 
 // allows tells what a try likely earns, per worth: at most 1, for one inside the quota; 0 or less refuses it.
-func (g *Gateway) allows(c *customer, units float64) float64 {
+func (g *Gateway) allows(c *customer, class int, units float64) float64 {
 	p := c.plan
 	if p.CeilingRate > 0 && c.ceiling < units {
 		return 0 // the fifth rule comes before all gain
 	}
 	share := g.share(c)
 	gain := p.OverWorth - p.OverCost // of a try beyond the quota, per worth
-	if p.Open > 0 && float64(c.open+1) > max(1, float64(p.Open)*share) {
+	capped := p.Open > 0 && float64(c.open+1) > max(1, float64(p.Open)*share)
+	if capped && (p.Rate <= 0 || c.open >= p.Open) {
 		return 0
 	}
 	if p.Rate <= 0 || gain > 0 {
@@ -280,14 +283,21 @@
 	if age <= stale {
 		room = min(room, c.level-unseen)
 	}
-	if room*share >= units {
+	fits := room*share >= units
+	if fits && !capped {
 		return 1
 	}
 	if c.level < units {
 		return 0
 	}
 	// Departure: the split leaves room unused. Admit when the chance of room makes it worth while.
-	chance := poissonAtMost(int(c.level/units)-1, unseen/units)
+	chance := 1.0
+	if !fits {
+		chance = poissonAtMost(int(c.level/units)-1, unseen/units)
+	}
+	if capped { // the same of attempts out. Others have out what they send in the time that an answer takes.
+		chance *= poissonAtMost(p.Open-1-c.open, max(rate, openSpike*asks)/g.meanUnits*g.classes[class].typical)
+	}
 	// A kept unit is not lost while asks exceed the rate.
 	kept := min(1, g.demand(c, 0)/p.Rate) * (1 - c.level/p.Burst)
 	return chance*(1-kept) + (1-chance)*gain
@@ -542,7 +552,8 @@
 	c.lastAsk = g.now
 	c.askRate += units / rateMemory
 	g.purse = min(retryPurse, g.purse+retryEarn)
-	gain := g.allows(c, units)
+	g.meanUnits += (units - g.meanUnits) * learnFleet
+	gain := g.allows(c, e.Class, units)
 	if gain <= 0 {
 		g.do(Refuse{ID: e.ID, RetryAfter: g.hint((units - c.level) / max(c.plan.Rate, 1e-9)), Over: true})
 		g.want(c)
@@ -753,9 +764,9 @@
 	if e.Kind == Cached && g.set.Subscribe {
 		g.do(Watch{On: true})
 	}
-	if e.Kind != Delta {
+	if e.Kind != Delta { // what a whole list does not name is gone, and is not kept
 		for _, s := range g.list {
-			s.listed = false
+			s.listed, s.member.State = false, Removed
 		}
 	}
 	for _, m := range e.Entries {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -308,6 +308,66 @@
 	}
 }
 
+// Where a cap on attempts out comes with a rate, the totals tell how many the others are likely to have out: a
+// split of the cap would leave room unused where answers are quick, and no more is taken where they are slow.
+func TestOpenLimitGoesByWhatOthersLikelyHaveOut(t *testing.T) {
+	for _, c := range []struct {
+		aim         control.Seconds // before much is learned, answers are taken to need a fifth of it
+		least, most int             // of the asks that come at once
+	}{{1, 5, 6}, {10, 0, 3}} {
+		const others = 18 // units a second
+		s := settings()
+		s.Plans[0] = control.Plan{Rate: 20, Burst: 60, Open: 6, Worth: 1, OverCost: 1}
+		s.Classes[0].Aim, s.Classes[0].Deadline = c.aim, 20
+		var servers []control.Member
+		for _, name := range named(9) {
+			servers = append(servers, control.Member{Server: name})
+		}
+		r := newRig(t, s, servers...)
+		totals := map[uint64]float64{}
+		for range 40 { // 4 s
+			var acts []control.Action
+			acts = append(acts, r.served(0, 0, 5)...)
+			for end := r.now + 0.1; r.now < end; acts = r.wait(0.02) {
+				for _, call := range pick[control.Count](acts) {
+					if _, known := totals[call.Name]; !known {
+						totals[call.Name] = 0
+					}
+					totals[call.Name] += call.Amount
+					r.do(control.Counted{Name: call.Name, Total: totals[call.Name], Elapsed: 0.002})
+				}
+			}
+			for name := range totals {
+				totals[name] += others / 10.0
+			}
+		}
+		sent := 0
+		for range 6 {
+			_, acts := r.ask(0, 0, 5)
+			sent += len(pick[control.Send](acts))
+		}
+		if sent < c.least || sent > c.most {
+			t.Errorf("aim %v s: %d of 6 at once are sent on, want %d to %d", c.aim, sent, c.least, c.most)
+		}
+	}
+}
+
+// A server that a whole list does not name is gone: it is not kept for ever, and one that comes later under the
+// same id is new.
+func TestServersNotOnAWholeListAreForgotten(t *testing.T) {
+	r := newRig(t, settings(), control.Member{Server: "old"})
+	for i := range 100 {
+		r.do(control.Members{Kind: control.Snapshot, Version: int64(i), Entries: []control.Member{{Server: fmt.Sprint("s", i)}}})
+	}
+	if n := r.g.Servers(); n != 1 {
+		t.Errorf("%d servers are remembered, want 1", n)
+	}
+	_, acts := r.ask(0, 0, 5)
+	if sent := pick[control.Send](acts); len(sent) != 1 || sent[0].Server != "s99" {
+		t.Errorf("sent %v", sent)
+	}
+}
+
 func TestRepeatsAndRefusalsByClass(t *testing.T) {
 	const safe, keyed, unsafe, keyedAll = 0, 1, 2, 3
 	for _, c := range []struct {
--- a/control/state.go
+++ b/control/state.go
@@ -48,6 +48,8 @@
 	density  float64 // mean worth in time per second of work, of what came in
 	weighed  float64 // requests in it
 
+	meanUnits float64 // of a try
+
 	sendRate float64 // own attempts a second, at all servers
 	sentAt   Seconds
 	parts    float64 // warm servers, and cold ones by the part they get
