Never close a resting connection that has a request not read yet

At fault: slots.evict took a connection for resting as long as net/http had not read a whole head from it; a gateway short of CPU reads late, and closed connections whose request lay unread.

evict now looks (MSG_PEEK) before it closes, and passes over what has bytes to read.

--- a/internal/egress/conn.go
+++ b/internal/egress/conn.go
@@ -9,13 +9,13 @@
 	"net"
 	"net/http"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/tidwall/gjson"
 
 	"junctionring/control"
 	"junctionring/internal/core"
+	"junctionring/internal/socket"
 )
 
 // MaxBody is the most that a body may hold, either way.
@@ -60,24 +60,7 @@
 
 // alive looks whether the target has closed an idle connection (or written to it unasked) without waiting.
 // A request written to a closed one would end as a reset, which may have run.
-func (c *conn) alive() bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = e == syscall.EAGAIN
-		return true
-	})
-	return err == nil && open
-}
+func (c *conn) alive() bool { return socket.Quiet(c.Conn) }
 
 // roundTrip writes the request and reads the whole answer. The connection may be used again if reuse.
 func (c *conn) roundTrip(ctx context.Context, r *Request, fields []string) (o core.Outcome, reuse bool) {
--- a/internal/ingress/slots.go
+++ b/internal/ingress/slots.go
@@ -6,12 +6,15 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"junctionring/internal/socket"
 )
 
 const (
 	restful    = 2 * time.Second        // without an open request: the platform lets it be closed then
 	firstWord  = 250 * time.Millisecond // clients that mean to ask send as they connect; where no slot is left
 	spareSlots = 8                      // one part in so many is kept free, lest a client wait for a close
+	evictTries = 16                     // connections looked at for one that can be closed
 	slotPause  = 20 * time.Millisecond  // between looks while every slot is taken
 )
 
@@ -74,17 +77,24 @@
 	return !full
 }
 
-// evict closes the connection that has rested longest. Where no slot is left it need not have rested long: a
-// close that crosses a request has the client send it once more, but one that finds no slot waits in vain.
+// evict closes the connection that has rested longest. Where no slot is left it need not have rested long: one
+// that finds no slot waits in vain. A connection with a request that is not read yet is passed over: the first
+// request on a connection is lost by a close, and each later one costs a new connection.
 func (s *slots) evict(full bool) {
-	e := s.resting.Front()
-	if e == nil {
-		return
+	least := restful
+	if full {
+		least = firstWord
 	}
-	r := e.Value.(*rest)
-	if age := time.Since(r.since); age >= restful || full && age >= firstWord {
-		s.forget(r.conn)
-		r.conn.Close() // its slot is free once net/http has noticed
+	for e, tries := s.resting.Front(), 0; e != nil && tries < evictTries; e, tries = e.Next(), tries+1 {
+		r := e.Value.(*rest)
+		if time.Since(r.since) < least {
+			return // those behind have rested less
+		}
+		if socket.Quiet(r.conn) {
+			s.forget(r.conn)
+			r.conn.Close() // its slot is free once net/http has noticed
+			return
+		}
 	}
 }
 
