Serve on over open connections for 2.5 s after SIGTERM, then close them

Refusals counted by cause (temporary) showed that the module refused no more than before (3 to 11 of 60 asks in half a second), that no server was left out, and that the gateways together were asked 137 times in half a second where 210 were offered: the rest reached nobody ("unreached": 1120).

At fault: after SIGTERM every answer said Connection: close and the listener went after 0.5 s (ingress.go, Drain; serve.go, stillArrives), while clients keep to open connections for as long as they stay open, and some of them find no other way in.

Now the gateway serves on for 2.5 s, closes each connection with its next answer for 0.4 s more, and only then takes nothing new; what is left is shed at 3.3 s as before.

--- a/cmd/junctionring/serve.go
+++ b/cmd/junctionring/serve.go
@@ -25,10 +25,11 @@
 )
 
 const (
-	stillArrives = 500 * time.Millisecond  // after SIGTERM connections keep coming for 0.2 to 0.4 s
-	drainFor     = 3300 * time.Millisecond // SIGKILL comes 3.7 s after SIGTERM at the earliest
-	lastWords    = 200 * time.Millisecond  // for the answers of what is shed at the end of a drain
-	memoryShare  = 0.7                     // of the limit: the runtime's own, the sockets' buffers and files count too
+	servesOn    = 2500 * time.Millisecond // after SIGTERM: connections keep coming, and open ones are used
+	closesFor   = 400 * time.Millisecond  // after that: each answer closes its connection
+	drainFor    = 3300 * time.Millisecond // SIGKILL comes 3.7 s after SIGTERM at the earliest
+	lastWords   = 200 * time.Millisecond  // for the answers of what is shed at the end of a drain
+	memoryShare = 0.7                     // of the limit: the runtime's own, the sockets' buffers and files count too
 )
 
 type serveCommand struct {
@@ -166,12 +167,12 @@
 	log.Info("draining")
 	drain, done := context.WithTimeout(context.Background(), drainFor)
 	defer done()
-	if err := server.Drain(drain, min(stillArrives, drainFor/2)); err != nil {
+	if err := server.Drain(drain, min(servesOn, drainFor*3/4), min(closesFor, drainFor/8)); err != nil {
 		log.Warn("not all held exchanges ended in time: the rest is shed", "err", err)
 		c.Shed()
 		last, done := context.WithTimeout(context.Background(), lastWords)
 		defer done()
-		return server.Drain(last, 0)
+		return server.Drain(last, 0, 0)
 	}
 	return nil
 }
--- a/internal/forwardauth/forwardauth_test.go
+++ b/internal/forwardauth/forwardauth_test.go
@@ -138,7 +138,7 @@
 	t.Cleanup(func() {
 		now, stop := context.WithCancel(context.Background())
 		stop()
-		s.Drain(now, 0)
+		s.Drain(now, 0, 0)
 		front.Close()
 		cancel()
 	})
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -26,6 +26,7 @@
 type Server struct {
 	http     *http.Server
 	draining atomic.Bool
+	closing  atomic.Bool
 	ready    atomic.Bool
 }
 
@@ -36,7 +37,7 @@
 		MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerWait, IdleTimeout: idleWait,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if s.draining.Load() { // clients keep a connection for as long as it stays open
+			if s.closing.Load() { // clients keep a connection for as long as it stays open
 				w.Header().Set("Connection", "close")
 			}
 			if r.URL.Path == "/health/ready" {
@@ -64,17 +65,24 @@
 // Ready lets the readiness path answer 200.
 func (s *Server) Ready() { s.ready.Store(true) }
 
-// Drain serves what still arrives for a while, then takes nothing new and waits until all that is held has
-// its answer, or ctx ends.
-func (s *Server) Drain(ctx context.Context, still time.Duration) error {
+// Drain serves on for a while, since clients keep to the connections that they have: those find no other way
+// in while the gateway is away. Then it closes each connection with its next answer, lest a close cross a
+// request, takes nothing new, and waits until all that is held has its answer, or ctx ends.
+func (s *Server) Drain(ctx context.Context, serve, closing time.Duration) error {
 	s.draining.Store(true)
-	wait := time.NewTimer(still)
+	pause(ctx, serve)
+	s.closing.Store(true)
+	pause(ctx, closing)
+	return s.http.Shutdown(ctx)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	wait := time.NewTimer(d)
 	defer wait.Stop()
 	select {
 	case <-wait.C:
 	case <-ctx.Done():
 	}
-	return s.http.Shutdown(ctx)
 }
 
 // Platform is the handler of the platform's protocol.
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -90,11 +90,12 @@
 // start runs core, egress and front round the peers and returns the front's address.
 func start(t *testing.T, fleet *egress.Fleet, peers ...*peer) (string, *core.Core) {
 	t.Helper()
-	return startServer(t, 64, fleet, peers...)
+	address, c, _ := startServer(t, 64, fleet, peers...)
+	return address, c
 }
 
 // startServer is start with so many slots for clients.
-func startServer(t *testing.T, most int, fleet *egress.Fleet, peers ...*peer) (string, *core.Core) {
+func startServer(t *testing.T, most int, fleet *egress.Fleet, peers ...*peer) (string, *core.Core, *ingress.Server) {
 	t.Helper()
 	log := slog.New(slog.DiscardHandler)
 	c, err := core.New(control.Settings{
@@ -126,7 +127,7 @@
 		cancel()
 		l.Close()
 	})
-	return l.Addr().String(), c
+	return l.Addr().String(), c, s
 }
 
 func table(state control.MemberState, peers ...*peer) core.Table {
@@ -461,7 +462,7 @@
 // Clients that asked once and keep their connections for good do not shut others out: the one that has
 // rested longest makes room, and the one that asked last is still served on its connection.
 func TestRestingConnectionsMakeRoom(t *testing.T) {
-	address, _ := startServer(t, 8, fleet())
+	address, _, _ := startServer(t, 8, fleet())
 	stay := make([]*client, 8)
 	for i := range stay {
 		stay[i] = dial(t, address)
@@ -480,7 +481,7 @@
 // Connections that say nothing, or only half a head, fill every slot: the next client is served all the same,
 // and all of them are closed.
 func TestSilentConnectionsAreClosed(t *testing.T) {
-	address, _ := startServer(t, 8, fleet())
+	address, _, _ := startServer(t, 8, fleet())
 	silent := make([]*client, 24)
 	for i := range silent {
 		silent[i] = dial(t, address)
@@ -627,3 +628,39 @@
 		})
 	}
 }
+
+// A gateway that drains says at once that it is not ready, and goes on serving the connections that clients
+// have, without closing them; in the end each answer says that it is the connection's last.
+func TestDrainServesOnOpenConnections(t *testing.T) {
+	const ready = "GET /health/ready HTTP/1.1\r\nHost: g\r\n\r\n"
+	p := newPeer(t)
+	address, _, s := startServer(t, 8, fleet(), p)
+	c := dial(t, address)
+	c.ask(t, ready)
+	serving, closing := make(chan error, 1), make(chan error, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { serving <- s.Drain(ctx, time.Hour, 0) }()
+	for {
+		resp, _ := c.ask(t, ready)
+		if resp.Close {
+			t.Fatal("a connection is closed as the drain begins")
+		}
+		if resp.StatusCode == 503 {
+			break
+		}
+	}
+	io.WriteString(c, view)
+	p.answer(<-p.got, ok)
+	if resp, _ := c.read(t); resp.StatusCode != 200 || resp.Close {
+		t.Errorf("while it drains: answered %d, closed %t", resp.StatusCode, resp.Close)
+	}
+	go func() { closing <- s.Drain(ctx, 0, time.Hour) }()
+	for closed := false; !closed; {
+		resp, _ := c.ask(t, ready)
+		closed = resp.Close
+	}
+	c.closedBy(t, 20*time.Second, "a connection with its last answer")
+	cancel()
+	<-serving
+	<-closing
+}
