Keep what control learns of servers by site, and let a try name the sites it may reach

Serving from a second site needs the load of one site kept apart from that of another: one crowd, one typical time and one order of servers for all would shed near requests for a slow link, and judge a far answer by near times.

control now holds a pool of servers for each site (Settings.Sites). A request and an outcome carry Reach, the first and the second site that the next attempt may use; a retry is still decided in one place. The group of a keyed class may be a site.

--- a/control/control.go
+++ b/control/control.go
@@ -111,16 +111,16 @@
 		requests:  map[uint64]*request{},
 		servers:   map[string]*server{},
 		hearsay:   map[uint64]float64{},
-		classes:   make([]classState, len(s.Classes)),
 		callRate:  callsFirst / float64(max(1, s.Gateways)),
 		purse:     retryPurse,
-		lateOK:    1, // until answers come
-		inTime:    1,
 		meanUnits: 1,
-		slots:     slotsPooled / float64(max(1, s.Gateways)),
 	}
+	classes := make([]classState, len(s.Classes))
 	for i, c := range s.Classes {
-		g.classes[i] = classState{typical: c.Aim / 5, work: c.Aim / 8}
+		classes[i] = classState{typical: c.Aim / 5, work: c.Aim / 8}
+	}
+	for range max(1, s.Sites) {
+		g.pools = append(g.pools, newPool(classes, slotsPooled/float64(max(1, s.Gateways))))
 	}
 	return g, nil
 }
@@ -171,8 +171,6 @@
 	}
 }
 
-func (g *Gateway) do(a Action) { g.out = append(g.out, a) }
-
 func (g *Gateway) sweep() {
 	silent := g.misses >= peerMisses && g.now-g.quiet > peerAfter
 	if g.set.Limits.Peers && silent && g.now-g.peerTold > g.peerGap {
@@ -296,7 +294,8 @@
 		chance = poissonAtMost(int(c.level/units)-1, unseen/units)
 	}
 	if capped { // the same of attempts out. Others have out what they send in the time that an answer takes.
-		chance *= poissonAtMost(p.Open-1-c.open, max(rate, openSpike*asks)/g.meanUnits*g.classes[class].typical)
+		lasts := g.pool(g.set.Site).classes[class].typical
+		chance *= poissonAtMost(p.Open-1-c.open, max(rate, openSpike*asks)/g.meanUnits*lasts)
 	}
 	// A kept unit is not lost while asks exceed the rate.
 	kept := min(1, g.demand(c, 0)/p.Rate) * (1 - c.level/p.Burst)
@@ -542,7 +541,7 @@
 	if g.requests[e.ID] != nil {
 		return
 	}
-	if e.Class < 0 || e.Class >= len(g.classes) || e.Plan < 0 || e.Plan >= len(g.set.Plans) {
+	if e.Class < 0 || e.Class >= len(g.set.Classes) || e.Plan < 0 || e.Plan >= len(g.set.Plans) {
 		g.do(Refuse{ID: e.ID})
 		return
 	}
@@ -565,8 +564,8 @@
 		return
 	}
 	r := &request{id: e.ID, class: e.Class, customer: c, units: units, deadline: g.now + e.TimeLeft}
-	s := g.choose(r)
-	if s == nil || g.shed(r, gain) {
+	s := g.place(r, e.Reach, gain)
+	if s == nil {
 		g.do(Refuse{ID: e.ID, RetryAfter: g.hint(0)})
 		return
 	}
@@ -583,27 +582,43 @@
 	g.want(c)
 }
 
-func (g *Gateway) shed(r *request, gain float64) bool {
+// place finds a server within reach: at the first site or, where that has none or sheds it, at the second.
+// A retry (gain 0) is not shed.
+func (g *Gateway) place(r *request, reach Reach, gain float64) *server {
+	for i, site := range [...]int{reach.First, reach.Then} {
+		last := i > 0 || reach.Then == reach.First
+		s := g.choose(r, g.pool(site), last)
+		if s != nil && (gain <= 0 || !g.shed(r, gain, s.pool)) {
+			return s
+		}
+		if last {
+			break
+		}
+	}
+	return nil
+}
+
+func (g *Gateway) shed(r *request, gain float64, p *pool) bool {
 	class := &g.set.Classes[r.class]
 	// Danger: little time left. What is likely answered too late is worth less.
-	cs := &g.classes[r.class]
+	cs := &p.classes[r.class]
 	hope := 1 - math.Exp2(-min(class.Aim, r.deadline-g.now)/cs.typical)
 	if hope < hopeLeast { // Danger: where all are refused for it no answer would ever lower it again.
 		cs.typical -= cs.typical * hopeFades
 	}
 	worth := hope * gain * class.Worth * r.customer.plan.Worth * r.units / max(cs.work, 1e-4)
-	g.density += (worth - g.density) * max(0.02, 1/(1+g.weighed))
-	g.weighed++
+	p.density += (worth - p.density) * max(0.02, 1/(1+p.weighed))
+	p.weighed++
 	// Danger: a large fleet. With one attempt out, own slots show no crowd; late answers of any server do.
-	g.crowd *= math.Exp(-(g.now - g.crowdAt) / crowdFades)
-	g.crowdAt = g.now
+	p.crowd *= math.Exp(-(g.now - p.crowdAt) / crowdFades)
+	p.crowdAt = g.now
 	// Danger: lost answers. What is out long while answers are quick is no work.
 	few, oldest, work := slotsFirst < float64(g.set.Gateways), math.Inf(1), 1.0
-	if few && g.lossy() {
-		oldest, work = lostAfter, g.inTime
+	if few && p.lossy() {
+		oldest, work = lostAfter, p.inTime
 	}
 	slots, taken, servers := slotsFloor, 0.0, 0.0
-	for _, s := range g.list {
+	for _, s := range p.list {
 		if s.usable(g.now) {
 			servers++
 			slots += s.lim.limit
@@ -611,68 +626,70 @@
 		}
 	}
 	if few { // of a server met seldom nothing is known: as of all. Danger: chance, where few are out
-		k := math.Exp(-(g.now - g.takenAt) / slotsMemory)
-		g.taken, g.takenAt = g.taken*k+taken*(1-k), g.now
-		slots, taken = slotsFloor+g.slots*servers, g.taken
+		k := math.Exp(-(g.now - p.takenAt) / slotsMemory)
+		p.taken, p.takenAt = p.taken*k+taken*(1-k), g.now
+		slots, taken = slotsFloor+p.slots*servers, p.taken
 	}
-	g.inUse = taken >= slots*busyShare
-	g.press = g.crowd + max(0, taken-slots*busyShare)/(slots*(1-busyShare))
-	rarer := g.density / max(worth, 1e-9)
-	return hope < hopeLeast || g.press > 0 && g.rng.Float64() > math.Exp(-g.press*rarer*rarer)
+	p.inUse = taken >= slots*busyShare
+	p.press = p.crowd + max(0, taken-slots*busyShare)/(slots*(1-busyShare))
+	rarer := p.density / max(worth, 1e-9)
+	return hope < hopeLeast || p.press > 0 && g.rng.Float64() > math.Exp(-p.press*rarer*rarer)
 }
 
 // overdue tells of a crowd as soon as an attempt is out too long, whatever becomes of it. Danger: collapse.
 // Where servers only work on what nobody waits for no answer comes, or seconds later, to tell of it.
 func (g *Gateway) overdue() {
-	for i := range g.classes {
-		cs, limit := &g.classes[i], lateShare*g.set.Classes[i].Aim
-		for len(cs.open) > 0 && (cs.open[0].ended || g.now-cs.open[0].sent > limit) {
-			a := cs.open[0]
-			cs.open = cs.open[1:]
-			if a.ended {
-				continue
-			}
-			if g.inTime -= g.inTime * learn; !g.lossy() {
-				g.slots = max(slotsLeast*slotsPooled/float64(g.set.Gateways), g.slots*cutTo)
-				g.feel(true)
+	for _, p := range g.pools {
+		for i := range p.classes {
+			cs, limit := &p.classes[i], lateShare*g.set.Classes[i].Aim
+			for len(cs.open) > 0 && (cs.open[0].ended || g.now-cs.open[0].sent > limit) {
+				a := cs.open[0]
+				cs.open = cs.open[1:]
+				if a.ended {
+					continue
+				}
+				if p.inTime -= p.inTime * learn; !p.lossy() {
+					p.slots = max(slotsLeast*slotsPooled/float64(g.set.Gateways), p.slots*cutTo)
+					g.feel(p, true)
+				}
 			}
 		}
 	}
 }
 
 // lossy tells that silence is loss. Danger: lost answers are no crowd: most come, and quickly.
-func (g *Gateway) lossy() bool { return g.lateOK <= lateFew && g.inTime >= inTimeFew }
+func (p *pool) lossy() bool { return p.lateOK <= lateFew && p.inTime >= inTimeFew }
 
-func (g *Gateway) feel(late bool) {
-	spell := min(crowdSpell, g.now-g.felt)
-	g.felt = g.now
+func (g *Gateway) feel(p *pool, late bool) {
+	spell := min(crowdSpell, g.now-p.felt)
+	p.felt = g.now
 	// A high one must come down as fast as it rose. Danger: lasting overload; it would let a third be late.
-	clean := max(0, 1-(1-g.inTime)*(1+crowdUp/crowdDown))
-	step := -crowdDown * (1 + clean*g.crowd*g.crowd)
+	clean := max(0, 1-(1-p.inTime)*(1+crowdUp/crowdDown))
+	step := -crowdDown * (1 + clean*p.crowd*p.crowd)
 	if late {
 		step = crowdUp
 	}
-	g.crowd = max(0, min(crowdMost, g.crowd+step*spell))
+	p.crowd = max(0, min(crowdMost, p.crowd+step*spell))
 }
 
 func (g *Gateway) send(r *request, s *server) {
-	class := &g.set.Classes[r.class]
+	class, p := &g.set.Classes[r.class], s.pool
 	timeout := 0.0
 	// Danger: while servers are pressed, a second attempt doubles the work of the first.
 	again := class.Repeat != Unsafe && !class.Stream && len(r.attempts)+1 < g.set.Limits.MaxAttempts
-	if g.press < crowdFew && again {
-		timeout = max(tryAim*class.Aim, tryTypical*g.classes[r.class].typical)
-		if g.now+timeout > r.deadline-g.classes[r.class].typical {
+	if p.press < crowdFew && again {
+		timeout = max(tryAim*class.Aim, tryTypical*p.classes[r.class].typical)
+		if g.now+timeout > r.deadline-p.classes[r.class].typical {
 			timeout = 0
 		}
 	}
-	a, cs := &attempt{server: s, sent: g.now}, &g.classes[r.class]
+	a, cs := &attempt{server: s, sent: g.now}, &p.classes[r.class]
 	r.attempts, cs.open = append(r.attempts, a), append(cs.open, a)
 	r.out++
 	r.customer.open++
-	s.sent(sentAt{r.id, g.now, g.classes[r.class].typical})
-	g.sendRate = g.sendRate*math.Exp(-(g.now-g.sentAt)/rateMemory) + 1/rateMemory
-	g.sentAt = g.now
+	s.sent(sentAt{r.id, g.now, p.classes[r.class].typical})
+	p.sendRate = p.sendRate*math.Exp(-(g.now-p.sentAt)/rateMemory) + 1/rateMemory
+	p.sentAt = g.now
 	g.do(Send{ID: r.id, Server: s.id, Timeout: timeout})
 }
 
@@ -703,8 +720,8 @@
 		return
 	}
 	var s *server
-	if g.mayRetry(r, e.Status) {
-		s = g.choose(r)
+	if g.mayRetry(r, a.server.pool, e.Status) {
+		s = g.place(r, e.Reach, 0)
 	}
 	if s == nil {
 		g.end(r)
@@ -716,14 +733,14 @@
 	g.send(r, s)
 }
 
-func (g *Gateway) mayRetry(r *request, last Status) bool {
+func (g *Gateway) mayRetry(r *request, p *pool, last Status) bool {
 	class := &g.set.Classes[r.class]
 	switch {
 	case len(r.attempts) >= g.set.Limits.MaxAttempts, last == Moot, r.streaming,
-		g.now+g.classes[r.class].work > r.deadline:
+		g.now+p.classes[r.class].work > r.deadline:
 		return false
 	case !r.mayRan:
-		return last != Full || g.press < crowdFew // turned away in a crowd: no storm
+		return last != Full || p.press < crowdFew // turned away in a crowd: no storm
 	case g.purse < 1, class.Repeat == Unsafe:
 		return false
 	}
@@ -765,18 +782,22 @@
 		g.do(Watch{On: true})
 	}
 	if e.Kind != Delta { // what a whole list does not name is gone, and is not kept
-		for _, s := range g.list {
+		for _, s := range g.servers {
 			s.listed, s.member.State = false, Removed
 		}
 	}
 	for _, m := range e.Entries {
-		s := g.servers[m.Server]
+		s, p := g.servers[m.Server], g.pool(m.Site)
+		if s != nil && s.pool != p { // it moved: what is out at it ends where it was begun
+			s.listed, s.member.State = false, Removed
+			s = nil
+		}
 		if s == nil {
 			slots := max(1, slotsFirst/float64(g.set.Gateways))
-			s = &server{id: m.Server, slow: 1, lim: limiter{limit: slots},
-				served: make([]Seconds, len(g.classes)), full: make([]Seconds, len(g.classes))}
+			s = &server{id: m.Server, pool: p, slow: 1, lim: limiter{limit: slots},
+				served: make([]Seconds, len(p.classes)), full: make([]Seconds, len(p.classes))}
 			g.servers[m.Server] = s
-			g.list = slices.Insert(g.list, g.rng.IntN(len(g.list)+1), s) // each gateway in its own order
+			p.list = slices.Insert(p.list, g.rng.IntN(len(p.list)+1), s) // each gateway in its own order
 			if m.Since > 0 {
 				g.chill(s, m.Since)
 			}
@@ -787,12 +808,14 @@
 		s.member = m
 		s.listed = m.State == Ready
 	}
-	g.list = slices.DeleteFunc(g.list, func(s *server) bool {
-		if s.member.State == Removed && s.lim.out == 0 {
-			delete(g.servers, s.id)
-		}
-		return g.servers[s.id] == nil
-	})
+	for _, p := range g.pools {
+		p.list = slices.DeleteFunc(p.list, func(s *server) bool {
+			if s.member.State == Removed && s.lim.out == 0 && g.servers[s.id] == s {
+				delete(g.servers, s.id)
+			}
+			return g.servers[s.id] != s
+		})
+	}
 }
 
 func (g *Gateway) chill(s *server, since Seconds) {
@@ -806,52 +829,49 @@
 }
 
 func (g *Gateway) refillBudget(s *server) (warm float64) {
+	p := s.pool
 	warm = g.set.Guarantees.warmth(g.now - s.coldFrom)
 	if s.cold = s.cold && warm < 1; !s.cold {
 		return 1
 	}
 	// Danger: a release of most servers. A cold one gets its part of what a warm one gets, not of the mean.
-	rate := g.sendRate * math.Exp(-(g.now-g.sentAt)/rateMemory) / max(1, g.parts)
+	rate := p.sendRate * math.Exp(-(g.now-p.sentAt)/rateMemory) / max(1, p.parts)
 	s.budget = min(coldBurst, s.budget+coldPart*warm*rate*(g.now-s.budgeted))
 	s.budgeted = g.now
 	return warm
 }
 
-func (s *server) usable(now Seconds) bool {
-	return s.listed && now >= s.until && !((s.trial || s.suspect) && s.lim.out > 0)
-}
-
 // choose picks the best of a few servers. Danger: of all, by an old view or zone, they would herd.
-func (g *Gateway) choose(r *request) *server {
+func (g *Gateway) choose(r *request, p *pool, last bool) *server {
 	var best *server
-	bestCost, few := math.Inf(1), max(choicesLeast, choices*len(g.list)/g.set.Gateways)
+	bestCost, few := math.Inf(1), max(choicesLeast, choices*len(p.list)/g.set.Gateways)
 	look := func(s *server, picked bool) {
 		if cost := g.fitness(r, s, picked); cost < bestCost {
 			best, bestCost = s, cost
 		}
 	}
 	// Danger: as many connections at a server as there are gateways. A gateway keeps to the first of its list.
-	reach := min(len(g.list), max(2*few, serverGates*len(g.list)/g.set.Gateways))
+	reach := min(len(p.list), max(2*few, serverGates*len(p.list)/g.set.Gateways))
 	for range few {
-		if 2*few < len(g.list) {
-			look(g.list[g.rng.IntN(reach)], true)
+		if 2*few < len(p.list) {
+			look(p.list[g.rng.IntN(reach)], true)
 		}
 	}
 	if best != nil {
 		return best
 	}
 	open, parts := false, 0.0
-	for _, s := range g.list {
+	for _, s := range p.list {
 		if look(s, false); s.usable(g.now) {
 			open = true
 			parts += s.part(&g.set.Guarantees, g.now, coldPart)
 		}
 	}
-	g.parts = parts
-	if best != nil || open {
+	p.parts = parts
+	if best != nil || open || !last {
 		return best
 	}
-	for _, s := range g.list { // never all of them out: the least bad is tried
+	for _, s := range p.list { // never all of them out: the least bad is tried
 		if cost := g.cost(r, s); s.listed && !s.cold && g.fits(r, s) && cost < bestCost {
 			best, bestCost = s, cost
 		}
@@ -879,7 +899,7 @@
 	}
 	cost := g.cost(r, s)
 	if g.now-s.served[r.class] > fullFor {
-		cost *= 1 + provenBy*g.classes[r.class].full
+		cost *= 1 + provenBy*s.pool.classes[r.class].full
 	}
 	return cost
 }
@@ -905,21 +925,18 @@
 	return cost * (1 + jitter*g.rng.Float64())
 }
 
+// fits tells whether r may go to s: a keyed one that may have run stays with those that drop its repeats.
 func (g *Gateway) fits(r *request, s *server) bool {
 	class := &g.set.Classes[r.class]
-	if !r.mayRan || class.Repeat != Keyed {
-		return true
-	}
-	zone, cell := s.member.Zone == r.ranAt.member.Zone, s.member.Cell == r.ranAt.member.Cell
-	return class.Group == GroupAll || zone && (class.Group == GroupZone || cell)
+	return !r.mayRan || class.Repeat != Keyed || class.Group.holds(s, r.ranAt)
 }
 
 func (g *Gateway) judge(r *request, a *attempt, e Outcome) {
-	s := a.server
+	s, p := a.server, a.server.pool
 	s.returned(r.id, a.sent)
 	s.slow = 1 + (s.slow-1)*math.Exp(-(g.now-s.heard)/forgetSlow)
 	s.heard = g.now
-	class, cs := &g.set.Classes[r.class], &g.classes[r.class]
+	class, cs := &g.set.Classes[r.class], &p.classes[r.class]
 	took := g.now - a.sent
 	late := took > lateShare*class.Aim
 	switch e.Status {
@@ -931,20 +948,20 @@
 		s.answered, s.served[r.class], s.full[r.class] = g.now, g.now, 0
 		cs.full -= cs.full * learn
 		s.strikes, s.until, s.outFor, s.trial = 0, 0, 0, false
-		g.lost -= g.lost * learnFleet
+		p.lost -= p.lost * learnFleet
 		s.slow += (min(took/cs.typical, 20) - s.slow) * learn
 		cs.typical = min(class.Aim, cs.typical+cs.typical*learnFleet*sign(took-cs.typical))
 		cs.work += cs.work * learnFleet * (sign(took-cs.work) - 0.6)
-		g.lateOK += ((sign(took-lateShare*class.Aim)+1)/2 - g.lateOK) * learn
+		p.lateOK += ((sign(took-lateShare*class.Aim)+1)/2 - p.lateOK) * learn
 		if late {
 			s.lim.bad()
 			break
 		}
 		s.lim.good(slotsFirst / float64(g.set.Gateways))
-		g.inTime += (1 - g.inTime) * learn
-		g.feel(false)
-		if g.inUse {
-			g.slots *= growTo
+		p.inTime += (1 - p.inTime) * learn
+		g.feel(p, false)
+		if p.inUse {
+			p.slots *= growTo
 		}
 	case Full:
 		// Danger: room for others. The pair is remembered; full is who serves nobody.
@@ -967,8 +984,8 @@
 		s.slow += (min(took/cs.typical, 20) - s.slow) * learn
 		s.lim.bad()
 		// Danger: a black hole met seldom: one loss is enough. While many are lost the fleet is needed.
-		g.lost += (1 - g.lost) * learnFleet
-		g.strike(s, int(1+(strikes-1)*max(0, 1-g.lost/lostFew)))
+		p.lost += (1 - p.lost) * learnFleet
+		g.strike(s, int(1+(strikes-1)*max(0, 1-p.lost/lostFew)))
 	}
 }
 
--- a/control/export_test.go
+++ b/control/export_test.go
@@ -4,4 +4,4 @@
 func (g *Gateway) Held() int { return len(g.customers) }
 
 // Servers is how many servers a gateway remembers.
-func (g *Gateway) Servers() int { return len(g.list) }
+func (g *Gateway) Servers() int { return len(g.servers) }
--- a/control/state.go
+++ b/control/state.go
@@ -32,33 +32,48 @@
 	callOut             map[uint64][]*customer // by name, in order of the calls
 
 	requests map[uint64]*request
-	classes  []classState
 	purse    float64 // retries that may be spent
-	lost     float64 // share of attempts that got no answer
-	lateOK   float64 // share of the good answers that are late
-	inTime   float64 // share of the attempts that are answered before they are late
-	crowd    float64 // how crowded the whole fleet is, by attempts that are late; 0: not
-	crowdAt  Seconds // when it was last let fade
-	felt     Seconds // last verdict that moved it
-	slots    float64 // attempts that may be out at once at a server, of this gateway; pooled over all
-	taken    float64 // attempts out, averaged
-	takenAt  Seconds
-	inUse    bool    // most of the slots are taken
-	press    float64 // crowd, with the own slots in use
-	density  float64 // mean worth in time per second of work, of what came in
-	weighed  float64 // requests in it
 
 	meanUnits float64 // of a try
 
+	servers map[string]*server
+	pools   []*pool // by site; one where there are no sites
+	nextAsk Seconds // when to ask for the list again; 0: not
+	swept   Seconds
+	wakeAt  Seconds // when the next timer is due
+}
+
+// pool is the servers of one site and what was learned of them together. A crowd at one site says nothing of
+// another, nor does the time of an answer that came over a link.
+type pool struct {
+	classes []classState
+	lost    float64 // share of attempts that got no answer
+	lateOK  float64 // share of the good answers that are late
+	inTime  float64 // share of the attempts that are answered before they are late
+	crowd   float64 // how crowded the whole fleet is, by attempts that are late; 0: not
+	crowdAt Seconds // when it was last let fade
+	felt    Seconds // last verdict that moved it
+	slots   float64 // attempts that may be out at once at a server, of this gateway; pooled over all
+	taken   float64 // attempts out, averaged
+	takenAt Seconds
+	inUse   bool    // most of the slots are taken
+	press   float64 // crowd, with the own slots in use
+	density float64 // mean worth in time per second of work, of what came in
+	weighed float64 // requests in it
+
 	sendRate float64 // own attempts a second, at all servers
 	sentAt   Seconds
 	parts    float64 // warm servers, and cold ones by the part they get
 
-	servers map[string]*server
-	list    []*server // in order of first sight
-	nextAsk Seconds   // when to ask for the list again; 0: not
-	swept   Seconds
-	wakeAt  Seconds // when the next timer is due
+	list []*server // in an order of this gateway's own
+}
+
+// pool is that of a site, or the first where there is no such site.
+func (g *Gateway) pool(site int) *pool {
+	if site < 0 || site >= len(g.pools) {
+		site = 0
+	}
+	return g.pools[site]
 }
 
 // classState is what was learned of a class.
@@ -130,6 +145,7 @@
 // server is what is known of one server; control.go, part 4.
 type server struct {
 	id     string
+	pool   *pool
 	member Member
 	listed bool // on the list and ready
 
@@ -303,3 +319,27 @@
 	}
 	return w * math.Ceil(least/w)
 }
+
+// holds tells whether two servers drop each other's repeats of a key.
+func (g Group) holds(a, b *server) bool {
+	switch site, zone := a.pool == b.pool, a.member.Zone == b.member.Zone; g {
+	case GroupAll:
+		return true
+	case GroupSite:
+		return site
+	case GroupZone:
+		return site && zone
+	default:
+		return site && zone && a.member.Cell == b.member.Cell
+	}
+}
+
+func newPool(classes []classState, slots float64) *pool {
+	return &pool{classes: slices.Clone(classes), slots: slots, lateOK: 1, inTime: 1} // until answers come
+}
+
+func (g *Gateway) do(a Action) { g.out = append(g.out, a) }
+
+func (s *server) usable(now Seconds) bool {
+	return s.listed && now >= s.until && !((s.trial || s.suspect) && s.lim.out > 0)
+}
--- a/control/types.go
+++ b/control/types.go
@@ -23,6 +23,8 @@
 	Ordinal    int // this gateway's number
 	Gateways   int // how many gateways there are
 	Zone       int // the zone this gateway stands in
+	Site       int // the site this gateway stands at
+	Sites      int // sites among which requests may cross; 0: all servers are one site
 	Classes    []Class
 	Plans      []Plan
 	Limits     Limits
@@ -64,6 +66,7 @@
 	GroupAll Group = iota
 	GroupZone
 	GroupCell
+	GroupSite
 )
 
 // Class is a class of requests.
@@ -145,6 +148,10 @@
 	Moot                 // never sent
 )
 
+// Reach names the sites that a try may go to, in order. Both are the same where only one may be used; its
+// zero value is the first site alone.
+type Reach struct{ First, Then int }
+
 // Event is something a gateway is told.
 type Event interface{ event() }
 
@@ -171,6 +178,7 @@
 		Spread   int // number of gateways this customer's requests may come through
 		First    int // number of the first of them
 		Repeat   bool
+		Reach    Reach
 		Ask      bool // only the verdict is wanted: it is answered by Admit or Refuse, and nothing is sent
 	}
 
@@ -188,7 +196,8 @@
 		Server  string
 		Attempt int
 		Status  Status
-		Closed  bool // the client has its final answer
+		Closed  bool  // the client has its final answer
+		Reach   Reach // of the attempt that may follow
 		Elapsed Seconds
 		Units   float64   // true units, where they are settled after the answer; 0: none
 		Use     int       // 1 + percent of the rate the meter saw; 0: none
@@ -249,6 +258,7 @@
 type Member struct {
 	Server string
 	Weight float64
+	Site   int // number of the site; 0 where there are none
 	Zone   int
 	Cell   int
 	Kind   int
@@ -348,8 +358,8 @@
 	if len(s.Classes) == 0 || len(s.Plans) == 0 {
 		return errors.New("control: no classes or no plans")
 	}
-	if s.Gateways < 1 || s.Ordinal < 0 || s.Limits.MaxAttempts < 0 {
-		return errors.New("control: gateway numbers or attempt limit out of range")
+	if s.Gateways < 1 || s.Sites < 0 || s.Ordinal < 0 || s.Limits.MaxAttempts < 0 {
+		return errors.New("control: gateway or site numbers or attempt limit out of range")
 	}
 	finite := func(values ...float64) bool {
 		return !slices.ContainsFunc(values, func(v float64) bool { return math.IsNaN(v) || math.IsInf(v, 0) })
