--- a/cmd/junctionring/program_test.go
+++ b/cmd/junctionring/program_test.go
@@ -16,7 +16,7 @@
 	"testing"
 	"time"
 
-	"junctionring/internal/redistest"
+	"junctionring/internal/standin"
 )
 
 var program string // the built program
@@ -286,7 +286,7 @@
 		t.Fatal(err)
 	}
 	replace := strings.NewReplacer("127.0.0.1:9080", "127.0.0.1:0", "http://127.0.0.1:9091", check.URL,
-		"127.0.0.1:6379", redistest.Start(t).Addr(), "127.0.0.1:9101", strings.TrimPrefix(s.URL, "http://"),
+		"127.0.0.1:6379", newStore(t).Addr(), "127.0.0.1:9101", strings.TrimPrefix(s.URL, "http://"),
 		"127.0.0.1:9102", strings.TrimPrefix(s.URL, "http://"))
 	cmd, address := start(t, "--operator", write(t, "operator.toml", replace.Replace(string(text))))
 	letGo <- struct{}{}
@@ -339,3 +339,13 @@
 		t.Errorf("the file in deploy/: %s", out)
 	}
 }
+
+func newStore(t *testing.T) *standin.Store {
+	t.Helper()
+	s, err := standin.NewStore("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s
+}
--- a/cmd/junctionring/serve.go
+++ b/cmd/junctionring/serve.go
@@ -7,6 +7,7 @@
 	"math"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"os"
 	"os/signal"
 	"runtime"
@@ -19,7 +20,7 @@
 	"junctionring/internal/core"
 	"junctionring/internal/counter"
 	"junctionring/internal/egress"
-	"junctionring/internal/forwardauth"
+	"junctionring/internal/gateway"
 	"junctionring/internal/ingress"
 	"junctionring/internal/routetable"
 )
@@ -61,7 +62,7 @@
 	set := p.Settings
 	fleet := egress.NewFleet(egress.Options{
 		ConnectTimeout: seconds(set.ConnectTimeout), ConnIdle: seconds(set.ConnIdle),
-		Conns: egressConns(p.Sockets), LoadFields: set.Module.LoadFields,
+		Conns: gateway.EgressConns(p.Sockets), LoadFields: set.Module.LoadFields,
 	})
 	tally := counter.NewLine(p.Counter, seconds(set.Module.Counter.Timeout))
 	c, err := core.New(set.Module, p.Seed, fleet, tally, log)
@@ -116,24 +117,25 @@
 		return err
 	}
 	limitRuntime(o.Limits.Cores, o.Limits.MemoryMB)
-	fleet := egress.NewFleet(egress.Options{
-		ConnectTimeout: 250 * time.Millisecond, ConnIdle: 10 * time.Second, Conns: egressConns(o.Limits.Sockets),
-	})
-	tally := counter.NewRedis(o.Redis.Address, o.Redis.Timeout.Duration)
-	c, err := core.New(o.Module, rand.Uint64(), fleet, tally, log)
+	g, err := gateway.New(o, log, rand.Uint64())
 	if err != nil {
 		return err
 	}
-	front, err := forwardauth.New(o, c, log)
-	if err != nil {
-		return err
+	defer g.Close()
+	if o.Operations.Listen != "" {
+		l, err := net.Listen("tcp", o.Operations.Listen)
+		if err != nil {
+			return err
+		}
+		defer l.Close()
+		log.Info("operations", "listen", l.Addr().String())
+		go http.Serve(l, g.Operations())
 	}
-	defer front.Close()
 	go eachHangup(work, hup, func() { log.Warn("SIGHUP: the operator's file is read at the start only") })
-	go c.Run(work)
-	go tally.Run(work)
-	c.Routes(routetable.Static(o))
-	return serve(ctx, c, ingress.NewServer(front, o.MaxHeader, log), o.Listen, ingressConns(o.Limits.Sockets), o.Drain.Duration, log)
+	if !g.Start(work, ctx) {
+		return nil // told to end before the route table was known
+	}
+	return serve(ctx, g.Core, ingress.NewServer(g.Front(), o.MaxHeader, log), o.Listen, ingressConns(o.Limits.Sockets), o.Drain.Duration, log)
 }
 
 // eachHangup calls reload for each SIGHUP until ctx ends.
@@ -180,9 +182,6 @@
 // ingressConns is how many of the descriptors may be connections of clients.
 func ingressConns(sockets int) int { return max(16, sockets*9/20) }
 
-// egressConns is how many of the descriptors may be connections to egress targets.
-func egressConns(sockets int) int { return max(16, sockets*2/5) }
-
 func limitRuntime(cores float64, memoryMB int) {
 	if cores > 0 {
 		runtime.GOMAXPROCS(max(1, int(math.Ceil(cores))))
--- a/control/control.go
+++ b/control/control.go
@@ -95,6 +95,7 @@
 	trialFor   = 10.0 // of the time left alone, in which only trials are sent
 	coldPart   = 0.7  // of what a warm server gets times the warm share: chance and other gateways need room
 	coldBurst  = 1.5  // attempts that one gateway may send a cold server at once
+	coldCores  = 2.0  // as many cores' work is begun on each by all gateways where no server is warm
 )
 
 // New makes a gateway that knows its settings. The same seed and events give the same actions.
@@ -153,6 +154,8 @@
 		if now > g.wakeAt-pulse/4 {
 			g.sweep()
 		}
+	case Restored:
+		g.pool(e.Site).forgive()
 	case Counted:
 		g.counted(e)
 	case PeerMessage:
@@ -509,14 +512,6 @@
 	g.peerTold, g.peerGap = g.now, max(peerPause, float64(sent)/(peerIntake*max(1, g.set.Limits.PeerIntake)))
 }
 
-// settle takes units from both views: those sent on, then what the true ones are more.
-func (g *Gateway) settle(c *customer, units float64) {
-	c.level -= units
-	c.part -= units / g.share(c)
-	c.delta += units
-	c.since += units
-}
-
 func (g *Gateway) hear(e PeerMessage) {
 	told, ok := decodeUse(e.Data)
 	if !ok {
@@ -803,7 +798,7 @@
 			}
 		} else if m.Since > s.member.Since {
 			g.chill(s, m.Since)
-			s.strikes, s.until, s.outFor, s.trial, s.suspect = 0, 0, 0, false, false
+			s.forgive()
 		}
 		s.member = m
 		s.listed = m.State == Ready
@@ -836,6 +831,9 @@
 	}
 	// Danger: a release of most servers. A cold one gets its part of what a warm one gets, not of the mean.
 	rate := p.sendRate * math.Exp(-(g.now-p.sentAt)/rateMemory) / max(1, p.parts)
+	if p.warm == 0 { // Danger: nobody is sent anything, so nobody would ever get a part of it.
+		rate = max(rate, coldCores/p.work()/float64(g.set.Gateways))
+	}
 	s.budget = min(coldBurst, s.budget+coldPart*warm*rate*(g.now-s.budgeted))
 	s.budgeted = g.now
 	return warm
@@ -861,6 +859,7 @@
 		return best
 	}
 	open, parts := false, 0.0
+	p.warm = p.warmNow(g.now)
 	for _, s := range p.list {
 		if look(s, false); s.usable(g.now) {
 			open = true
--- a/control/state.go
+++ b/control/state.go
@@ -64,6 +64,7 @@
 	sendRate float64 // own attempts a second, at all servers
 	sentAt   Seconds
 	parts    float64 // warm servers, and cold ones by the part they get
+	warm     int     // usable ones that are warm
 
 	list []*server // in an order of this gateway's own
 }
@@ -335,7 +336,7 @@
 }
 
 func newPool(classes []classState, slots float64) *pool {
-	return &pool{classes: slices.Clone(classes), slots: slots, lateOK: 1, inTime: 1} // until answers come
+	return &pool{classes: slices.Clone(classes), slots: slots, lateOK: 1, inTime: 1, warm: 1} // until more is known
 }
 
 func (g *Gateway) do(a Action) { g.out = append(g.out, a) }
@@ -343,3 +344,40 @@
 func (s *server) usable(now Seconds) bool {
 	return s.listed && now >= s.until && !((s.trial || s.suspect) && s.lim.out > 0)
 }
+
+// settle takes units from both views: those sent on, then what the true ones are more.
+func (g *Gateway) settle(c *customer, units float64) {
+	c.level -= units
+	c.part -= units / g.share(c)
+	c.delta += units
+	c.since += units
+}
+
+// forgive drops what was held against a server.
+func (s *server) forgive() { s.strikes, s.until, s.outFor, s.trial, s.suspect = 0, 0, 0, false, false }
+
+// forgive drops what was held against the servers of a pool, and the crowd that their silence looked like.
+func (p *pool) forgive() {
+	p.lost, p.inTime, p.crowd = 0, 1, 0
+	for _, s := range p.list {
+		s.forgive()
+	}
+}
+
+// warmNow counts the usable servers that are warm.
+func (p *pool) warmNow(now Seconds) (n int) {
+	for _, s := range p.list {
+		if s.usable(now) && !s.cold {
+			n++
+		}
+	}
+	return n
+}
+
+// work is the longest work of any class.
+func (p *pool) work() (longest Seconds) {
+	for i := range p.classes {
+		longest = max(longest, p.classes[i].work)
+	}
+	return max(longest, 1e-3)
+}
--- a/control/types.go
+++ b/control/types.go
@@ -218,6 +218,9 @@
 		Load    []float64
 	}
 
+	// Restored tells that the way to a site is there again: what failed meanwhile was not its servers' doing.
+	Restored struct{ Site int }
+
 	// PeerMessage is a message from another gateway.
 	PeerMessage struct {
 		From int
@@ -336,6 +339,7 @@
 func (Gone) event()        {}
 func (Timer) event()       {}
 func (Probed) event()      {}
+func (Restored) event()    {}
 func (PeerMessage) event() {}
 func (Counted) event()     {}
 
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -6,12 +6,14 @@
 	"net"
 	"net/netip"
 	"net/url"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/BurntSushi/toml"
 
 	"junctionring/control"
+	"junctionring/sites"
 )
 
 // Duration is a time in an operator's file, such as "800ms".
@@ -64,6 +66,7 @@
 		LateWorth float64  `toml:"late_worth"`
 		Repeat    string   `toml:"repeat"` // safe, keyed, unsafe
 		Window    Duration `toml:"window"` // of keyed: how long targets drop a repeat
+		Group     string   `toml:"group"`  // of keyed: the targets that do so: all, site or zone
 	} `toml:"class"`
 	Plans []struct {
 		Name      string  `toml:"name"`
@@ -78,9 +81,94 @@
 		ID      string `toml:"id"`
 		Address string `toml:"address"`
 		Zone    int    `toml:"zone"`
+		Site    string `toml:"site"`
 	} `toml:"target"`
+	Sites     []SiteSettings `toml:"site"`
+	Discovery struct {
+		Address string `toml:"address"` // of a registry that is watched; empty: the targets stand in this file
+	} `toml:"discovery"`
+	Operations struct {
+		Listen string `toml:"listen"` // where operators read the status; empty: nowhere
+	} `toml:"operations"`
 
 	Module control.Settings `toml:"-"` // what the module is told of all this
+	Routes sites.Settings   `toml:"-"` // and the module of sites, if there are any
+}
+
+// SiteSettings is one [[site]].
+type SiteSettings struct {
+	Name        string   `toml:"name"`
+	Here        bool     `toml:"here"`        // the gateway stands here
+	Distance    Duration `toml:"distance"`    // one way, from here
+	Zones       []string `toml:"zones"`       // the registry's zones that are this site; empty: the one of its name
+	Connections int      `toml:"connections"` // to all its targets, at the most; 0: a share of the sockets
+	Warm        *int     `toml:"warm"`        // kept open at rest to each target; not stated: 2 over a link
+}
+
+// Idle is how many connections rest warm at each target of the site.
+func (s *SiteSettings) Idle() int {
+	switch {
+	case s.Warm != nil:
+		return *s.Warm
+	case s.Here:
+		return 0
+	}
+	return farWarm
+}
+
+// farWarm is how many connections rest at each target over a link, where one costs a round trip.
+const farWarm = 2
+
+// ZoneSites tells the site of each zone of the registry.
+func (o *Operator) ZoneSites() map[string]int {
+	m := map[string]int{}
+	for i, s := range o.Sites {
+		zones := s.Zones
+		if len(zones) == 0 {
+			zones = []string{s.Name}
+		}
+		for _, z := range zones {
+			m[z] = i
+		}
+	}
+	return m
+}
+
+// SiteOf is the number of the site that a target of the file stands at.
+func (o *Operator) SiteOf(name string) int {
+	return max(0, slices.IndexFunc(o.Sites, func(s SiteSettings) bool { return s.Name == name }))
+}
+
+// checkSites checks the sites and fills in what the modules are told of them.
+func (o *Operator) checkSites(require func(ok bool, format string, args ...any)) {
+	here, known, zones := -1, map[string]bool{}, map[string]string{}
+	for i, s := range o.Sites {
+		require(s.Name != "", "site %d: it has no name", i+1)
+		require(s.Name == "" || !known[s.Name], "site %q is named twice", s.Name)
+		known[s.Name] = true
+		if s.Here {
+			require(here < 0, "site %q: the gateway is at another site already", s.Name)
+			here = i
+			require(s.Distance.Duration == 0, "site %q: the gateway stands here, so its distance must be 0", s.Name)
+		} else {
+			require(s.Distance.Duration > 0, "site %q: distance %s must be above 0", s.Name, s.Distance)
+		}
+		require(s.Connections >= 0, "site %q: connections must not be negative", s.Name)
+		require(s.Idle() >= 0 && s.Idle() <= 16, "site %q: warm must be from 0 to 16", s.Name)
+		for _, z := range s.Zones {
+			require(zones[z] == "", "site %q: zone %q belongs to site %q already", s.Name, z, zones[z])
+			zones[z] = s.Name
+		}
+		o.Routes.Sites = append(o.Routes.Sites, sites.Site{Name: s.Name, Distance: s.Distance.Seconds()})
+	}
+	require(len(o.Sites) == 0 || here >= 0, "no site says here = true: the gateway must know where it stands")
+	for _, t := range o.Targets {
+		require(len(o.Sites) == 0 || t.Site != "", "target %q has no site", t.ID)
+		require(t.Site == "" || known[t.Site], "target %q: there is no site %q", t.ID, t.Site)
+	}
+	o.Routes.Own = max(0, here)
+	o.Routes.Classes, o.Routes.Guarantees = o.Module.Classes, o.Module.Guarantees
+	o.Module.Site, o.Module.Sites = o.Routes.Own, len(o.Sites)
 }
 
 // LoadOperator reads and checks an operator's file. An error says plainly what is wrong.
@@ -153,6 +241,7 @@
 		require(!seen[what+" "+name], "%s %q is named twice", what, name)
 		seen[what+" "+name] = true
 	}
+	groups := map[string]control.Group{"": control.GroupAll, "all": control.GroupAll, "site": control.GroupSite, "zone": control.GroupZone}
 	repeats := map[string]control.Repeat{"safe": control.Safe, "keyed": control.Keyed, "unsafe": control.Unsafe}
 	for _, c := range o.Classes {
 		unique("class", c.Name)
@@ -162,9 +251,12 @@
 			"class %s: aim must be above 0 and deadline no shorter", c.Name)
 		require(c.Worth > 0 && c.LateWorth >= 0 && c.LateWorth <= 1, "class %s: worth or late_worth is out of range", c.Name)
 		require(repeat != control.Keyed || c.Window.Duration > 0, "class %s: keyed needs a window", c.Name)
+		group, err := Word(groups, c.Group, "group")
+		require(err == nil, "class %s: group must be all, site or zone", c.Name)
+		require(c.Group == "" || repeat == control.Keyed, "class %s: only a keyed class has a group", c.Name)
 		o.Module.Classes = append(o.Module.Classes, control.Class{
 			Aim: c.Aim.Seconds(), Deadline: c.Deadline.Seconds(), Worth: c.Worth, LateWorth: c.LateWorth,
-			Repeat: repeat, Window: c.Window.Seconds(),
+			Repeat: repeat, Group: group, Window: c.Window.Seconds(),
 		})
 	}
 	require(len(o.Plans) > 0, "there is no [[plan]]")
@@ -177,10 +269,19 @@
 			Rate: p.Rate, Burst: p.Burst, Open: p.Open, Worth: p.Worth, OverWorth: p.OverWorth, OverCost: p.OverCost,
 		})
 	}
-	require(len(o.Targets) > 0 || o.Asked.Path != "", "there is no [[target]], and nobody may ask")
+	require(len(o.Targets) > 0 || o.Asked.Path != "" || o.Discovery.Address != "",
+		"there is no [[target]], no discovery, and nobody may ask")
+	require(len(o.Targets) == 0 || o.Discovery.Address == "", "targets come from discovery or stand in this file, not both")
+	if o.Discovery.Address != "" {
+		address("discovery: address", o.Discovery.Address)
+	}
+	if o.Operations.Listen != "" {
+		address("operations: listen", o.Operations.Listen)
+	}
 	for _, t := range o.Targets {
 		unique("target", t.ID)
 		address("target "+t.ID, t.Address)
 	}
+	o.checkSites(require)
 	return faults
 }
--- /dev/null
+++ b/internal/config/operator_test.go
@@ -0,0 +1,67 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+const good = `listen = "127.0.0.1:0"
+trusted_proxies = ["127.0.0.0/8"]
+redis = {address = "127.0.0.1:6379"}
+class = [{name = "move-submit", aim = "1s", deadline = "2s", worth = 6.0, repeat = "keyed", window = "4s", group = "site"}]
+plan = [{name = "club", rate = 1.0, burst = 5.0, worth = 1.0}]
+site = [{name = "east", here = true, zones = ["hall-a", "hall-b"]}, {name = "west", distance = "40ms"}]
+target = [{id = "t1", address = "127.0.0.1:9101", site = "east"}, {id = "t2", address = "127.0.0.1:9102", site = "west"}]
+`
+
+func load(t *testing.T, text string) (*Operator, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "operator.toml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return LoadOperator(path)
+}
+
+func TestSitesAreRead(t *testing.T) {
+	o, err := load(t, good)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if o.Routes.Own != 0 || o.Module.Sites != 2 || o.Routes.Sites[1].Distance != (40*time.Millisecond).Seconds() {
+		t.Errorf("%+v", o.Routes)
+	}
+	if z := o.ZoneSites(); z["hall-b"] != 0 || z["west"] != 1 || len(z) != 3 {
+		t.Errorf("zones %v", z)
+	}
+	if o.SiteOf("west") != 1 || o.Sites[0].Idle() != 0 || o.Sites[1].Idle() != farWarm {
+		t.Error("a target's site, or the warm connections")
+	}
+}
+
+func TestFaultsInSitesAreNamed(t *testing.T) {
+	for _, c := range []struct{ old, new, want string }{
+		{`site = "west"}`, `site = "north"}`, `target "t2": there is no site "north"`},
+		{`, site = "west"}`, `}`, `target "t2" has no site`},
+		{`name = "west"`, `name = "east"`, `site "east" is named twice`},
+		{`"40ms"`, `"-40ms"`, `site "west": distance -40ms must be above 0`},
+		{`"40ms"`, `"forty"`, `forty`},
+		{`"40ms"`, `nan`, `distance`},
+		{`distance = "40ms"`, `here = true`, `site "west": the gateway is at another site already`},
+		{`here = true, `, `distance = "1ms", `, `no site says here = true`},
+		{`here = true, `, `here = true, distance = "1ms", `, `site "east": the gateway stands here`},
+		{`distance = "40ms"`, `distance = "40ms", zones = ["hall-b"]`, `zone "hall-b" belongs to site "east" already`},
+		{`distance = "40ms"`, `distance = "40ms", warm = -1`, `warm must be from 0 to 16`},
+		{`group = "site"`, `group = "planet"`, `group must be all, site or zone`},
+		{`target = [`, "discovery = {address = \"127.0.0.1:1\"}\ntarget = [", `not both`},
+		{`target = [`, "discovery = {address = \"nowhere\"}\ntarget = [", `discovery: address: "nowhere" is no host:port`},
+	} {
+		_, err := load(t, strings.Replace(good, c.old, c.new, 1))
+		if err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v, want %q", c.new, err, c.want)
+		}
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"junctionring/control"
+	"junctionring/sites"
 )
 
 // Exchange is one client request, as the core sees it.
@@ -21,7 +22,9 @@
 	Repeat        bool
 	Ask           bool      // only the verdict is wanted; nothing is sent to a target
 	Deadline      time.Time // the client has its answer by then or never
-	Payload       any       // what egress sends on; the core never looks inside
+	Bound         bool      // its key may have run at the site At, and is known nowhere else
+	At            int
+	Payload       any // what egress sends on; the core never looks inside
 }
 
 // Kind tells how an exchange ended.
@@ -42,6 +45,7 @@
 	RetryAfter time.Duration // of Refused; 0: no advice
 	Over       bool          // of Refused: for want of quota
 	MayHaveRun bool          // some attempt reached a target, or may have
+	RanAt      int           // the site of the first of those
 	Reply      any           // of Served, as egress brought it
 }
 
@@ -59,6 +63,7 @@
 	Status control.Status
 	Reply  any
 	Load   []float64
+	Waited time.Duration // from the request's last byte to the answer's first; 0: not known
 }
 
 // Target is an entry of the route table with the address to send to, opaque to the core.
@@ -78,7 +83,8 @@
 type Egress interface {
 	Update(Table)
 	Start(Attempt) bool // false: there was no room, nothing was or will be sent
-	Probe(target string, report func(control.Status, []float64)) bool
+	// Probe asks a target how it is; within 0 leaves the time to egress.
+	Probe(target string, within time.Duration, report func(control.Status, []float64)) bool
 	CloseIdle(target string)
 }
 
@@ -90,6 +96,7 @@
 
 const (
 	mailboxSize = 4096
+	siteTick    = 50 * time.Millisecond  // between looks at what time alone tells of sites
 	busyPause   = 500 * time.Millisecond // told to a client when the mailbox is full
 	overdue     = 15 * time.Millisecond  // past the deadline at which the core answers by itself
 )
@@ -105,6 +112,12 @@
 		took    control.Seconds
 		Outcome
 	}
+	probed struct { // over a link
+		target string
+		status control.Status
+		took   control.Seconds
+	}
+	report  struct{ got chan sites.Report }
 	flush   struct{ done chan struct{} }
 	shedAll struct{}
 )
@@ -116,8 +129,12 @@
 	final   bool
 	answer  chan Answer // of one place: a final answer never waits for its reader
 	cancels []context.CancelFunc
+	flights []sites.Flight // one for each attempt, where there are sites
+	verdict sites.Verdict  // the last
+	came    time.Time
 	out     int
 	mayRan  bool
+	ranAt   int
 	guard   *time.Timer
 }
 
@@ -128,6 +145,8 @@
 	counter Counter
 	classes []control.Class
 	log     *slog.Logger
+	sites   *sites.Router // nil: all targets are at one site
+	todo    []sites.Action
 
 	mailbox chan any
 	done    chan struct{} // closed when Run has ended
@@ -155,6 +174,24 @@
 	}, nil
 }
 
+// At tells the core of sites. It must be called before Run.
+func (c *Core) At(r *sites.Router) { c.sites = r }
+
+// Sites reports on the sites; false without any, or when the core has ended.
+func (c *Core) Sites() (sites.Report, bool) {
+	if c.sites == nil {
+		return sites.Report{}, false
+	}
+	m := report{make(chan sites.Report, 1)}
+	c.post(m)
+	select {
+	case r := <-m.got:
+		return r, true
+	case <-c.done:
+		return sites.Report{}, false
+	}
+}
+
 // Do has an exchange decided and carried out, and returns its one final answer. If ctx ends first the client
 // has left: whatever is out for it is called off.
 func (c *Core) Do(ctx context.Context, x Exchange) Answer {
@@ -229,17 +266,25 @@
 func (c *Core) Run(ctx context.Context) {
 	defer close(c.done)
 	c.ctx = ctx
+	var tick <-chan time.Time
+	if c.sites != nil {
+		t := time.NewTicker(siteTick)
+		defer t.Stop()
+		tick = t.C
+	}
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-tick:
+			c.tick()
 		case m := <-c.mailbox:
 			c.handle(m)
-			for len(c.later) > 0 {
-				next := c.later[0]
-				c.later = c.later[1:]
-				c.handle(next)
-			}
+		}
+		for len(c.later) > 0 {
+			next := c.later[0]
+			c.later = c.later[1:]
+			c.handle(next)
 		}
 	}
 }
@@ -267,7 +312,15 @@
 		for _, t := range m.Targets {
 			members.Entries = append(members.Entries, t.Member)
 		}
+		if c.sites != nil {
+			c.sites.Members(c.now(), members)
+		}
 		c.feed(members)
+	case probed:
+		c.sites.Probed(c.now(), m.target, m.status, m.took)
+		c.tick() // a link that is up again is used at once
+	case report:
+		m.got <- c.sites.Report()
 	case flush:
 		close(m.done)
 	case shedAll:
@@ -289,8 +342,10 @@
 	}
 	c.held[h.id] = h
 	h.guard = time.AfterFunc(rest+overdue, func() { c.post(expired{h}) })
+	h.came = time.Now()
 	c.feed(control.Request{
-		ID: h.id, Class: h.Class, Plan: h.Plan, Customer: h.Customer, TimeLeft: rest.Seconds(),
+		Reach: c.route(h, rest),
+		ID:    h.id, Class: h.Class, Plan: h.Plan, Customer: h.Customer, TimeLeft: rest.Seconds(),
 		Units: h.Units, Spread: h.Spread, First: h.First, Repeat: h.Repeat, Ask: h.Ask,
 	})
 	c.forget(h)
@@ -302,7 +357,7 @@
 		return
 	}
 	h.final = true
-	a.MayHaveRun = h.mayRan || h.out > 0
+	a.MayHaveRun, a.RanAt = h.mayRan || h.out > 0, h.ranAt
 	h.answer <- a
 	if h.guard != nil {
 		h.guard.Stop()
@@ -322,12 +377,19 @@
 	if e.Status != control.Full && e.Status != control.ConnectFailed && e.Status != control.Moot {
 		e.h.mayRan = true
 	}
+	var reach control.Reach
+	if c.sites != nil {
+		c.sites.Ended(c.now(), e.h.flights[e.attempt], e.Status, e.Waited.Seconds())
+		if e.Status != control.OK && !e.h.final {
+			reach = c.route(e.h, time.Until(e.h.Deadline))
+		}
+	}
 	if e.Status == control.OK {
 		c.end(e.h, Answer{Kind: Served, Reply: e.Reply})
 	}
 	c.feed(control.Outcome{
 		ID: e.h.id, Server: e.target, Attempt: e.attempt, Status: e.Status,
-		Closed: e.h.final, Elapsed: e.took, Load: e.Load,
+		Closed: e.h.final, Elapsed: e.took, Load: e.Load, Reach: reach,
 	})
 	c.forget(e.h)
 }
@@ -351,6 +413,9 @@
 		}
 	case control.Refuse:
 		if h := c.held[a.ID]; h != nil {
+			if c.sites != nil && !a.Over && !h.Ask && !h.final {
+				c.sites.Refused(h.Class, h.verdict)
+			}
 			c.end(h, Answer{Kind: Refused, RetryAfter: duration(a.RetryAfter), Over: a.Over})
 			c.forget(h)
 		}
@@ -396,6 +461,13 @@
 	n, sent := len(h.cancels), time.Now()
 	h.cancels = append(h.cancels, cancel)
 	h.out++
+	if c.sites != nil {
+		f, _ := c.sites.Sent(c.now(), a.Server, h.Class, h.verdict)
+		h.flights = append(h.flights, f)
+		if !h.mayRan {
+			h.ranAt = max(0, f.Site)
+		}
+	}
 	done := func(o Outcome) ended { return ended{h, n, a.Server, time.Since(sent).Seconds(), o} }
 	if !c.egress.Start(Attempt{
 		Ctx: ctx, Target: a.Server, Payload: h.Payload,
@@ -422,7 +494,7 @@
 	report := func(s control.Status, load []float64) control.Probed {
 		return control.Probed{Server: a.Server, Status: s, Elapsed: time.Since(asked).Seconds(), Load: load}
 	}
-	if !c.egress.Probe(a.Server, func(s control.Status, load []float64) { c.post(report(s, load)) }) {
+	if !c.egress.Probe(a.Server, 0, func(s control.Status, load []float64) { c.post(report(s, load)) }) {
 		c.later = append(c.later, report(control.ConnectFailed, nil))
 	}
 }
--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -11,7 +11,7 @@
 
 	"junctionring/control"
 	"junctionring/internal/counter"
-	"junctionring/internal/redistest"
+	"junctionring/internal/standin"
 )
 
 type answer struct {
@@ -160,7 +160,7 @@
 
 // On Redis a name gets its life when it is new, and a lost answer is in doubt: it is not sent again.
 func TestRedis(t *testing.T) {
-	s := redistest.Start(t)
+	s := newRedis(t)
 	add := run(t, counter.NewRedis(s.Addr(), 5*time.Second))
 	for i, want := range []float64{2.5, 5} {
 		if a := <-add(7, 2.5); a != (answer{control.OK, want}) {
@@ -180,7 +180,7 @@
 	if a := <-short(8, 1); a.status != control.Timeout {
 		t.Errorf("a silent store: %v", a)
 	}
-	s.AwaitSum(t, 7)
+	awaitSum(t, s, 7)
 	if sum := s.Sum(); sum != 7 { // 5, 1, and the one in doubt once
 		t.Errorf("%g units were added, want 7", sum)
 	}
@@ -250,3 +250,20 @@
 		})
 	}
 }
+
+func newRedis(t *testing.T) *standin.Store {
+	t.Helper()
+	s, err := standin.NewStore("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s
+}
+
+func awaitSum(t *testing.T, s *standin.Store, sum float64) {
+	t.Helper()
+	if err := s.AwaitSum(sum, 10*time.Second); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/egress/conn.go
+++ b/internal/egress/conn.go
@@ -81,7 +81,14 @@
 		}
 		return core.Outcome{Status: control.ConnectFailed}, false // the last byte never went out
 	}
-	o, reuse = c.read(r.Method, fields)
+	written, first := time.Now(), time.Time{}
+	c.budget.N = mostHead
+	if _, err := c.in.Peek(1); err == nil {
+		first = time.Now()
+	}
+	if o, reuse = c.read(r.Method, fields); !first.IsZero() {
+		o.Waited = first.Sub(written)
+	}
 	if o.Status == control.Reset && ctx.Err() != nil { // closed by us
 		o.Status = control.Timeout
 		if ctx.Err() == context.Canceled {
--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -16,19 +17,29 @@
 
 // Fleet is all egress targets. Its methods are called from the core's goroutine only, and never block.
 type Fleet struct {
-	opts    Options
-	permits chan struct{}
+	sites   []*site // the first also for targets of no known site
 	targets map[string]*entry
 }
 
+// site is what the targets of one site share.
+type site struct {
+	Options
+	permits chan struct{}
+}
+
 type entry struct {
 	*target
 	route route
 }
 
-// NewFleet makes an empty fleet.
-func NewFleet(o Options) *Fleet {
-	return &Fleet{opts: o, permits: make(chan struct{}, o.Conns), targets: map[string]*entry{}}
+// NewFleet makes an empty fleet. Where there are sites each has options of its own, and descriptors: what
+// hangs over a link to one takes none from another.
+func NewFleet(bySite ...Options) *Fleet {
+	f := &Fleet{targets: map[string]*entry{}}
+	for _, o := range bySite {
+		f.sites = append(f.sites, &site{o, make(chan struct{}, o.Conns)})
+	}
+	return f
 }
 
 // Update implements core.Egress.
@@ -40,11 +51,18 @@
 			f.remove(m.Server)
 			continue
 		}
+		s := f.sites[0]
+		if m.Site > 0 && m.Site < len(f.sites) {
+			s = f.sites[m.Site]
+		}
 		e := f.targets[m.Server]
+		if e != nil && e.site != s { // it moved
+			f.remove(m.Server)
+			e = nil
+		}
 		if e == nil {
 			ctx, cancel := context.WithCancel(context.Background())
-			e = &entry{target: &target{opts: &f.opts, permits: f.permits,
-				mailbox: make(chan any, mailboxSize), ctx: ctx, end: cancel}}
+			e = &entry{target: &target{site: s, mailbox: make(chan any, mailboxSize), ctx: ctx, end: cancel}}
 			f.targets[m.Server] = e
 			go e.run()
 		}
@@ -89,21 +107,21 @@
 }
 
 // Probe implements core.Egress.
-func (f *Fleet) Probe(id string, report func(control.Status, []float64)) bool {
+func (f *Fleet) Probe(id string, within time.Duration, report func(control.Status, []float64)) bool {
 	e := f.targets[id]
 	if e == nil {
 		return false
 	}
 	go func() {
-		ctx, cancel := context.WithTimeout(e.ctx, f.opts.ConnectTimeout)
+		ctx, cancel := context.WithTimeout(e.ctx, cmp.Or(within, e.site.ConnectTimeout))
 		defer cancel()
 		path := "/health/live"
-		if len(f.opts.LoadFields) > 0 {
+		if len(e.site.LoadFields) > 0 {
 			path = "/stats"
 		}
 		o := e.exchange(ctx, &Request{Method: http.MethodGet, Head: []byte("GET " + path + " HTTP/1.1\r\nHost: target\r\n")})
 		if reply, ok := o.Reply.(*Reply); ok && len(o.Load) == 0 {
-			o.Load = decodeLoad(string(reply.Body), f.opts.LoadFields)
+			o.Load = decodeLoad(string(reply.Body), e.site.LoadFields)
 		}
 		report(o.Status, o.Load)
 	}()
--- a/internal/egress/target.go
+++ b/internal/egress/target.go
@@ -21,7 +21,8 @@
 type Options struct {
 	ConnectTimeout time.Duration
 	ConnIdle       time.Duration // a target closes connections idle for this long
-	Conns          int           // to all targets together
+	Conns          int           // to all targets of the site together
+	Warm           int           // connections that each ready target is to have at rest, for a link where one costs a round trip
 	LoadFields     []string      // of a load report
 }
 
@@ -45,8 +46,7 @@
 // target is the actor of one egress target: it owns the connections. Each attempt runs in a goroutine of its
 // own, which leases a connection from here. The actor waits on nobody but its mailbox.
 type target struct {
-	opts    *Options
-	permits chan struct{} // one for each connection of all targets
+	site    *site // with one permit for each connection of all its targets
 	mailbox chan any
 	ctx     context.Context // ends when the actor has ended
 	end     context.CancelFunc
@@ -59,6 +59,7 @@
 	dialing int
 	open    int
 	heard   time.Time
+	failed  time.Time // last dial that did not come up
 }
 
 func (t *target) post(m any) bool {
@@ -80,12 +81,13 @@
 			t.handle(m)
 		case <-sweep.C:
 			t.closeIdle(t.idleLimit())
+			t.dial()
 		}
 	}
 }
 
 func (t *target) idleLimit() time.Duration {
-	return time.Duration(idleShare * float64(t.opts.ConnIdle))
+	return time.Duration(idleShare * float64(t.site.ConnIdle))
 }
 
 func (t *target) handle(m any) {
@@ -106,6 +108,7 @@
 		t.dialing--
 		if m.c == nil {
 			t.release()
+			t.failed = time.Now()
 			if len(t.waiting) > t.dialing { // one failed dial, one attempt that could not connect
 				t.waiting[0].got <- nil
 				t.waiting = t.waiting[1:]
@@ -131,6 +134,7 @@
 			t.refuseWaiting() // what is queued must not go to a target that drains
 			t.closeIdle(0)
 		}
+		t.dial()
 	case dropIdle:
 		t.closeIdle(0)
 	case retire:
@@ -162,18 +166,23 @@
 	}
 }
 
-// dial opens connections for those that wait, within the bounds.
+// dial opens connections for those that wait and those that are to rest warm, within the bounds. One that
+// failed is not tried again for the sake of warmth before the next sweep.
 func (t *target) dial() {
-	for t.ready && t.dialing < len(t.waiting) && t.dialing < mostDials && t.open < mostConns {
+	cold := 0
+	if time.Since(t.failed) >= t.idleLimit()/4 {
+		cold = max(0, t.site.Warm-len(t.idle))
+	}
+	for t.ready && t.dialing < len(t.waiting)+cold && t.dialing < mostDials && t.open < mostConns {
 		select {
-		case t.permits <- struct{}{}:
+		case t.site.permits <- struct{}{}:
 		default:
 			return
 		}
 		t.dialing++
 		t.open++
 		go func(address string) {
-			ctx, cancel := context.WithTimeout(t.ctx, t.opts.ConnectTimeout)
+			ctx, cancel := context.WithTimeout(t.ctx, t.site.ConnectTimeout)
 			defer cancel()
 			var c *conn
 			if nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", address); err == nil {
@@ -203,7 +212,7 @@
 
 func (t *target) release() {
 	t.open--
-	<-t.permits
+	<-t.site.permits
 }
 
 func (t *target) refuseWaiting() {
@@ -252,7 +261,7 @@
 		return core.Outcome{Status: control.ConnectFailed}
 	}
 	sent := time.Now()
-	o, reuse := c.roundTrip(ctx, r, t.opts.LoadFields)
+	o, reuse := c.roundTrip(ctx, r, t.site.LoadFields)
 	if reuse {
 		c.used = time.Now()
 		t.post(back{c})
--- a/internal/forwardauth/forwardauth.go
+++ b/internal/forwardauth/forwardauth.go
@@ -144,7 +144,7 @@
 		return
 	}
 	id := f.names.Classes[x.Class] + "\x00" + r.Header.Get(f.o.Identity.Account) + "\x00" + r.Header.Get("Idempotency-Key")
-	v, by, reply := f.keys.begin(id, time.Now(), time.Duration(class.Window*float64(time.Second)))
+	v, by, reply, ranAt := f.keys.begin(id, time.Now(), time.Duration(class.Window*float64(time.Second)))
 	switch v {
 	case running, spent:
 		(&refusal{status: http.StatusConflict, retryAfter: time.Second,
@@ -166,6 +166,9 @@
 	if by.Before(x.Deadline) {
 		x.Deadline = by // later targets no longer drop a repeat
 	}
+	if v == repeat && class.Group != control.GroupAll { // at another site it would run a second time
+		x.Bound, x.At = true, ranAt
+	}
 	end := core.Answer{Kind: core.Left} // unless the core is reached: nothing can have run
 	defer func() { f.keys.end(id, time.Now(), end, v == repeat) }()
 	f.proxy.ServeHTTP(w, egress.WithExchange(r, &x, body, func(a core.Answer) { end = a }))
--- a/internal/forwardauth/forwardauth_test.go
+++ b/internal/forwardauth/forwardauth_test.go
@@ -21,8 +21,8 @@
 	"junctionring/internal/egress"
 	"junctionring/internal/forwardauth"
 	"junctionring/internal/ingress"
-	"junctionring/internal/redistest"
 	"junctionring/internal/routetable"
+	"junctionring/internal/standin"
 )
 
 // tables is a stand-in table server that counts how often each move key ran. It drops no repeats itself.
@@ -188,7 +188,7 @@
 
 // A checked move reaches a table with the checker's word on who plays, and not with the client's own.
 func TestCheckedMoveIsServed(t *testing.T) {
-	table, store := newTables(t), redistest.Start(t)
+	table, store := newTables(t), newStore(t)
 	check := newChecker(t, func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("X-Seat", "north")
 		allow(w, r)
@@ -248,7 +248,7 @@
 		}, http.StatusServiceUnavailable},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			table, store, check := newTables(t), redistest.Start(t), newChecker(t, c.answer)
+			table, store, check := newTables(t), newStore(t), newChecker(t, c.answer)
 			url := gateway(t, check.URL, store.Addr(), table)
 			noFollow := http.Client{CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 			r, _ := http.NewRequest("POST", url+"/move-submit/7", strings.NewReader("e2e4"))
@@ -276,14 +276,14 @@
 	t.Run("unreachable", func(t *testing.T) {
 		table, check := newTables(t), newChecker(t, allow)
 		check.Close()
-		resp, _ := ask(t, "GET", gateway(t, check.URL, redistest.Start(t).Addr(), table)+"/table-view/1", "")
+		resp, _ := ask(t, "GET", gateway(t, check.URL, newStore(t).Addr(), table)+"/table-view/1", "")
 		expect(t, resp, http.StatusServiceUnavailable)
 	})
 }
 
 // A verdict that comes after the client has left sends nothing to a table.
 func TestClientLeavesDuringCheck(t *testing.T) {
-	table, store, verdict := newTables(t), redistest.Start(t), make(chan struct{})
+	table, store, verdict := newTables(t), newStore(t), make(chan struct{})
 	check := newChecker(t, func(w http.ResponseWriter, r *http.Request) {
 		select {
 		case <-verdict:
@@ -317,7 +317,7 @@
 
 // Concurrent repeats of a key: one runs, each gets one answer, and a later repeat gets the first one's.
 func TestKeyRunsOnce(t *testing.T) {
-	table, store, check := newTables(t), redistest.Start(t), newChecker(t, allow)
+	table, store, check := newTables(t), newStore(t), newChecker(t, allow)
 	table.hold = make(chan struct{})
 	url := gateway(t, check.URL, store.Addr(), table)
 	const repeats = 8
@@ -349,7 +349,7 @@
 
 // A proxy asks for verdicts: the same quota as for what is sent on, 429 with Retry-After beyond it.
 func TestAskedForVerdicts(t *testing.T) {
-	table, store := newTables(t), redistest.Start(t)
+	table, store := newTables(t), newStore(t)
 	check := newChecker(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get("Authorization") == "" {
 			w.WriteHeader(http.StatusForbidden)
@@ -387,7 +387,7 @@
 
 // Nobody but a configured proxy may ask, or be believed in what it forwards.
 func TestStrangersAreNotBelieved(t *testing.T) {
-	table, store, check := newTables(t), redistest.Start(t), newChecker(t, allow)
+	table, store, check := newTables(t), newStore(t), newChecker(t, allow)
 	url := gateway(t, check.URL, store.Addr(), table, "127.0.0.0/8", "192.0.2.0/24")
 	resp, _ := ask(t, "GET", url+"/verify", "", "X-Forwarded-Method", "GET", "X-Forwarded-Uri", "/table-view/9")
 	expect(t, resp, http.StatusForbidden)
@@ -400,7 +400,7 @@
 
 // Malformed input is answered at once, outside the core, without a question to the checker.
 func TestMalformedIsRejected(t *testing.T) {
-	table, store, check := newTables(t), redistest.Start(t), newChecker(t, allow)
+	table, store, check := newTables(t), newStore(t), newChecker(t, allow)
 	url := gateway(t, check.URL, store.Addr(), table)
 	for _, c := range []struct {
 		method, path, key, header, value string
@@ -431,7 +431,7 @@
 
 // Two gateways on one store hold one quota between them; a silent or emptied store stops neither.
 func TestTwoGatewaysOneQuota(t *testing.T) {
-	table, store, check := newTables(t), redistest.Start(t), newChecker(t, allow)
+	table, store, check := newTables(t), newStore(t), newChecker(t, allow)
 	urls := []string{
 		gateway(t, check.URL, store.Addr(), table),
 		gateway(t, check.URL, store.Addr(), table, "gateways = 2", "gateways = 2\nordinal = 1"),
@@ -445,7 +445,7 @@
 		switch resp.StatusCode {
 		case http.StatusOK:
 			units += each
-			store.AwaitSum(t, units)
+			awaitSum(t, store, units)
 		case http.StatusTooManyRequests:
 		default:
 			t.Fatalf("answered %d", resp.StatusCode)
@@ -474,7 +474,7 @@
 
 // A move whose end is in doubt is not run again once table servers no longer drop its repeat.
 func TestKeyInDoubtIsNotRunAgain(t *testing.T) {
-	table, store, check := newTables(t), redistest.Start(t), newChecker(t, allow)
+	table, store, check := newTables(t), newStore(t), newChecker(t, allow)
 	table.hold = make(chan struct{})
 	defer close(table.hold)
 	url := gateway(t, check.URL, store.Addr(), table, `window = "4s"`, `window = "400ms"`)
@@ -491,3 +491,20 @@
 		t.Errorf("the other move ran %d times", n)
 	}
 }
+
+func newStore(t *testing.T) *standin.Store {
+	t.Helper()
+	s, err := standin.NewStore("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s
+}
+
+func awaitSum(t *testing.T, s *standin.Store, sum float64) {
+	t.Helper()
+	if err := s.AwaitSum(sum, 10*time.Second); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/forwardauth/keys.go
+++ b/internal/forwardauth/keys.go
@@ -19,6 +19,7 @@
 	out     bool // an exchange with it is held
 	served  bool
 	first   time.Time
+	ranAt   int // the site where it may have run
 	expires time.Time
 	reply   *egress.Reply // of one that was served
 }
@@ -42,7 +43,7 @@
 )
 
 // begin takes a key. After fresh and repeat, end must follow.
-func (k *keys) begin(key string, now time.Time, window time.Duration) (v verdict, by time.Time, reply *egress.Reply) {
+func (k *keys) begin(key string, now time.Time, window time.Duration) (v verdict, by time.Time, reply *egress.Reply, ranAt int) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	s := k.known[key]
@@ -52,22 +53,22 @@
 	}
 	if s == nil {
 		if len(k.known) >= keysMost && !k.sweep(now) {
-			return crowded, by, nil
+			return crowded, by, nil, 0
 		}
 		k.known[key] = &keyState{out: true, first: now}
-		return fresh, now.Add(window), nil
+		return fresh, now.Add(window), nil, 0
 	}
 	by = s.first.Add(window)
 	switch {
 	case s.out:
-		return running, by, nil
+		return running, by, nil, 0
 	case s.reply != nil:
-		return served, by, s.reply
+		return served, by, s.reply, 0
 	case s.served, now.After(by):
-		return spent, by, nil
+		return spent, by, nil, 0
 	}
 	s.out = true
-	return repeat, by, nil
+	return repeat, by, nil, s.ranAt
 }
 
 func (k *keys) sweep(now time.Time) (room bool) {
@@ -88,6 +89,9 @@
 		return
 	}
 	s.out, s.expires = false, now.Add(keyMemory)
+	if a.MayHaveRun && !again {
+		s.ranAt = a.RanAt
+	}
 	if a.Kind == core.Served {
 		s.served = true
 		if reply := a.Reply.(*egress.Reply); len(reply.Body) <= replyMost {
--- /dev/null
+++ b/internal/gateway/twosites_test.go
@@ -0,0 +1,395 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"junctionring/internal/config"
+	"junctionring/internal/gateway"
+	"junctionring/internal/standin"
+	"junctionring/sites"
+)
+
+// world is two sites on loopback, 40 ms apart over a link that loses one packet in fifty, and gateways at the
+// near one.
+type world struct {
+	t         *testing.T
+	record    *standin.Record
+	near, far []*standin.Table
+	link      *standin.Link
+	registry  *standin.Registry
+	gates     []*gateway.Gateway
+	urls      []string
+	keys      int
+	mu        sync.Mutex
+}
+
+type scene struct {
+	gates, near, far int
+	work             time.Duration // of every request
+	group            string        // of moves
+	queue            int
+	coldFar          bool
+}
+
+func newWorld(t *testing.T, s scene) *world {
+	t.Helper()
+	must := func(err error) {
+		t.Helper()
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	w := &world{t: t, record: &standin.Record{}}
+	w.link = standin.NewLink(standin.LinkOptions{Delay: 40 * time.Millisecond, Jitter: 2 * time.Millisecond, Loss: 0.02, Seed: 1})
+	store, err := standin.NewStore("127.0.0.1:0")
+	must(err)
+	w.registry, err = standin.NewRegistry("127.0.0.1:0")
+	must(err)
+	t.Cleanup(w.registry.Close)
+	t.Cleanup(store.Close)
+	t.Cleanup(w.link.Close)
+	work := map[string]standin.Work{"table-view": {Least: s.work, Most: s.work + 1}, "move-submit": {Least: s.work, Most: s.work + 1}}
+	var list []standin.Instance
+	for site, n := range map[string]int{"near": s.near, "far": s.far} {
+		keys := standin.NewKeys()
+		for i := range n {
+			o := standin.TableOptions{ID: fmt.Sprintf("%s-%d", site, i), Site: site, Cores: 2, Queue: s.queue, Work: work,
+				Keys: keys, Record: w.record}
+			if site == "far" && s.coldFar {
+				o.ColdFrom, o.Ramp = 0.15, 18*time.Second
+			}
+			table, err := standin.NewTable("127.0.0.1:0", o)
+			must(err)
+			t.Cleanup(table.Close)
+			address := table.Addr()
+			if site == "far" {
+				address, err = w.link.To(address)
+				must(err)
+				w.far = append(w.far, table)
+			} else {
+				w.near = append(w.near, table)
+			}
+			list = append(list, table.Instance(address))
+		}
+	}
+	w.registry.Put(list...)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	for i := range s.gates {
+		path := filepath.Join(t.TempDir(), "operator.toml")
+		must(os.WriteFile(path, fmt.Appendf(nil, `listen = "127.0.0.1:0"
+ordinal = %d
+gateways = %d
+trusted_proxies = ["127.0.0.0/8"]
+redis = {address = %q, timeout = "200ms"}
+discovery = {address = %q}
+site = [{name = "near", here = true}, {name = "far", distance = "40ms"}]
+class = [{name = "table-view", aim = "2s", deadline = "7s", worth = 2.0, repeat = "safe"},
+ {name = "move-submit", aim = "1s", deadline = "4s", worth = 6.0, repeat = "keyed", window = "4s", group = %q}]
+plan = [{name = "club", rate = 100000.0, burst = 100000.0, worth = 1.0}]
+`, i, s.gates, store.Addr(), w.registry.Addr(), s.group), 0o600))
+		o, err := config.LoadOperator(path)
+		must(err)
+		g, err := gateway.New(o, slog.New(slog.DiscardHandler), uint64(i))
+		must(err)
+		t.Cleanup(g.Close)
+		if !g.Start(ctx, ctx) {
+			t.Fatal("the gateway did not start")
+		}
+		front := httptest.NewServer(g.Front())
+		t.Cleanup(front.Close)
+		w.gates, w.urls = append(w.gates, g), append(w.urls, front.URL)
+	}
+	return w
+}
+
+// answer is what a client got.
+type answer struct {
+	status int // 0: none
+	server string
+	took   time.Duration
+}
+
+func (a answer) site() string { s, _, _ := strings.Cut(a.server, "-"); return s }
+
+// ask sends one request to a gateway and waits for its answer. A move without a key gets a fresh one.
+func (w *world) ask(gate int, class, key string) (a answer) {
+	method, body := http.MethodGet, io.Reader(nil)
+	if class == "move-submit" {
+		method, body = http.MethodPost, strings.NewReader("e2e4")
+		if key == "" {
+			w.mu.Lock()
+			w.keys++
+			key = fmt.Sprint("k", w.keys)
+			w.mu.Unlock()
+		}
+	}
+	r, err := http.NewRequest(method, w.urls[gate]+"/"+class+"/1", body)
+	if err != nil {
+		w.t.Error(err)
+		return a
+	}
+	r.Header.Set("X-Auth-Account", "ayumi")
+	r.Header.Set("X-Auth-Plan", "club")
+	if key != "" {
+		r.Header.Set("Idempotency-Key", key)
+	}
+	begun := time.Now()
+	defer func() { a.took = time.Since(begun) }()
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		w.t.Error(err) // each is owed a whole answer
+		return a
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		w.t.Error(err)
+		return a
+	}
+	a.status = resp.StatusCode
+	if a.status == http.StatusOK {
+		a.server, _, _ = strings.Cut(string(text), " ")
+	}
+	return a
+}
+
+// crowd keeps so many clients asking, one request after the other, until each has asked n times.
+func (w *world) crowd(clients, n int, class string) (all []answer) {
+	var mu sync.Mutex
+	var out sync.WaitGroup
+	for c := range clients {
+		out.Go(func() {
+			for range n {
+				a := w.ask(c%len(w.urls), class, "")
+				mu.Lock()
+				all = append(all, a)
+				mu.Unlock()
+			}
+		})
+	}
+	out.Wait()
+	return all
+}
+
+func count(all []answer, site string) (n int) {
+	for _, a := range all {
+		if a.site() == site {
+			n++
+		}
+	}
+	return n
+}
+
+// report is what one gateway says of its sites.
+func (w *world) report(gate int) sites.Report {
+	r, ok := w.gates[gate].Core.Sites()
+	if !ok {
+		w.t.Fatal("no report")
+	}
+	return r
+}
+
+// await waits for something that gateways or stand-ins come to.
+func (w *world) await(what string, so func() bool) {
+	w.t.Helper()
+	by := time.Now().Add(15 * time.Second)
+	for !so() {
+		if time.Now().After(by) {
+			w.t.Fatalf("in vain for 15 s: %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// rules holds the rules that every story must keep.
+func (w *world) rules() {
+	w.t.Helper()
+	if twice := w.record.TwiceRun(); len(twice) > 0 {
+		w.t.Errorf("keys ran twice: %v", twice)
+	}
+	if twice := w.record.TwiceOut(150 * time.Millisecond); len(twice) > 0 {
+		w.t.Errorf("two attempts were out at once: %v", twice)
+	}
+	if fallen := w.record.Fallen(); len(fallen) > 0 {
+		w.t.Errorf("cold servers fell: %v", fallen)
+	}
+}
+
+func TestNothingCrossesWhileTheNearSiteSuffices(t *testing.T) {
+	w := newWorld(t, scene{gates: 2, near: 3, far: 2, work: 20 * time.Millisecond, group: "site"})
+	all := append(w.crowd(3, 40, "table-view"), w.crowd(3, 40, "move-submit")...)
+	if near := count(all, "near"); near != len(all) {
+		t.Errorf("%d of %d served near", near, len(all))
+	}
+	w.rules()
+}
+
+// A hall drains with moves in flight: those end with their own answers, what follows is served far, and nothing
+// reaches the hall later than 1 s after it was told.
+func TestHallDrainsWithMovesInFlight(t *testing.T) {
+	w := newWorld(t, scene{gates: 2, near: 2, far: 2, work: 150 * time.Millisecond, group: "site"})
+	flying := make(chan []answer, 1)
+	go func() { flying <- w.crowd(4, 1, "move-submit") }()
+	w.await("four moves at near servers", func() bool { return len(w.record.All()) >= 4 })
+	w.registry.Drain("near-0", "near-1")
+	told := time.Now()
+	w.await("the notice", func() bool { return w.report(0).Sites[0].Draining == 2 && w.report(1).Sites[0].Draining == 2 })
+	after := w.crowd(4, 6, "move-submit")
+	for _, a := range <-flying {
+		if a.status != http.StatusOK || a.site() != "near" {
+			t.Errorf("a move in flight: %+v", a)
+		}
+	}
+	if n := count(after, "far"); n != len(after) {
+		t.Errorf("%d of %d served far: %+v", n, len(after), after)
+	}
+	for _, a := range w.record.All() {
+		if a.Site == "near" && a.At.After(told.Add(time.Second)) {
+			t.Errorf("sent to %s %v after the notice", a.Server, a.At.Sub(told))
+		}
+	}
+	crossed := uint64(0)
+	for gate := range w.gates {
+		for _, c := range w.report(gate).Sites[1].Crossed {
+			if c.Cause != "near draining" {
+				t.Errorf("crossed for %q", c.Cause)
+			}
+			crossed += c.Count
+		}
+	}
+	if crossed < uint64(len(after)) {
+		t.Errorf("%d crossings counted of %d", crossed, len(after))
+	}
+	w.rules()
+}
+
+// The near site turns work away that it cannot hold: proven not to have run, it crosses, keyed or not.
+func TestTurnedAwayCrosses(t *testing.T) {
+	w := newWorld(t, scene{gates: 1, near: 1, far: 2, work: 400 * time.Millisecond, group: "site", queue: 1})
+	all := w.crowd(6, 2, "move-submit")
+	if count(all, "far") == 0 || count(all, "near") == 0 {
+		t.Errorf("%d near, %d far", count(all, "near"), count(all, "far"))
+	}
+	w.rules()
+}
+
+// A link that says nothing, or is cut, costs what is out over it an early answer, near requests nothing, and is
+// used again once it is back.
+func TestLinkIsLostAndComesBack(t *testing.T) {
+	for name, lose := range map[string]func(*standin.Link){"silent": (*standin.Link).Silence, "cut": (*standin.Link).Cut} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, scene{gates: 1, near: 2, far: 2, work: 100 * time.Millisecond, group: "site"})
+			w.registry.Drain("near-0", "near-1")
+			w.await("the notice", func() bool { return w.report(0).Sites[0].Draining == 2 })
+			if all := w.crowd(2, 2, "move-submit"); count(all, "far") != len(all) {
+				t.Fatalf("before: %+v", all)
+			}
+			lose(w.link)
+			lost := make(chan []answer, 1)
+			go func() { lost <- w.crowd(4, 1, "move-submit") }()
+			w.await("the link to count as down", func() bool { return w.report(0).Sites[1].Link == "down" })
+			for _, a := range <-lost { // called off, not left to hang until the client gives up
+				if a.status == http.StatusOK || a.took > 3*time.Second {
+					t.Errorf("over a lost link: %+v", a)
+				}
+			}
+			w.registry.Put(w.near[0].Instance(w.near[0].Addr()))
+			w.await("a near server", func() bool { return w.report(0).Sites[0].Ready == 1 })
+			if all := w.crowd(2, 5, "move-submit"); count(all, "near") != len(all) {
+				t.Errorf("near requests while the link is lost: %+v", all)
+			}
+			w.registry.Drain("near-0")
+			if err := w.link.Heal(); err != nil {
+				t.Fatal(err)
+			}
+			w.await("the link to be up", func() bool { return w.report(0).Sites[1].Link == "up" })
+			w.await("the notice", func() bool { return w.report(0).Sites[0].Ready == 0 })
+			if all := w.crowd(2, 2, "move-submit"); count(all, "far") != len(all) {
+				t.Errorf("after: %+v", all)
+			}
+			w.rules()
+		})
+	}
+}
+
+// A move that may have run at the near site is not run at the far one, neither as a retry nor when its client
+// asks again: nobody there would drop it.
+func TestMoveInDoubtStaysAtItsSite(t *testing.T) {
+	w := newWorld(t, scene{gates: 1, near: 1, far: 2, work: 300 * time.Millisecond, group: "site"})
+	got := make(chan answer, 1)
+	go func() { got <- w.ask(0, "move-submit", "doubtful") }()
+	w.await("the move at the near server", func() bool { return len(w.record.All()) == 1 })
+	w.near[0].Crash()
+	w.registry.Drain("near-0")
+	if a := <-got; a.status != http.StatusBadGateway {
+		t.Errorf("in doubt: %+v", a)
+	}
+	if a := w.ask(0, "move-submit", "doubtful"); a.status == http.StatusOK {
+		t.Errorf("asked again: %+v", a)
+	}
+	if a := w.ask(0, "move-submit", "another"); a.site() != "far" {
+		t.Errorf("a new move: %+v", a)
+	}
+	for _, a := range w.record.All() {
+		if a.Key == "doubtful" && a.Site == "far" {
+			t.Error("the move in doubt crossed")
+		}
+	}
+	w.rules()
+}
+
+// Where its key is known at all sites, such a move crosses.
+func TestMoveInDoubtCrossesWithinItsGroup(t *testing.T) {
+	w := newWorld(t, scene{gates: 1, near: 1, far: 2, work: 300 * time.Millisecond, group: "all"})
+	got := make(chan answer, 1)
+	go func() { got <- w.ask(0, "move-submit", "doubtful") }()
+	w.await("the move at the near server", func() bool { return len(w.record.All()) == 1 })
+	w.registry.Drain("near-0")
+	w.await("the notice", func() bool { return w.report(0).Sites[0].Draining == 1 })
+	w.near[0].Crash()
+	if a := <-got; a.site() != "far" {
+		t.Errorf("%+v", a)
+	}
+}
+
+// Both sites drain at the same moment: each request is refused, early.
+func TestBothSitesDrain(t *testing.T) {
+	w := newWorld(t, scene{gates: 1, near: 1, far: 1, work: 50 * time.Millisecond, group: "site"})
+	w.registry.Drain("near-0", "far-0")
+	w.await("the notice", func() bool {
+		r := w.report(0)
+		return r.Sites[0].Draining == 1 && r.Sites[1].Draining == 1
+	})
+	for _, a := range w.crowd(2, 3, "move-submit") {
+		if a.status != http.StatusServiceUnavailable || a.took > 2*time.Second {
+			t.Errorf("%+v", a)
+		}
+	}
+	if r := w.report(0).Refused; len(r) != 1 || r[0].Why != "far gone" || r[0].Count != 6 {
+		t.Errorf("counted as %+v", r)
+	}
+}
+
+// A far site that has just started takes the whole spill of two gateways, and none of its servers falls.
+func TestColdFarSiteTakesTheSpill(t *testing.T) {
+	w := newWorld(t, scene{gates: 2, near: 2, far: 3, work: 60 * time.Millisecond, group: "site", coldFar: true})
+	w.crowd(8, 4, "table-view")
+	w.registry.Drain("near-0", "near-1")
+	all := w.crowd(24, 6, "table-view")
+	if count(all, "far") == 0 {
+		t.Error("nothing was served far")
+	}
+	w.rules()
+}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -423,7 +423,7 @@
 		load   []float64
 	}
 	got := make(chan probed, 2)
-	if !f.Probe(p.Addr().String(), func(s control.Status, load []float64) { got <- probed{s, load} }) {
+	if !f.Probe(p.Addr().String(), 0, func(s control.Status, load []float64) { got <- probed{s, load} }) {
 		t.Fatal("the target is not known")
 	}
 	r := <-p.got
@@ -436,14 +436,14 @@
 	}
 	for _, report := range []string{`{"inflight":7}`, `{"inflight":7,"queue":-1}`, `{"inflight":7,"queue":"2"}`,
 		`{"inflight":7,"queue":1e999}`, `{"inflight":7,"queue":null}`, `[7,2]`, `{"inflight":7,"queue":2`} {
-		f.Probe(p.Addr().String(), func(s control.Status, load []float64) { got <- probed{s, load} })
+		f.Probe(p.Addr().String(), 0, func(s control.Status, load []float64) { got <- probed{s, load} })
 		p.answer(<-p.got, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(report), report))
 		if a := <-got; a.status != control.OK || a.load != nil {
 			t.Errorf("%s was read as %+v", report, a)
 		}
 	}
 	f.Update(core.Table{Kind: control.Snapshot}) // the target leaves the list
-	if f.Probe(p.Addr().String(), nil) {
+	if f.Probe(p.Addr().String(), 0, nil) {
 		t.Error("a target that left the list is probed")
 	}
 }
--- /dev/null
+++ b/internal/operations/operations.go
@@ -0,0 +1,39 @@
+// Package operations is the listener for operators: what the gateway knows and counts, as JSON. It owns the
+// words under which that is shown, and never changes anything.
+package operations
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"junctionring/internal/config"
+	"junctionring/internal/core"
+	"junctionring/sites"
+)
+
+// Status is the answer of GET /status.
+type Status struct {
+	Ordinal  int           `json:"ordinal"`
+	Gateways int           `json:"gateways"`
+	Classes  []string      `json:"classes"` // by the numbers used below
+	Sites    *sites.Report `json:"sites,omitempty"`
+}
+
+// New is the handler of the listener.
+func New(o *config.Operator, c *core.Core) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, r *http.Request) {
+		s := Status{Ordinal: o.Ordinal, Gateways: o.Gateways}
+		for _, class := range o.Classes {
+			s.Classes = append(s.Classes, class.Name)
+		}
+		if report, ok := c.Sites(); ok {
+			s.Sites = &report
+		}
+		w.Header().Set("Content-Type", "application/json")
+		in := json.NewEncoder(w)
+		in.SetIndent("", "  ")
+		in.Encode(s)
+	})
+	return mux
+}
--- a/internal/routetable/discovery.go
+++ b/internal/routetable/discovery.go
@@ -61,7 +61,8 @@
 	Address string
 	From    int64 // version of the list that is known
 	Zones   []string
-	Moves   <-chan string // addresses that the agent moves to; may be nil
+	Sites   map[string]int // the site of each zone, where there are sites
+	Moves   <-chan string  // addresses that the agent moves to; may be nil
 	Tell    func(core.Table)
 	Log     *slog.Logger
 }
@@ -131,6 +132,9 @@
 			return lines, err
 		}
 		d.From = t.Version
+		if d.Sites != nil {
+			d.place(in.Bytes(), &t)
+		}
 		d.Tell(t)
 	}
 	if in.Err() == nil {
@@ -138,3 +142,20 @@
 	}
 	return lines, in.Err()
 }
+
+// place puts each target at the site of its zone. One in a zone of no site gets nothing: it might stand anywhere.
+func (d *Discovery) place(raw []byte, t *core.Table) {
+	zones := map[string]string{}
+	for _, e := range gjson.GetBytes(raw, "instances").Array() {
+		zones[e.Get("instanceId").String()] = e.Get("zone").String()
+	}
+	for i := range t.Targets {
+		m := &t.Targets[i].Member
+		site, ok := d.Sites[zones[m.Server]]
+		if !ok && m.State == control.Ready {
+			d.Log.Error("a target's zone is no site's: nothing is sent to it", "target", m.Server, "zone", zones[m.Server])
+			m.State = control.Draining
+		}
+		m.Site = site
+	}
+}
--- /dev/null
+++ b/internal/standin/link.go
@@ -0,0 +1,256 @@
+package standin
+
+import (
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+)
+
+// LinkOptions say what a link does to the bytes on it. The same seed loses the same packets of a connection.
+type LinkOptions struct {
+	Delay  time.Duration // one way
+	Jitter time.Duration // more, at the most
+	Loss   float64       // of packets. A lost one stalls its connection, as TCP's does, until it is sent again
+	Resend time.Duration // after which that happens; 0: 200 ms and a round trip
+	Seed   uint64
+}
+
+const (
+	packet    = 1460 // bytes
+	linkQueue = 256  // packets on their way, by connection and direction
+)
+
+// Link forwards TCP connections between sites, with the delay, loss and faults of a long line. The kernel
+// takes a connection at once, so the round trip of a handshake is added to the first bytes instead.
+type Link struct {
+	o LinkOptions
+
+	mu     sync.Mutex
+	ends   map[string]*linkEnd // by target
+	conns  map[net.Conn]bool
+	seeds  uint64
+	cut    bool
+	closed bool
+	silent chan struct{} // not nil: closed when the silence ends
+	healed time.Time
+}
+
+// linkEnd is where the link listens for one target.
+type linkEnd struct {
+	address, target string
+	listener        net.Listener
+}
+
+// NewLink makes a link with no ends.
+func NewLink(o LinkOptions) *Link {
+	if o.Resend == 0 {
+		o.Resend = 200*time.Millisecond + 2*o.Delay
+	}
+	return &Link{o: o, ends: map[string]*linkEnd{}, conns: map[net.Conn]bool{}}
+}
+
+// To is the near address of a far target.
+func (l *Link) To(target string) (string, error) { return l.ToFrom("127.0.0.1:0", target) }
+
+// ToFrom is To with a near address of one's own choice.
+func (l *Link) ToFrom(listen, target string) (string, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e := l.ends[target]; e != nil {
+		return e.address, nil
+	}
+	nl, err := net.Listen("tcp", listen)
+	if err != nil {
+		return "", err
+	}
+	e := &linkEnd{address: nl.Addr().String(), target: target, listener: nl}
+	l.ends[target] = e
+	go l.accept(e, nl)
+	return e.address, nil
+}
+
+func (l *Link) accept(e *linkEnd, nl net.Listener) {
+	for {
+		c, err := nl.Accept()
+		if err != nil {
+			return
+		}
+		go l.carry(c, e.target)
+	}
+}
+
+// keep books a connection of the link, or closes it where the link is cut.
+func (l *Link) keep(c net.Conn) (seed uint64, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.cut || l.closed {
+		c.Close()
+		return 0, false
+	}
+	l.conns[c] = true
+	l.seeds++
+	return l.o.Seed + l.seeds, true
+}
+
+func (l *Link) drop(c net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+	c.Close()
+}
+
+func (l *Link) carry(near net.Conn, target string) {
+	seed, ok := l.keep(near)
+	if !ok {
+		return
+	}
+	defer l.drop(near)
+	far, err := net.Dial("tcp", target)
+	if err != nil { // the other end's refusal, as near as a taken connection can come to it
+		near.(*net.TCPConn).SetLinger(0)
+		return
+	}
+	if _, ok := l.keep(far); !ok {
+		return
+	}
+	defer l.drop(far)
+	done := make(chan struct{}, 2)
+	go func() { l.oneWay(near, far, seed, time.Now().Add(2*l.o.Delay)); done <- struct{}{} }()
+	go func() { l.oneWay(far, near, seed+1<<32, time.Now()); done <- struct{}{} }()
+	<-done
+	<-done
+}
+
+// oneWay carries one direction. No byte overtakes another, nor arrives before its time.
+func (l *Link) oneWay(from, to net.Conn, seed uint64, open time.Time) {
+	type sent struct {
+		data []byte
+		due  time.Time
+		end  bool
+		err  error
+	}
+	rng := rand.New(rand.NewPCG(seed, 0x94d049bb133111eb))
+	way := make(chan sent, linkQueue)
+	go func() {
+		defer close(way)
+		due := open.Add(l.o.Delay)
+		for {
+			b := make([]byte, packet)
+			n, err := from.Read(b)
+			at := time.Now().Add(l.o.Delay)
+			if l.o.Jitter > 0 {
+				at = at.Add(time.Duration(rng.Int64N(int64(l.o.Jitter))))
+			}
+			if n > 0 && rng.Float64() < l.o.Loss {
+				at = at.Add(l.o.Resend)
+			}
+			if at.After(due) {
+				due = at
+			}
+			way <- sent{b[:n], due, err != nil, err}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	defer func() {
+		for range way { // a reader that is still at it must not wait for ever
+		}
+	}()
+	for s := range way {
+		time.Sleep(time.Until(s.due))
+		for {
+			l.mu.Lock()
+			silent, healed := l.silent, l.healed
+			l.mu.Unlock()
+			if silent == nil {
+				if back := healed.Add(l.o.Resend); s.due.Before(healed) && time.Until(back) > 0 {
+					time.Sleep(time.Until(back)) // what was lost in the silence is sent again
+				}
+				break
+			}
+			<-silent
+		}
+		if len(s.data) > 0 {
+			if _, err := to.Write(s.data); err != nil {
+				from.Close()
+				return
+			}
+		}
+		if s.end {
+			if tcp, ok := to.(*net.TCPConn); ok && errors.Is(s.err, io.EOF) {
+				tcp.CloseWrite()
+			} else {
+				to.Close()
+			}
+			return
+		}
+	}
+}
+
+// Silence keeps every byte back until Heal: connections stay open and say nothing, new ones too.
+func (l *Link) Silence() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.silent == nil {
+		l.silent = make(chan struct{})
+	}
+}
+
+// Cut resets all connections and refuses new ones until Heal.
+func (l *Link) Cut() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut = true
+	for _, e := range l.ends {
+		e.listener.Close()
+	}
+	l.reset()
+}
+
+func (l *Link) reset() {
+	for c := range l.conns {
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+	clear(l.conns)
+}
+
+// Heal ends a cut and a silence.
+func (l *Link) Heal() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.silent != nil {
+		l.healed = time.Now()
+		close(l.silent)
+		l.silent = nil
+	}
+	if !l.cut {
+		return nil
+	}
+	l.cut = false
+	for _, e := range l.ends {
+		nl, err := net.Listen("tcp", e.address)
+		if err != nil {
+			return err
+		}
+		e.listener = nl
+		go l.accept(e, nl)
+	}
+	return nil
+}
+
+// Close ends the link.
+func (l *Link) Close() {
+	l.Heal()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	for _, e := range l.ends {
+		e.listener.Close()
+	}
+	l.reset()
+}
--- a/internal/redistest/redistest.go
+++ b/internal/standin/store.go
@@ -1,6 +1,4 @@
-// Package redistest is a small stand-in for a Redis store, written from the RESP specification, for tests
-// over loopback: SET NX PX, INCRBYFLOAT and MULTI/EXEC, and the faults that a store may have.
-package redistest
+package standin
 
 import (
 	"bufio"
@@ -10,11 +8,11 @@
 	"strconv"
 	"strings"
 	"sync"
-	"testing"
 	"time"
 )
 
-// Store is the stand-in.
+// Store is a stand-in for a Redis store, written from the RESP specification: SET NX PX, INCRBYFLOAT and
+// MULTI/EXEC, and the faults that a store may have.
 type Store struct {
 	listener net.Listener
 	mu       sync.Mutex
@@ -26,12 +24,11 @@
 	conns    []net.Conn
 }
 
-// Start starts a store that ends with the test.
-func Start(t *testing.T) *Store {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// NewStore starts a store at an address; port 0 takes any.
+func NewStore(listen string) (*Store, error) {
+	l, err := net.Listen("tcp", listen)
 	if err != nil {
-		t.Fatal(err)
+		return nil, err
 	}
 	s := &Store{listener: l, values: map[string]float64{}, ends: map[string]time.Time{}}
 	s.changed = sync.NewCond(&s.mu)
@@ -47,15 +44,17 @@
 			go s.serve(c)
 		}
 	}()
-	t.Cleanup(func() {
-		l.Close()
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		for _, c := range s.conns {
-			c.Close()
-		}
-	})
-	return s
+	return s, nil
+}
+
+// Close ends the store and its connections.
+func (s *Store) Close() {
+	s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		c.Close()
+	}
 }
 
 // Addr is where the store listens.
@@ -86,24 +85,24 @@
 	return lives
 }
 
-// AwaitSum waits until the amounts added come to a sum.
-func (s *Store) AwaitSum(t *testing.T, sum float64) {
-	t.Helper()
-	late := time.AfterFunc(10*time.Second, func() {
+// AwaitSum waits until the amounts added come to a sum, or a time has passed.
+func (s *Store) AwaitSum(sum float64, within time.Duration) error {
+	late := time.AfterFunc(within, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.changed.Broadcast()
 	})
 	defer late.Stop()
-	by := time.Now().Add(10 * time.Second)
+	by := time.Now().Add(within)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for s.added < sum-1e-6 {
 		if time.Now().After(by) {
-			t.Fatalf("the store was told of %g units, want %g", s.added, sum)
+			return fmt.Errorf("the store was told of %g units, want %g", s.added, sum)
 		}
 		s.changed.Wait()
 	}
+	return nil
 }
 
 // serve speaks RESP: arrays of bulk strings in; simple strings, bulk strings, arrays and errors out.
--- /dev/null
+++ b/sites/count.go
@@ -0,0 +1,101 @@
+package sites
+
+// Counts is what crossed and what could not, since the start. The indexes are those of the settings.
+type Counts struct {
+	Crossed  [][][causes]uint64 // attempts sent over a link, by site and class
+	Refused  [][bars]uint64     // tries refused for want of servers, by class and why they could not cross
+	Answered []uint64           // attempts over a link that brought an answer, by site
+}
+
+func newCounts(sites, classes int) Counts {
+	c := Counts{Crossed: make([][][causes]uint64, sites), Refused: make([][bars]uint64, classes), Answered: make([]uint64, sites)}
+	for i := range c.Crossed {
+		c.Crossed[i] = make([][causes]uint64, classes)
+	}
+	return c
+}
+
+// Report is what an operator reads of the sites; times are in milliseconds.
+type Report struct {
+	Own     string         `json:"own"`
+	Sites   []SiteReport   `json:"sites"`
+	Refused []RefuseReport `json:"refused,omitempty"`
+}
+
+// SiteReport is a site's state and what went there.
+type SiteReport struct {
+	Name     string        `json:"name"`
+	Ready    int           `json:"ready"`
+	Draining int           `json:"draining"`
+	LeftOut  int           `json:"left_out"`
+	Weight   float64       `json:"weight"` // ready servers by their warmth
+	Out      int           `json:"out"`    // attempts out now
+	Window   float64       `json:"window"` // that may be out; -1: not bounded
+	Late     float64       `json:"late"`   // share of answers too late for the window
+	Link     string        `json:"link,omitempty"`
+	RTT      float64       `json:"rtt_ms,omitempty"`
+	Crossed  []CrossReport `json:"crossed,omitempty"`
+	Answered uint64        `json:"answered,omitempty"`
+}
+
+// CrossReport counts attempts over a link.
+type CrossReport struct {
+	Class int    `json:"class"`
+	Cause string `json:"cause"`
+	Count uint64 `json:"count"`
+}
+
+// RefuseReport counts tries that were refused for want of servers.
+type RefuseReport struct {
+	Class int    `json:"class"`
+	Why   string `json:"why"`
+	Count uint64 `json:"count"`
+}
+
+// Report tells the state of all sites.
+func (r *Router) Report() Report {
+	out := Report{Own: r.sites[r.set.Own].Name}
+	for i := range r.sites {
+		st := &r.sites[i]
+		s := SiteReport{Name: st.Name, Ready: st.ready, Draining: st.draining, Weight: st.weight,
+			LeftOut: len(st.servers) - st.ready - st.draining, Out: st.flights.out, Window: st.window.limit,
+			Late: st.window.late, Answered: r.counts.Answered[i]}
+		if s.Window > 1e9 {
+			s.Window = -1
+		}
+		if i != r.set.Own {
+			s.Link, s.RTT = "up", st.link.rtt*1000
+			if st.link.down {
+				s.Link = "down"
+			}
+		}
+		for class, by := range r.counts.Crossed[i] {
+			for cause, n := range by {
+				if n > 0 {
+					s.Crossed = append(s.Crossed, CrossReport{class, Cause(cause).String(), n})
+				}
+			}
+		}
+		out.Sites = append(out.Sites, s)
+	}
+	for class, by := range r.counts.Refused {
+		for bar, n := range by {
+			if n > 0 {
+				out.Refused = append(out.Refused, RefuseReport{class, Bar(bar).String(), n})
+			}
+		}
+	}
+	return out
+}
+
+// Crossings is how many attempts went over links, in all.
+func (r *Router) Crossings() (n uint64) {
+	for _, site := range r.counts.Crossed {
+		for _, class := range site {
+			for _, c := range class {
+				n += c
+			}
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/sites/route.go
@@ -0,0 +1,226 @@
+package sites
+
+import (
+	"fmt"
+
+	"junctionring/control"
+)
+
+// Try is what Route is asked of: a request at its first attempt, or at one that may follow.
+type Try struct {
+	Class   int
+	Elapsed Seconds // since it came in
+	Left    Seconds // until its client gives up
+	Bound   bool    // an earlier attempt may have run, and its key is known at one site only
+	At      int     // that site
+}
+
+const (
+	urgentAt = 0.9  // of the near window: from here on the most urgent class crosses
+	otherAt  = 1.0  // and the least urgent
+	farOther = 0.75 // of a far window that the least urgent class may fill
+	reweigh  = 0.1  // s: how old a weight may be while servers warm up
+	setUp    = 1.0  // round trips more that a connection may cost
+)
+
+// Route says which sites a try may go to now. It neither allocates nor looks at single servers.
+func (r *Router) Route(now Seconds, t Try) Verdict {
+	r.now = now
+	own := r.set.Own
+	near := &r.sites[own]
+	if near.cold && now-near.weighed > reweigh {
+		r.weigh(own)
+	}
+	stay := Verdict{Reach: control.Reach{First: own, Then: own}}
+	if t.Bound { // nobody else drops its repeat
+		stay.Reach = control.Reach{First: t.At, Then: t.At}
+		if t.At != own {
+			stay.Cause = r.cause(near)
+			if r.sites[t.At].link.down {
+				stay.Reach, stay.Bar = control.Reach{First: own, Then: own}, LinkDown // control finds no server of its group
+			}
+		}
+		return stay
+	}
+	urgency := r.urgency[t.Class]
+	room := near.ready > 0 && float64(near.flights.out)+1 <= max(1, near.window.limit*(otherAt-(otherAt-urgentAt)*urgency))
+	cause := r.cause(near)
+	bar := FarGone
+	for _, f := range r.far {
+		b := r.barred(f, t, near, cause, room)
+		if b == Open {
+			if room { // the near site serves; the far one stands by for what control turns away here
+				return Verdict{Reach: control.Reach{First: own, Then: f}, Cause: cause}
+			}
+			return Verdict{Reach: control.Reach{First: f, Then: own}, Cause: cause}
+		}
+		if bar == FarGone {
+			bar = b // of the nearest, unless it has nobody
+		}
+	}
+	stay.Bar = bar
+	return stay
+}
+
+// cause is the word for what crosses now.
+func (r *Router) cause(near *site) Cause {
+	switch {
+	case near.draining > 0:
+		return NearDraining
+	case near.ready == 0:
+		return NearGone
+	}
+	return NearSlow
+}
+
+// barred tells whether a try may go to a far site, and why not.
+func (r *Router) barred(f int, t Try, near *site, cause Cause, room bool) Bar {
+	far := &r.sites[f]
+	if far.cold && r.now-far.weighed > reweigh {
+		r.weigh(f)
+	}
+	class, aim := &far.classes[t.Class], r.set.Classes[t.Class].Aim
+	needs := class.high + setUp*far.link.rtt
+	late := near.ready > 0 && t.Elapsed+needs > aim // a near site that is there answers late as well
+	switch {
+	case far.ready == 0:
+		return FarGone
+	case far.link.down:
+		return LinkDown
+	case needs > t.Left, late:
+		return NoTime
+	}
+	if !room {
+		far.window.open(r.now, float64(near.flights.out))
+	}
+	if out := float64(far.flights.out); out > 0 && out+1 > r.farRoom(far, t.Class) {
+		return FarBusy
+	}
+	return Open
+}
+
+// farRoom is how many attempts of a class may be out at a far site.
+func (r *Router) farRoom(far *site, class int) float64 {
+	warm := far.weight / max(1, float64(far.ready))
+	return far.window.limit * warm * (farOther + (1-farOther)*r.urgency[class])
+}
+
+// Sent books an attempt that control sends; v is the verdict it goes by. ok is false for a server not known.
+func (r *Router) Sent(now Seconds, id string, class int, v Verdict) (f Flight, ok bool) {
+	r.now = now
+	s := r.servers[id]
+	if s == nil {
+		return Flight{Site: -1}, false
+	}
+	st := &r.sites[s.site]
+	f = Flight{Site: s.site, seq: st.flights.add(now, class), class: class, sent: now, server: s, cross: s.site != r.set.Own}
+	st.window.used = now
+	if f.cross {
+		if v.Cause == Near {
+			v.Cause = r.cause(&r.sites[r.set.Own])
+		}
+		r.counts.Crossed[s.site][class][v.Cause]++
+	}
+	return f, true
+}
+
+// answered tells whether an end proves that the server was reached and spoke.
+func answered(s control.Status) bool {
+	return s == control.OK || s == control.Error || s == control.Full
+}
+
+// Ended books the end of an attempt; waited is the time from its last byte to the answer's first, 0: not known.
+func (r *Router) Ended(now Seconds, f Flight, status control.Status, waited Seconds) {
+	r.now = now
+	if f.server == nil {
+		return
+	}
+	st := &r.sites[f.Site]
+	told, ok := st.flights.end(now, f.seq)
+	if !ok {
+		return
+	}
+	took, c := now-f.sent, &st.classes[f.class]
+	if waited <= 0 || waited > took {
+		waited = took
+	}
+	if answered(status) {
+		r.hear(st)
+		if f.cross {
+			r.counts.Answered[f.Site]++
+		}
+	}
+	switch status {
+	case control.OK:
+		if f.server.strikes >= leftOut {
+			f.server.strikes = 0
+			r.weigh(f.Site)
+		}
+		f.server.strikes = 0
+		c.learn(now, waited, took)
+		if !told {
+			st.window.answer(now, waited > r.lateAt(f.Site, f.class), float64(st.flights.out), c.low)
+		}
+	case control.Full:
+		st.window.answer(now, true, float64(st.flights.out), c.low)
+	case control.Reset, control.ConnectFailed, control.Error, control.Timeout:
+		if f.server.strikes++; f.server.strikes == leftOut {
+			r.weigh(f.Site)
+		}
+		if f.cross && status != control.Error {
+			r.miss(st, f.server.id, f.sent)
+		}
+	}
+}
+
+// lateAt is the time after which an answer is late at a site.
+func (r *Router) lateAt(i, class int) Seconds {
+	aim := r.set.Classes[class].Aim
+	if i == r.set.Own {
+		return nearLate * aim
+	}
+	return r.sites[i].classes[class].low + farLate*aim
+}
+
+// Refused counts a try that control turned away for want of servers, by why it could not cross.
+func (r *Router) Refused(class int, v Verdict) { r.counts.Refused[class][v.Bar]++ }
+
+// Tick looks at what time alone tells: attempts that are overdue, links that fell silent. It is to be called
+// about twenty times a second.
+func (r *Router) Tick(now Seconds, actions []Action) []Action {
+	r.now = now
+	for i := range r.sites {
+		st := &r.sites[i]
+		if st.cold && now-st.weighed > reweigh {
+			r.weigh(i)
+		}
+		for seq := st.flights.first; seq < st.flights.next; seq++ {
+			l := st.flights.at(seq)
+			if l.ended || l.told {
+				continue
+			}
+			if now-l.sent > r.lateAt(i, l.class) { // Danger: where nothing is answered no answer tells of it
+				l.told = true
+				st.window.answer(now, true, float64(st.flights.out), st.classes[l.class].low)
+			}
+		}
+		if i != r.set.Own {
+			actions = r.look(i, actions)
+		}
+	}
+	for _, i := range r.back {
+		actions = append(actions, Restored{i})
+	}
+	r.back = r.back[:0]
+	for _, text := range r.log {
+		actions = append(actions, Log{text})
+	}
+	r.log = r.log[:0]
+	return actions
+}
+
+func (r *Router) say(format string, args ...any) {
+	if len(r.log) < 64 {
+		r.log = append(r.log, fmt.Sprintf(format, args...))
+	}
+}
--- /dev/null
+++ b/sites/sites.go
@@ -0,0 +1,323 @@
+// Package sites decides which sites a try may go to: the near one, where the gateway stands, or a distant
+// one over a link. It owns what the gateway has seen of each site as a whole: attempts out, answers that came
+// late, the state of the link. It never chooses a server, never decides on a retry or a quota (control does),
+// and does no I/O, reads no clock and starts no goroutine: what it is told and when decides what it says.
+//
+// Unlike control it takes typed calls instead of an event interface: a value put into an interface costs an
+// allocation, and a decision here may cost none.
+package sites
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+
+	"junctionring/control"
+)
+
+// Seconds is a time or a duration, on control's clock.
+type Seconds = control.Seconds
+
+// Site is one place where servers stand.
+type Site struct {
+	Name     string
+	Distance Seconds // one way, from the gateway; 0: its own
+}
+
+// Settings is what a Router is told once.
+type Settings struct {
+	Own        int // index of the site that the gateway stands at
+	Sites      []Site
+	Classes    []control.Class
+	Guarantees control.Guarantees // of cold servers
+	Seed       uint64
+}
+
+// validate names what cannot be right.
+func (s *Settings) validate() error {
+	if s.Own < 0 || s.Own >= len(s.Sites) {
+		return fmt.Errorf("sites: own site %d of %d", s.Own, len(s.Sites))
+	}
+	if len(s.Classes) == 0 {
+		return errors.New("sites: no classes")
+	}
+	for i, site := range s.Sites {
+		if !(site.Distance >= 0) || math.IsInf(site.Distance, 0) {
+			return fmt.Errorf("sites: %s: distance %v is no time", site.Name, site.Distance)
+		}
+		if (site.Distance == 0) != (i == s.Own) {
+			return fmt.Errorf("sites: %s: the own site, and no other, is at distance 0", site.Name)
+		}
+	}
+	return nil
+}
+
+// Cause is why an attempt went over a link.
+type Cause uint8
+
+// The causes. Near stands for no crossing at all.
+const (
+	Near         Cause = iota
+	NearSlow           // the near site can't meet the wanted time for all that is asked of it
+	NearDraining       // near servers drain
+	NearGone           // no near server is there, or all are left out
+	causes
+)
+
+func (c Cause) String() string {
+	return [...]string{"near", "near too slow", "near draining", "near gone"}[c]
+}
+
+// Bar is why a try that the near site can't take well may not cross either.
+type Bar uint8
+
+// The bars. Open stands for none.
+const (
+	Open     Bar = iota
+	NoTime       // the link would eat the time that is left, or the gain
+	LinkDown     // nothing comes back over the link
+	FarBusy      // the far site shows that it has no room to spare
+	FarGone      // no far server takes work
+	bars
+)
+
+func (b Bar) String() string {
+	return [...]string{"open", "no time", "link down", "far busy", "far gone"}[b]
+}
+
+// Verdict says which sites a try may go to, and the words under which that is counted.
+type Verdict struct {
+	Reach control.Reach
+	Cause Cause // of an attempt that goes to a far site within Reach
+	Bar   Bar   // why none may; counted if the try is refused
+}
+
+// Action is something the Router wants done.
+type Action interface{ action() }
+
+// The actions.
+type (
+	// Probe asks a server over its link whether it is there; Probed must follow, within the time given.
+	Probe struct {
+		Server string
+		Within Seconds
+	}
+
+	// Restored tells that a site's link is up again: what its servers failed to do meanwhile was the link's doing.
+	Restored struct{ Site int }
+
+	// GiveUp calls off what is out at a site: its link is down, and no answer will come.
+	GiveUp struct{ Site int }
+
+	// Log leaves a line for the operators.
+	Log struct{ Text string }
+)
+
+func (Probe) action()    {}
+func (GiveUp) action()   {}
+func (Restored) action() {}
+func (Log) action()      {}
+
+// Router is the decision module for sites of one gateway. It is not safe for concurrent use.
+type Router struct {
+	set     Settings
+	rng     *rand.Rand
+	now     Seconds
+	sites   []site
+	far     []int // the others, nearest first
+	servers map[string]*server
+	urgency []float64 // by class, from worth a second of the wanted time: 0 for the least, 1 for the most
+	counts  Counts
+	log     []string // lines that wait for the next Tick
+	back    []int    // sites whose link came up since the last Tick
+}
+
+// site is what is known of one site.
+type site struct {
+	Site
+	servers  []*server // on the list, in order of first sight
+	ready    int       // of them, ready and not left out
+	draining int
+	weight   float64 // of the ready ones, by their warmth
+	weighed  Seconds // when it was last taken
+	cold     bool    // some are
+
+	flights flights
+	classes []class
+	window  window
+	link    link
+}
+
+// class is what was learned of a class at a site.
+type class struct {
+	low   Seconds // about the least wait for an answer, link and all: the time without a queue
+	lowAt Seconds // when it was last moved
+	high  Seconds // a high quantile of the whole time of an attempt: what a try must have left
+}
+
+// server is what is known of one server.
+type server struct {
+	id      string
+	site    int
+	state   control.MemberState
+	since   Seconds
+	strikes int // failures in a row
+}
+
+const (
+	leftOut    = 3    // failures in a row after which a server counts for nothing until it answers
+	firstLow   = 0.1  // of the aim, before anything is learned
+	firstHigh  = 0.3  // the same
+	highPart   = 0.9  // quantile that high follows
+	quantileBy = 0.04 // step of a quantile, of itself
+	lowRises   = 0.01 // of itself a second. Danger: a standing queue would become what counts as none
+)
+
+// New makes a Router.
+func New(s Settings) (*Router, error) {
+	if err := s.validate(); err != nil {
+		return nil, err
+	}
+	r := &Router{set: s, rng: rand.New(rand.NewPCG(s.Seed, 0xbf58476d1ce4e5b9)), servers: map[string]*server{},
+		sites: make([]site, len(s.Sites)), counts: newCounts(len(s.Sites), len(s.Classes))}
+	least, most := math.Inf(1), 0.0
+	for _, c := range s.Classes {
+		least, most = min(least, c.Worth/c.Aim), max(most, c.Worth/c.Aim)
+	}
+	for _, c := range s.Classes {
+		u := 1.0
+		if most > least {
+			u = (c.Worth/c.Aim - least) / (most - least)
+		}
+		r.urgency = append(r.urgency, u)
+	}
+	for i := range r.sites {
+		st := &r.sites[i]
+		st.Site = s.Sites[i]
+		st.window = newWindow(i == s.Own)
+		st.link.rtt = 2 * st.Distance
+		for _, c := range s.Classes {
+			st.classes = append(st.classes, class{low: c.Aim*firstLow + 2*st.Distance, high: c.Aim*firstHigh + 2*st.Distance})
+		}
+		if i != s.Own {
+			r.far = append(r.far, i)
+		}
+	}
+	slices.SortStableFunc(r.far, func(a, b int) int {
+		if s.Sites[a].Distance < s.Sites[b].Distance {
+			return -1
+		}
+		return 1
+	})
+	return r, nil
+}
+
+// Members takes the server list in, or changes to it.
+func (r *Router) Members(now Seconds, e control.Members) {
+	r.now = now
+	if e.Kind == control.Failed {
+		return
+	}
+	named := map[string]bool{}
+	for _, m := range e.Entries {
+		named[m.Server] = true
+		if m.Site < 0 || m.Site >= len(r.sites) {
+			m.Site = r.set.Own
+		}
+		s := r.servers[m.Server]
+		if s != nil && (m.State == control.Removed || s.site != m.Site) {
+			r.drop(s)
+			s = nil
+		}
+		if m.State == control.Removed {
+			continue
+		}
+		if s == nil {
+			s = &server{id: m.Server, site: m.Site}
+			r.servers[s.id] = s
+			r.sites[m.Site].servers = append(r.sites[m.Site].servers, s)
+		}
+		if m.Since > s.since { // a new life: what its former one did says nothing
+			s.since, s.strikes = m.Since, 0
+		}
+		s.state = m.State
+	}
+	if e.Kind != control.Delta {
+		for _, st := range r.sites {
+			for _, s := range slices.Clone(st.servers) {
+				if !named[s.id] {
+					r.drop(s)
+				}
+			}
+		}
+	}
+	for i := range r.sites {
+		r.weigh(i)
+	}
+}
+
+func (r *Router) drop(s *server) {
+	delete(r.servers, s.id)
+	st := &r.sites[s.site]
+	st.servers = slices.DeleteFunc(st.servers, func(o *server) bool { return o == s })
+}
+
+// weigh takes what a site can do anew. Danger: a hall that drains at once; its load must find the far site open
+// within the same moment, so what the near site loses is granted to the link.
+func (r *Router) weigh(i int) {
+	st := &r.sites[i]
+	before, had := st.weight, len(st.servers) > 0
+	st.ready, st.draining, st.weight, st.weighed, st.cold = 0, 0, 0, r.now, false
+	for _, s := range st.servers {
+		switch {
+		case s.state == control.Draining:
+			st.draining++
+		case s.strikes < leftOut:
+			st.ready++
+			warm := r.warmth(s)
+			st.cold = st.cold || warm < 1
+			st.weight += warm
+		}
+	}
+	if i != r.set.Own || before <= 0 || st.weight >= before {
+		return
+	}
+	lost := 1 - st.weight/before
+	if st.ready == 0 && had {
+		r.say("no near server takes work: %d drain, %d are left out", st.draining, len(st.servers)-st.draining)
+	}
+	out := st.flights.mean(r.now)
+	st.window.shrink(1 - lost)
+	for _, f := range r.far {
+		far := &r.sites[f]
+		stretch := 1 + far.link.rtt/max(st.classes[0].low, 1e-3)
+		far.window.grant(r.now, lost*out*stretch)
+	}
+}
+
+// warmth is the share of its capacity that a server has at the least.
+func (r *Router) warmth(s *server) float64 {
+	g := &r.set.Guarantees
+	if age := r.now - s.since; s.since > 0 && age < g.Ramp {
+		return g.ColdFrom + (1-g.ColdFrom)*max(0, age/g.Ramp)
+	}
+	return 1
+}
+
+// learn books the time of an answer: the wait for its first byte, and all that the attempt took.
+func (c *class) learn(now, waited, took Seconds) {
+	if waited < c.low {
+		c.low = max(waited, c.low*(1-quantileBy))
+	} else {
+		c.low *= 1 + min(quantileBy, lowRises*max(0, now-c.lowAt))
+	}
+	c.lowAt = now
+	if took > c.high {
+		c.high += c.high * quantileBy * highPart
+	} else {
+		c.high -= c.high * quantileBy * (1 - highPart)
+	}
+	c.high = max(c.high, c.low)
+}
--- /dev/null
+++ b/sites/sites_test.go
@@ -0,0 +1,394 @@
+package sites
+
+import (
+	"math"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"junctionring/control"
+)
+
+var classes = []control.Class{
+	{Aim: 2, Deadline: 7.5, Worth: 2, Repeat: control.Safe},
+	{Aim: 1, Deadline: 4, Worth: 6, Repeat: control.Keyed, Group: control.GroupSite, Window: 4},
+}
+
+const (
+	view = 0
+	move = 1
+)
+
+// two is a router at the site near, 40 ms from far, with so many servers at each.
+func two(t testing.TB, servers int) *Router {
+	t.Helper()
+	r, err := New(Settings{
+		Sites: []Site{{Name: "near"}, {Name: "far", Distance: 0.04}}, Classes: classes,
+		Guarantees: control.Guarantees{ColdFrom: 0.15, Ramp: 18, FallMultiple: 3, FallAfter: 1.5}, Seed: 1,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Members(100, list(servers, control.Ready, control.Ready))
+	return r
+}
+
+func id(site, n int) string {
+	return string(rune('a'+site)) + string(rune('0'+n/10)) + string(rune('0'+n%10))
+}
+
+func list(servers int, near, far control.MemberState) control.Members {
+	m := control.Members{Kind: control.Snapshot}
+	for site, state := range []control.MemberState{near, far} {
+		for n := range servers {
+			m.Entries = append(m.Entries, control.Member{Server: id(site, n), Site: site, State: state})
+		}
+	}
+	return m
+}
+
+func try(class int) Try { return Try{Class: class, Left: classes[class].Deadline} }
+
+// press makes the near window hold so many attempts by late answers, and fills it.
+func press(t testing.TB, r *Router, now Seconds, out int) (Seconds, []Flight) {
+	t.Helper()
+	for range 200 {
+		f, ok := r.Sent(now, id(0, 0), move, Verdict{})
+		if !ok {
+			t.Fatal("the server is not known")
+		}
+		now += 0.6
+		r.Ended(now, f, control.OK, 0)
+	}
+	r.sites[0].window.limit = float64(out)
+	var flights []Flight
+	for n := range out {
+		f, _ := r.Sent(now, id(0, n%2), move, Verdict{})
+		flights = append(flights, f)
+	}
+	return now, flights
+}
+
+func TestNearIsPreferredWhileItSuffices(t *testing.T) {
+	r, now := two(t, 4), 100.0
+	for range 2000 {
+		now += 0.01
+		v := r.Route(now, try(move))
+		if v.Reach.First != 0 {
+			t.Fatalf("at %g: %+v", now, v)
+		}
+		f, _ := r.Sent(now, id(0, 1), move, v)
+		r.Ended(now+0.15, f, control.OK, 0.15)
+	}
+	if r.Crossings() != 0 {
+		t.Error("something crossed")
+	}
+}
+
+func TestExcessCrossesMovesFirst(t *testing.T) {
+	r := two(t, 4)
+	now, _ := press(t, r, 100, 19) // of 20: over nine tenths, and not full
+	r.sites[0].window.limit = 20
+	if v := r.Route(now, try(move)); v.Reach != (control.Reach{First: 1, Then: 0}) || v.Cause != NearSlow {
+		t.Errorf("a move: %+v", v)
+	}
+	if v := r.Route(now, try(view)); v.Reach.First != 0 {
+		t.Errorf("a view: %+v", v)
+	}
+	r.sites[0].window.limit = 19
+	if v := r.Route(now, try(view)); v.Reach.First != 1 {
+		t.Errorf("a view at a full window: %+v", v)
+	}
+}
+
+func TestLinkMustNotEatTheTime(t *testing.T) {
+	r := two(t, 4)
+	now, _ := press(t, r, 100, 20)
+	if v := r.Route(now, Try{Class: move, Left: 0.2}); v.Reach != (control.Reach{}) || v.Bar != NoTime {
+		t.Errorf("with 200 ms left: %+v", v)
+	}
+	r.Refused(move, Verdict{Bar: NoTime})
+	if got := r.Report().Refused; len(got) != 1 || got[0].Why != "no time" {
+		t.Errorf("counted as %+v", got)
+	}
+}
+
+func TestDrainOpensTheLinkAtOnce(t *testing.T) {
+	r := two(t, 4)
+	now := 100.0
+	var out []Flight
+	for i := 0; i < 200; i++ { // 30 out, on the average
+		now += 0.02
+		f, _ := r.Sent(now, id(0, i%4), move, r.Route(now, try(move)))
+		out = append(out, f)
+		if len(out) > 30 {
+			r.Ended(now, out[0], control.OK, 0.5)
+			out = out[1:]
+		}
+	}
+	r.Members(now, list(4, control.Draining, control.Ready))
+	crossed := 0
+	for range 30 { // what the near site had out may be out over the link within the same moment
+		v := r.Route(now, try(move))
+		if v.Reach.First == 1 && v.Cause == NearDraining {
+			r.Sent(now, id(1, 0), move, v)
+			crossed++
+		}
+	}
+	if crossed < 25 {
+		t.Errorf("%d of 30 crossed", crossed)
+	}
+	if got := r.Report().Sites[1].Crossed; len(got) != 1 || got[0].Cause != "near draining" || got[0].Count != uint64(crossed) {
+		t.Errorf("counted as %+v", got)
+	}
+}
+
+func TestColdFarSiteGetsLittle(t *testing.T) {
+	r := two(t, 4)
+	m := list(4, control.Draining, control.Ready)
+	for i := range m.Entries {
+		if m.Entries[i].Site == 1 {
+			m.Entries[i].Since = 99
+		}
+	}
+	r.Members(100, m)
+	r.sites[1].window.limit = 40
+	cold := r.farRoom(&r.sites[1], move)
+	r.Tick(120, nil)
+	if warm := r.farRoom(&r.sites[1], move); cold > 0.25*warm || warm < 39 {
+		t.Errorf("room for %g cold and %g warm", cold, warm)
+	}
+}
+
+func TestBoundTryStaysAtItsSite(t *testing.T) {
+	r := two(t, 4)
+	v := r.Route(100, Try{Class: move, Left: 4, Bound: true, At: 1})
+	if v.Reach != (control.Reach{First: 1, Then: 1}) {
+		t.Errorf("it ran at the far site: %+v", v)
+	}
+	r.Members(100, list(4, control.Draining, control.Ready))
+	if v = r.Route(100, Try{Class: move, Left: 4, Bound: true}); v.Reach != (control.Reach{}) {
+		t.Errorf("it ran at the near site: %+v", v)
+	}
+}
+
+// A link that says nothing is down, is given up, probed, and used again after two good probes.
+func TestSilentLink(t *testing.T) {
+	r := two(t, 4)
+	r.Members(100, list(4, control.Draining, control.Ready))
+	now := 100.0
+	var out []Flight
+	for i := range 6 {
+		f, _ := r.Sent(now, id(1, i%4), move, r.Route(now, try(move)))
+		out = append(out, f)
+	}
+	var probes, gaveUp int
+	step := func() {
+		now += 0.05
+		for _, a := range r.Tick(now, nil) {
+			switch a := a.(type) {
+			case Probe:
+				probes++
+				r.Probed(now+0.01, a.Server, control.Timeout, 0.01)
+			case GiveUp:
+				gaveUp++
+				for _, f := range out {
+					r.Ended(now, f, control.Cancelled, 0)
+				}
+			}
+		}
+	}
+	for range 100 {
+		step()
+	}
+	if gaveUp != 1 || probes < 10 {
+		t.Errorf("given up %d times, %d probes", gaveUp, probes)
+	}
+	if v := r.Route(now, try(move)); v.Bar != LinkDown {
+		t.Errorf("a try while it is down: %+v", v)
+	}
+	r.Probed(now, id(1, 0), control.OK, 0.08)
+	if v := r.Route(now, try(move)); v.Bar != LinkDown {
+		t.Errorf("one good probe: %+v", v)
+	}
+	r.Probed(now, id(1, 1), control.OK, 0.08)
+	if v := r.Route(now, try(move)); v.Reach.First != 1 {
+		t.Errorf("two good probes: %+v", v)
+	}
+}
+
+// One dead server is no dead link: others answer.
+func TestDeadServerIsNoDeadLink(t *testing.T) {
+	r, now := two(t, 4), 100.0
+	for range 100 {
+		now += 0.05
+		dead, _ := r.Sent(now, id(1, 0), view, Verdict{})
+		f, _ := r.Sent(now, id(1, 1), view, Verdict{})
+		r.Ended(now+0.2, f, control.OK, 0.2)
+		r.Ended(now+0.2, dead, control.ConnectFailed, 0)
+		for _, a := range r.Tick(now+0.2, nil) {
+			if _, down := a.(GiveUp); down {
+				t.Fatal("the link counts as down")
+			}
+		}
+	}
+	if got := r.Report().Sites[1]; got.LeftOut != 1 || got.Ready != 3 {
+		t.Errorf("%+v", got)
+	}
+}
+
+// Delay at the far site closes the window of a guest before the far site's own clients feel it.
+func TestGuestBacksOff(t *testing.T) {
+	r, now := two(t, 4), 100.0
+	far := &r.sites[1]
+	feed := func(took Seconds, n int) {
+		for range n {
+			var out []Flight
+			for range int(far.window.limit) + 1 {
+				f, _ := r.Sent(now, id(1, 0), move, Verdict{})
+				out = append(out, f)
+			}
+			now += took
+			for _, f := range out {
+				r.Ended(now, f, control.OK, took)
+			}
+		}
+	}
+	feed(0.2, 8)
+	open := far.window.limit
+	feed(0.7, 8)
+	if shut := far.window.limit; open < 8 || shut > open/3 {
+		t.Errorf("window %g, then %g with a queue", open, shut)
+	}
+	if low := far.classes[move].low; low > 0.3 {
+		t.Errorf("the queue became the usual: %g s", low)
+	}
+}
+
+func TestSettingsAreChecked(t *testing.T) {
+	for name, s := range map[string]Settings{
+		"no sites":      {Classes: classes},
+		"no classes":    {Sites: []Site{{Name: "a"}}},
+		"own out":       {Own: 1, Sites: []Site{{Name: "a"}}, Classes: classes},
+		"not a number":  {Sites: []Site{{Name: "a"}, {Name: "b", Distance: math.NaN()}}, Classes: classes},
+		"negative":      {Sites: []Site{{Name: "a"}, {Name: "b", Distance: -1}}, Classes: classes},
+		"two at home":   {Sites: []Site{{Name: "a"}, {Name: "b"}}, Classes: classes},
+		"home far away": {Sites: []Site{{Name: "a", Distance: 1}}, Classes: classes},
+	} {
+		if _, err := New(s); err == nil {
+			t.Errorf("%s: taken", name)
+		}
+	}
+}
+
+// Whatever happens in whatever order: a try goes to the far site only with its link up, servers there, time
+// left and room; a bound one goes to its own site or nowhere; the counts are what was sent; windows stay sane.
+func TestRouterKeepsItsPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := two(&testing.T{}, 3)
+		now, crossed := 100.0, uint64(0)
+		var out []Flight
+		states := rapid.SampledFrom([]control.MemberState{control.Ready, control.Ready, control.Draining, control.Removed})
+		for range rapid.IntRange(1, 300).Draw(t, "events") {
+			now += rapid.Float64Range(0, 0.3).Draw(t, "dt")
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			case 0:
+				m := control.Member{Site: rapid.IntRange(0, 1).Draw(t, "site"), State: states.Draw(t, "state")}
+				m.Server = id(m.Site, rapid.IntRange(0, 2).Draw(t, "server"))
+				if rapid.Bool().Draw(t, "fresh") {
+					m.Since = now
+				}
+				r.Members(now, control.Members{Entries: []control.Member{m}})
+			case 1:
+				up := false
+				for _, a := range r.Tick(now, nil) {
+					if p, ok := a.(Probe); ok {
+						up = rapid.Bool().Draw(t, "answers")
+						status := control.Timeout
+						if up {
+							status = control.OK
+						}
+						r.Probed(now+0.1, p.Server, status, 0.1)
+						now += 0.1
+					}
+				}
+			case 2, 3, 4:
+				if len(out) > 0 {
+					i := rapid.IntRange(0, len(out)-1).Draw(t, "which")
+					status := rapid.SampledFrom([]control.Status{control.OK, control.OK, control.OK, control.Error, control.Full,
+						control.Timeout, control.Reset, control.ConnectFailed, control.Cancelled}).Draw(t, "status")
+					r.Ended(now, out[i], status, 0)
+					r.Ended(now, out[i], status, 0) // told twice: counted once
+					out = append(out[:i], out[i+1:]...)
+				}
+			default:
+				c := rapid.IntRange(0, 1).Draw(t, "class")
+				k := Try{Class: c, Left: rapid.Float64Range(0.01, 7).Draw(t, "left"), Elapsed: rapid.Float64Range(0, 1).Draw(t, "elapsed")}
+				if rapid.IntRange(0, 9).Draw(t, "bound") == 0 {
+					k.Bound, k.At = true, rapid.IntRange(0, 1).Draw(t, "at")
+				}
+				v := r.Route(now, k)
+				near, far := &r.sites[0], &r.sites[1]
+				crosses := v.Reach.First == 1 || v.Reach.Then == 1
+				switch {
+				case k.Bound && crosses != (k.At == 1 && !far.link.down):
+					t.Fatalf("bound to %d: %+v", k.At, v)
+				case k.Bound:
+				case crosses && (far.link.down || far.ready == 0 || far.classes[c].high+far.link.rtt > k.Left):
+					t.Fatalf("crossed in vain: %+v, left %g", v, k.Left)
+				case crosses && far.flights.out > 0 && float64(far.flights.out)+1 > r.farRoom(far, c):
+					t.Fatalf("crossed without room: %d out of %g", far.flights.out, r.farRoom(far, c))
+				case v.Reach.First == 1 && near.ready > 0 && float64(near.flights.out)+1 <= near.window.limit*urgentAt:
+					t.Fatalf("crossed though the near site has room: %d out of %g", near.flights.out, near.window.limit)
+				case !crosses && v.Bar == Open && near.ready == 0:
+					t.Fatalf("stayed without a reason: %+v", v)
+				}
+				site := r.sites[v.Reach.First]
+				if len(site.servers) == 0 {
+					continue
+				}
+				f, ok := r.Sent(now, site.servers[0].id, c, v)
+				if !ok {
+					t.Fatal("not sent")
+				}
+				if f.cross {
+					crossed++
+				}
+				out = append(out, f)
+			}
+			held := [2]int{}
+			for _, f := range out {
+				held[f.Site]++
+			}
+			for i := range r.sites {
+				st := &r.sites[i]
+				if st.flights.out != held[i] {
+					t.Fatalf("site %d: %d out, booked %d", i, held[i], st.flights.out)
+				}
+				if !(st.window.limit >= 1) || i == 1 && math.IsInf(st.window.limit, 1) {
+					t.Fatalf("site %d: window %g", i, st.window.limit)
+				}
+				for _, c := range st.classes {
+					if !(c.low > 0) || !(c.high >= c.low) || math.IsInf(c.high, 1) {
+						t.Fatalf("site %d: quantiles %+v", i, c)
+					}
+				}
+			}
+			if r.Crossings() != crossed {
+				t.Fatalf("%d crossed, counted %d", crossed, r.Crossings())
+			}
+		}
+	})
+}
+
+func BenchmarkRoute(b *testing.B) {
+	r := two(b, 50)
+	now := 100.0
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now += 0.001
+		v := r.Route(now, try(i&1))
+		f, _ := r.Sent(now, r.sites[v.Reach.First].servers[i%50].id, i&1, v)
+		r.Ended(now+0.15, f, control.OK, 0.15)
+	}
+}
