Let what a site has room for pass a full list of slots, and measure the plays of the lab

A reach now says when its first site has room by the measure of sites, and a site may tell how many gateways stand there.

--- a/control/control.go
+++ b/control/control.go
@@ -120,8 +120,9 @@
 	for i, c := range s.Classes {
 		classes[i] = classState{typical: c.Aim / 5, work: c.Aim / 8}
 	}
-	for range max(1, s.Sites) {
-		g.pools = append(g.pools, newPool(classes, slotsPooled/float64(max(1, s.Gateways))))
+	for site := range max(1, s.Sites) {
+		gates := float64(s.gates(site))
+		g.pools = append(g.pools, newPool(classes, gates, slotsPooled/gates))
 	}
 	return g, nil
 }
@@ -578,12 +579,12 @@
 }
 
 // place finds a server within reach: at the first site or, where that has none or sheds it, at the second.
-// A retry (gain 0) is not shed.
+// A retry (gain 0) is not shed, nor what has room by the measure of sites; shed learns from it all the same.
 func (g *Gateway) place(r *request, reach Reach, gain float64) *server {
 	for i, site := range [...]int{reach.First, reach.Then} {
 		last := i > 0 || reach.Then == reach.First
 		s := g.choose(r, g.pool(site), last)
-		if s != nil && (gain <= 0 || !g.shed(r, gain, s.pool)) {
+		if s != nil && (gain <= 0 || !g.shed(r, gain, s.pool) || i == 0 && reach.Room) {
 			return s
 		}
 		if last {
@@ -608,7 +609,7 @@
 	p.crowd *= math.Exp(-(g.now - p.crowdAt) / crowdFades)
 	p.crowdAt = g.now
 	// Danger: lost answers. What is out long while answers are quick is no work.
-	few, oldest, work := slotsFirst < float64(g.set.Gateways), math.Inf(1), 1.0
+	few, oldest, work := slotsFirst < p.gates, math.Inf(1), 1.0
 	if few && p.lossy() {
 		oldest, work = lostAfter, p.inTime
 	}
@@ -644,7 +645,7 @@
 					continue
 				}
 				if p.inTime -= p.inTime * learn; !p.lossy() {
-					p.slots = max(slotsLeast*slotsPooled/float64(g.set.Gateways), p.slots*cutTo)
+					p.slots = max(slotsLeast*slotsPooled/p.gates, p.slots*cutTo)
 					g.feel(p, true)
 				}
 			}
@@ -788,7 +789,7 @@
 			s = nil
 		}
 		if s == nil {
-			slots := max(1, slotsFirst/float64(g.set.Gateways))
+			slots := max(1, slotsFirst/p.gates)
 			s = &server{id: m.Server, pool: p, slow: 1, lim: limiter{limit: slots},
 				served: make([]Seconds, len(p.classes)), full: make([]Seconds, len(p.classes))}
 			g.servers[m.Server] = s
@@ -832,7 +833,7 @@
 	// Danger: a release of most servers. A cold one gets its part of what a warm one gets, not of the mean.
 	rate := p.sendRate * math.Exp(-(g.now-p.sentAt)/rateMemory) / max(1, p.parts)
 	if p.warm == 0 { // Danger: nobody is sent anything, so nobody would ever get a part of it.
-		rate = max(rate, coldCores/p.work()/float64(g.set.Gateways))
+		rate = max(rate, coldCores/p.work()/p.gates)
 	}
 	s.budget = min(coldBurst, s.budget+coldPart*warm*rate*(g.now-s.budgeted))
 	s.budgeted = g.now
@@ -842,14 +843,14 @@
 // choose picks the best of a few servers. Danger: of all, by an old view or zone, they would herd.
 func (g *Gateway) choose(r *request, p *pool, last bool) *server {
 	var best *server
-	bestCost, few := math.Inf(1), max(choicesLeast, choices*len(p.list)/g.set.Gateways)
+	bestCost, few := math.Inf(1), max(choicesLeast, choices*len(p.list)/int(p.gates))
 	look := func(s *server, picked bool) {
 		if cost := g.fitness(r, s, picked); cost < bestCost {
 			best, bestCost = s, cost
 		}
 	}
 	// Danger: as many connections at a server as there are gateways. A gateway keeps to the first of its list.
-	reach := min(len(p.list), max(2*few, serverGates*len(p.list)/g.set.Gateways))
+	reach := min(len(p.list), max(2*few, serverGates*len(p.list)/int(p.gates)))
 	for range few {
 		if 2*few < len(p.list) {
 			look(p.list[g.rng.IntN(reach)], true)
@@ -890,7 +891,7 @@
 	case s.cold && !picked && s.budget < 1, s.cold && picked && g.rng.Float64() > coldPart*warm,
 		s.full[r.class] > 0 && g.now-s.full[r.class] < fullFor,
 		// Others try a server that is out, too: the more they are, the rarer the trials of each.
-		trial && (unsafe || g.rng.Float64()*float64(g.set.Gateways) > trialShare):
+		trial && (unsafe || g.rng.Float64()*s.pool.gates > trialShare):
 		return math.Inf(1)
 	}
 	if trial {
@@ -956,7 +957,7 @@
 			s.lim.bad()
 			break
 		}
-		s.lim.good(slotsFirst / float64(g.set.Gateways))
+		s.lim.good(slotsFirst / p.gates)
 		p.inTime += (1 - p.inTime) * learn
 		g.feel(p, false)
 		if p.inUse {
--- a/control/pools_test.go
+++ b/control/pools_test.go
@@ -45,7 +45,7 @@
 	for _, c := range []struct {
 		reach Reach
 		want  byte
-	}{{Reach{}, 'n'}, {Reach{0, 1}, 'n'}, {Reach{1, 1}, 'f'}, {Reach{1, 0}, 'f'}} {
+	}{{Reach{}, 'n'}, {Reach{First: 0, Then: 1}, 'n'}, {Reach{First: 1, Then: 1}, 'f'}, {Reach{First: 1, Then: 0}, 'f'}} {
 		g := two(t, GroupAll)
 		for id := range uint64(5) {
 			got := target(t, g.Handle(101, Request{ID: id, TimeLeft: 4, Units: 1, Spread: 1, Reach: c.reach}, nil))
@@ -60,7 +60,7 @@
 func TestSecondSiteServesForADrainedOne(t *testing.T) {
 	g := two(t, GroupAll)
 	g.Handle(101, Members{Entries: []Member{{Server: "n0", State: Draining}, {Server: "n1", State: Draining}}}, nil)
-	if got := target(t, g.Handle(101, Request{ID: 1, TimeLeft: 4, Units: 1, Reach: Reach{0, 1}}, nil)); got != 'f' {
+	if got := target(t, g.Handle(101, Request{ID: 1, TimeLeft: 4, Units: 1, Reach: Reach{First: 0, Then: 1}}, nil)); got != 'f' {
 		t.Errorf("sent to %c, want the far site", got)
 	}
 	if got := target(t, g.Handle(101, Request{ID: 2, TimeLeft: 4, Units: 1}, nil)); got != 'R' {
@@ -76,7 +76,7 @@
 		want   byte
 	}{{GroupAll, Reset, 'f'}, {GroupSite, Reset, 'F'}, {GroupZone, Reset, 'F'}, {GroupSite, ConnectFailed, 'f'}, {GroupSite, Full, 'f'}} {
 		g := two(t, c.group)
-		sent := g.Handle(101, Request{ID: 1, TimeLeft: 4, Units: 1, Reach: Reach{0, 1}}, nil)
+		sent := g.Handle(101, Request{ID: 1, TimeLeft: 4, Units: 1, Reach: Reach{First: 0, Then: 1}}, nil)
 		server := ""
 		for _, a := range sent {
 			if s, ok := a.(Send); ok {
@@ -84,7 +84,7 @@
 			}
 		}
 		g.Handle(101, Members{Entries: []Member{{Server: "n0", State: Draining}, {Server: "n1", State: Draining}}}, nil)
-		out := g.Handle(101.1, Outcome{ID: 1, Server: server, Status: c.status, Reach: Reach{0, 1}}, nil)
+		out := g.Handle(101.1, Outcome{ID: 1, Server: server, Status: c.status, Reach: Reach{First: 0, Then: 1}}, nil)
 		if got := target(t, out); got != c.want {
 			t.Errorf("group %d, status %d: %c, want %c", c.group, c.status, got, c.want)
 		}
--- a/control/state.go
+++ b/control/state.go
@@ -46,6 +46,7 @@
 // pool is the servers of one site and what was learned of them together. A crowd at one site says nothing of
 // another, nor does the time of an answer that came over a link.
 type pool struct {
+	gates   float64 // gateways that send here as their first choice; all, where that is not told
 	classes []classState
 	lost    float64 // share of attempts that got no answer
 	lateOK  float64 // share of the good answers that are late
@@ -335,8 +336,8 @@
 	}
 }
 
-func newPool(classes []classState, slots float64) *pool {
-	return &pool{classes: slices.Clone(classes), slots: slots, lateOK: 1, inTime: 1, warm: 1} // until more is known
+func newPool(classes []classState, gates, slots float64) *pool {
+	return &pool{classes: slices.Clone(classes), gates: gates, slots: slots, lateOK: 1, inTime: 1, warm: 1} // until more is known
 }
 
 func (g *Gateway) do(a Action) { g.out = append(g.out, a) }
@@ -381,3 +382,11 @@
 	}
 	return max(longest, 1e-3)
 }
+
+// gates is how many gateways have a site for their first choice, as far as that is told.
+func (s *Settings) gates(site int) int {
+	if site == s.Site && s.Here > 0 {
+		return s.Here
+	}
+	return max(1, s.Gateways)
+}
--- a/control/types.go
+++ b/control/types.go
@@ -25,6 +25,7 @@
 	Zone       int // the zone this gateway stands in
 	Site       int // the site this gateway stands at
 	Sites      int // sites among which requests may cross; 0: all servers are one site
+	Here       int // gateways at this gateway's site; 0: all
 	Classes    []Class
 	Plans      []Plan
 	Limits     Limits
@@ -150,7 +151,10 @@
 
 // Reach names the sites that a try may go to, in order. Both are the same where only one may be used; its
 // zero value is the first site alone.
-type Reach struct{ First, Then int }
+type Reach struct {
+	First, Then int
+	Room        bool // the first has room, by what sites tells: a full list of slots there sheds nothing
+}
 
 // Event is something a gateway is told.
 type Event interface{ event() }
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -100,6 +100,7 @@
 	Name        string   `toml:"name"`
 	Here        bool     `toml:"here"`        // the gateway stands here
 	Distance    Duration `toml:"distance"`    // one way, from here
+	Gateways    int      `toml:"gateways"`    // that stand there; 0: not told
 	Zones       []string `toml:"zones"`       // the registry's zones that are this site; empty: the one of its name
 	Connections int      `toml:"connections"` // to all its targets, at the most; 0: a share of the sockets
 	Warm        *int     `toml:"warm"`        // kept open at rest to each target; not stated: 2 over a link
@@ -148,11 +149,12 @@
 		known[s.Name] = true
 		if s.Here {
 			require(here < 0, "site %q: the gateway is at another site already", s.Name)
-			here = i
+			here, o.Module.Here = i, s.Gateways
 			require(s.Distance.Duration == 0, "site %q: the gateway stands here, so its distance must be 0", s.Name)
 		} else {
 			require(s.Distance.Duration > 0, "site %q: distance %s must be above 0", s.Name, s.Distance)
 		}
+		require(s.Gateways >= 0 && s.Gateways <= o.Gateways, "site %q: %d gateways, and %d in all", s.Name, s.Gateways, o.Gateways)
 		require(s.Connections >= 0, "site %q: connections must not be negative", s.Name)
 		require(s.Idle() >= 0 && s.Idle() <= 16, "site %q: warm must be from 0 to 16", s.Name)
 		for _, z := range s.Zones {
--- a/internal/lab/plays.go
+++ b/internal/lab/plays.go
@@ -143,7 +143,9 @@
 		w.Close()
 		return nil, err
 	}
-	r.Causes, _, err = w.Crossings("near")
+	if err = w.saveStatus(); err == nil {
+		r.Causes, _, err = w.Crossings("near")
+	}
 	if err != nil {
 		w.Close()
 		return nil, err
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -187,7 +187,7 @@
 `, ordinal, all, w.store.Addr(), w.registries[site].Addr())
 	for _, s := range []string{"near", "far"} {
 		if s == site {
-			fmt.Fprintf(&b, "[[site]]\nname = %q\nhere = true\n", s)
+			fmt.Fprintf(&b, "[[site]]\nname = %q\nhere = true\ngateways = %d\n", s, map[string]int{"near": w.NearGates, "far": w.FarGates}[s])
 		} else {
 			fmt.Fprintf(&b, "[[site]]\nname = %q\ndistance = %q\n", s, w.Layout.Link.Delay)
 		}
@@ -355,3 +355,21 @@
 	}
 	return errors.Join(faults...)
 }
+
+// saveStatus keeps what the gateways counted beside their logs.
+func (w *World) saveStatus() error {
+	for site := range w.gates {
+		all, err := w.Status(site)
+		if err != nil {
+			return err
+		}
+		text, err := json.MarshalIndent(all, "", "  ")
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(filepath.Join(w.Dir, "status-"+site+".json"), text, 0o644); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/sites/route.go
+++ b/sites/route.go
@@ -50,15 +50,16 @@
 		b := r.barred(f, t, near, cause, room)
 		if b == Open {
 			if room { // the near site serves; the far one stands by for what control turns away here
-				return Verdict{Reach: control.Reach{First: own, Then: f}, Cause: cause}
+				return Verdict{Reach: control.Reach{First: own, Then: f, Room: near.window.calm()}, Cause: cause}
 			}
-			return Verdict{Reach: control.Reach{First: f, Then: own}, Cause: cause}
+			return Verdict{Reach: control.Reach{First: f, Then: own, Room: r.sites[f].window.calm()}, Cause: cause}
 		}
 		if bar == FarGone {
 			bar = b // of the nearest, unless it has nobody
 		}
 	}
 	stay.Bar = bar
+	stay.Reach.Room = room && near.window.calm()
 	return stay
 }
 
@@ -99,10 +100,14 @@
 	return Open
 }
 
-// farRoom is how many attempts of a class may be out at a far site.
+// farRoom is how many attempts of a class may be out at a far site: the urgent ones keep a part for themselves
+// where it is short.
 func (r *Router) farRoom(far *site, class int) float64 {
-	warm := far.weight / max(1, float64(far.ready))
-	return far.window.limit * warm * (farOther + (1-farOther)*r.urgency[class])
+	room := far.window.limit * far.weight / max(1, float64(far.ready))
+	if far.window.calm() { // room for all: it grows as it is used
+		return room
+	}
+	return room * (farOther + (1-farOther)*r.urgency[class])
 }
 
 // Sent books an attempt that control sends; v is the verdict it goes by. ok is false for a server not known.
--- a/sites/sites_test.go
+++ b/sites/sites_test.go
@@ -89,7 +89,7 @@
 	r := two(t, 4)
 	now, _ := press(t, r, 100, 19) // of 20: over nine tenths, and not full
 	r.sites[0].window.limit = 20
-	if v := r.Route(now, try(move)); v.Reach != (control.Reach{First: 1, Then: 0}) || v.Cause != NearSlow {
+	if v := r.Route(now, try(move)); v.Reach.First != 1 || v.Reach.Then != 0 || v.Cause != NearSlow {
 		t.Errorf("a move: %+v", v)
 	}
 	if v := r.Route(now, try(view)); v.Reach.First != 0 {
@@ -104,7 +104,7 @@
 func TestLinkMustNotEatTheTime(t *testing.T) {
 	r := two(t, 4)
 	now, _ := press(t, r, 100, 20)
-	if v := r.Route(now, Try{Class: move, Left: 0.2}); v.Reach != (control.Reach{}) || v.Bar != NoTime {
+	if v := r.Route(now, Try{Class: move, Left: 0.2}); v.Reach.First != 0 || v.Reach.Then != 0 || v.Bar != NoTime {
 		t.Errorf("with 200 ms left: %+v", v)
 	}
 	r.Refused(move, Verdict{Bar: NoTime})
--- a/sites/window.go
+++ b/sites/window.go
@@ -18,7 +18,7 @@
 	farStart   = 2.0  // attempts out over a link at the first crossing
 	farShare   = 0.1  // or this share of those out at the near site
 	idleFor    = 5.0  // s without a crossing after which the far site counts as not known
-	inUse      = 0.7  // of a window: only then do good answers let it grow
+	inUse      = 0.6  // of a window: only then do good answers let it grow
 	nearLate   = 0.4  // of its aim: an answer later than this is late at the near site
 	farLate    = 0.2  // of its aim, past the time without a queue: late at a far site
 	lateWeight = 0.08 // of an answer in the average
@@ -26,6 +26,7 @@
 	farMost    = 0.25 // the same of a far one: a lossy link stalls some
 	nearCut    = 0.9
 	farCut     = 0.75
+	calmPart   = 0.5  // of the late answers at which a window is cut
 	cutPause   = 0.25 // s between cuts at the least: their effect must show first
 	growth     = 0.05 // of itself, beside one attempt, that a window grows by while it is turned over once
 	nearLeast  = 1.0
@@ -69,6 +70,14 @@
 	}
 }
 
+// calm tells that next to nothing comes late: what is within the window has room.
+func (w *window) calm() bool {
+	if w.near {
+		return w.late < nearShare*calmPart
+	}
+	return w.late < farMost*calmPart
+}
+
 // shrink follows a site's loss of servers: a limit that was learned is one for those that were there.
 func (w *window) shrink(by float64) {
 	if !math.IsInf(w.limit, 1) {
