--- a/control/control.go
+++ b/control/control.go
@@ -95,7 +95,7 @@
 	trialFor   = 10.0 // of the time left alone, in which only trials are sent
 	coldPart   = 0.7  // of what a warm server gets times the warm share: chance and other gateways need room
 	coldBurst  = 1.5  // attempts that one gateway may send a cold server at once
-	coldCores  = 2.0  // as many cores' work is begun on each by all gateways where no server is warm
+	coldCores  = 4.0  // as many cores' work is begun on each by all gateways where no server is warm
 )
 
 // New makes a gateway that knows its settings. The same seed and events give the same actions.
@@ -584,7 +584,7 @@
 	for i, site := range [...]int{reach.First, reach.Then} {
 		last := i > 0 || reach.Then == reach.First
 		s := g.choose(r, g.pool(site), last)
-		if s != nil && (gain <= 0 || !g.shed(r, gain, s.pool) || i == 0 && reach.Room) {
+		if s != nil && (gain <= 0 || !reach.Full && (!g.shed(r, gain, s.pool) || i == 0 && reach.Room)) {
 			return s
 		}
 		if last {
@@ -833,7 +833,7 @@
 	// Danger: a release of most servers. A cold one gets its part of what a warm one gets, not of the mean.
 	rate := p.sendRate * math.Exp(-(g.now-p.sentAt)/rateMemory) / max(1, p.parts)
 	if p.warm == 0 { // Danger: nobody is sent anything, so nobody would ever get a part of it.
-		rate = max(rate, coldCores/p.work()/p.gates)
+		rate = max(rate, coldCores/p.guess/p.gates)
 	}
 	s.budget = min(coldBurst, s.budget+coldPart*warm*rate*(g.now-s.budgeted))
 	s.budgeted = g.now
--- a/control/pools_test.go
+++ b/control/pools_test.go
@@ -1,6 +1,9 @@
 package control
 
-import "testing"
+import (
+	"fmt"
+	"testing"
+)
 
 // two makes a gateway at site 0 of two, with servers n0, n1 there and f0, f1 at the other.
 func two(t *testing.T, group Group) *Gateway {
@@ -105,3 +108,69 @@
 		t.Errorf("crowd %g near and %g far, want much and none", near, far)
 	}
 }
+
+// What failed while a link was lost is not held against the servers behind it, and was no crowd.
+func TestRestoredLinkIsForgiven(t *testing.T) {
+	g := two(t, GroupAll)
+	far := Reach{First: 1, Then: 1}
+	for id := range uint64(8) {
+		for _, a := range g.Handle(101, Request{ID: id, TimeLeft: 4, Units: 1, Reach: far}, nil) {
+			if s, ok := a.(Send); ok {
+				g.Handle(102, Outcome{ID: id, Server: s.Server, Status: ConnectFailed, Closed: true}, nil)
+			}
+		}
+	}
+	g.pools[1].crowd, g.pools[1].inTime = 4, 0
+	g.Handle(103, Restored{Site: 1}, nil)
+	for id := range uint64(2) {
+		if got := target(t, g.Handle(103, Request{ID: 100 + id, TimeLeft: 4, Units: 1, Reach: far}, nil)); got != 'f' {
+			t.Errorf("%c, want the far site", got)
+		}
+	}
+}
+
+// A site that starts anew as a whole is sent work at once, and not more than it can do.
+func TestColdPoolIsSentALittle(t *testing.T) {
+	g := two(t, GroupAll)
+	g.set.Guarantees = Guarantees{ColdFrom: 0.15, Ramp: 18, FallMultiple: 3, FallAfter: 1.5}
+	list := Members{Kind: Delta}
+	for i := range 2 {
+		list.Entries = append(list.Entries, Member{Server: fmt.Sprint("f", i), Site: 1, Since: 101})
+	}
+	g.Handle(101, list, nil)
+	sent, out := 0, []Outcome{}
+	for i := range uint64(400) { // 40 a second for 10 s, each answered after 0.1 s
+		now := 101 + float64(i)/40
+		if len(out) > 0 && out[0].Elapsed <= now {
+			g.Handle(now, out[0], nil)
+			out = out[1:]
+		}
+		for _, a := range g.Handle(now, Request{ID: i, TimeLeft: 4, Units: 1, Reach: Reach{First: 1, Then: 1}}, nil) {
+			if s, ok := a.(Send); ok {
+				sent++
+				out = append(out, Outcome{ID: i, Server: s.Server, Status: OK, Closed: true, Elapsed: now + 0.1})
+			}
+		}
+	}
+	if sent < 20 || sent > 320 { // of four cores' work at 0.15 to 0.6 of their speed, at 0.125 s each: 240 or so
+		t.Errorf("%d of 400 were sent to two cold servers", sent)
+	}
+}
+
+// A new request beyond the room of its site is refused where nobody helps; a retry is not.
+func TestFullSiteRefusesNewOnes(t *testing.T) {
+	g := two(t, GroupAll)
+	full := Reach{Full: true}
+	if got := target(t, g.Handle(101, Request{ID: 1, TimeLeft: 4, Units: 1, Reach: full}, nil)); got != 'R' {
+		t.Errorf("%c, want a refusal", got)
+	}
+	server := ""
+	for _, a := range g.Handle(101, Request{ID: 2, TimeLeft: 4, Units: 1}, nil) {
+		if s, ok := a.(Send); ok {
+			server = s.Server
+		}
+	}
+	if got := target(t, g.Handle(101.1, Outcome{ID: 2, Server: server, Status: Reset, Reach: full}, nil)); got != 'n' {
+		t.Errorf("a retry: %c, want the near site", got)
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -66,6 +66,7 @@
 	sentAt   Seconds
 	parts    float64 // warm servers, and cold ones by the part they get
 	warm     int     // usable ones that are warm
+	guess    Seconds // the longest work of any class, before anything is learned: what cold servers teach is too long
 
 	list []*server // in an order of this gateway's own
 }
@@ -337,7 +338,11 @@
 }
 
 func newPool(classes []classState, gates, slots float64) *pool {
-	return &pool{classes: slices.Clone(classes), gates: gates, slots: slots, lateOK: 1, inTime: 1, warm: 1} // until more is known
+	longest := 0.0
+	for _, c := range classes {
+		longest = max(longest, c.work)
+	}
+	return &pool{classes: slices.Clone(classes), guess: longest, gates: gates, slots: slots, lateOK: 1, inTime: 1, warm: 1} // until more is known
 }
 
 func (g *Gateway) do(a Action) { g.out = append(g.out, a) }
@@ -375,14 +380,6 @@
 	return n
 }
 
-// work is the longest work of any class.
-func (p *pool) work() (longest Seconds) {
-	for i := range p.classes {
-		longest = max(longest, p.classes[i].work)
-	}
-	return max(longest, 1e-3)
-}
-
 // gates is how many gateways have a site for their first choice, as far as that is told.
 func (s *Settings) gates(site int) int {
 	if site == s.Site && s.Here > 0 {
--- a/control/types.go
+++ b/control/types.go
@@ -154,6 +154,7 @@
 type Reach struct {
 	First, Then int
 	Room        bool // the first has room, by what sites tells: a full list of slots there sheds nothing
+	Full        bool // the first has none, and nobody helps: a new request is refused
 }
 
 // Event is something a gateway is told.
--- a/internal/egress/conn.go
+++ b/internal/egress/conn.go
@@ -47,6 +47,7 @@
 type conn struct {
 	net.Conn
 	address string
+	abort   bool             // giving up resets it
 	budget  io.LimitedReader // what may still be read of the present answer: some never end
 	in      *bufio.Reader
 	used    time.Time
@@ -62,9 +63,17 @@
 // A request written to a closed one would end as a reset, which may have run.
 func (c *conn) alive() bool { return socket.Quiet(c.Conn) }
 
+// giveUp ends the wait for an answer: giving up is closing.
+func (c *conn) giveUp() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && c.abort {
+		tcp.SetLinger(0)
+	}
+	c.Close()
+}
+
 // roundTrip writes the request and reads the whole answer. The connection may be used again if reuse.
 func (c *conn) roundTrip(ctx context.Context, r *Request, fields []string) (o core.Outcome, reuse bool) {
-	stop := context.AfterFunc(ctx, func() { c.Close() }) // giving up is closing
+	stop := context.AfterFunc(ctx, c.giveUp)
 	defer stop()
 	b := make([]byte, 0, len(r.Head)+len(r.Body)+64)
 	b = append(b, r.Head...)
--- a/internal/egress/target.go
+++ b/internal/egress/target.go
@@ -22,8 +22,11 @@
 	ConnectTimeout time.Duration
 	ConnIdle       time.Duration // a target closes connections idle for this long
 	Conns          int           // to all targets of the site together
-	Warm           int           // connections that each ready target is to have at rest, for a link where one costs a round trip
-	LoadFields     []string      // of a load report
+	// Abort resets a connection that is given up. Danger: over a link the kernel would go on sending a request
+	// that was closed behind, and one held up there would run after its window.
+	Abort      bool
+	Warm       int      // connections that each ready target is to have at rest, for a link where one costs a round trip
+	LoadFields []string // of a load report
 }
 
 type (
@@ -187,6 +190,7 @@
 			var c *conn
 			if nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", address); err == nil {
 				c = newConn(nc, address)
+				c.abort = t.site.Abort
 			}
 			t.post(dialed{c})
 		}(t.address)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -110,7 +110,7 @@
 		s, site := &o.Sites[i], base
 		site.ConnectTimeout += dialTrips * 2 * s.Distance.Duration
 		site.Conns = cmp.Or(s.Connections, max(leastConns, base.Conns/(2*len(o.Sites))))
-		site.Warm = s.Idle()
+		site.Warm, site.Abort = s.Idle(), !s.Here
 		rest -= site.Conns
 		all = append(all, site)
 	}
--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -134,6 +135,7 @@
 	}
 	rng := rand.New(rand.NewPCG(seed, 0x94d049bb133111eb))
 	way := make(chan sent, linkQueue)
+	var aborted atomic.Bool // its sender will not send again what was lost
 	go func() {
 		defer close(way)
 		due := open.Add(l.o.Delay)
@@ -150,6 +152,7 @@
 			if at.After(due) {
 				due = at
 			}
+			aborted.Store(err != nil && !errors.Is(err, io.EOF))
 			way <- sent{b[:n], due, err != nil, err}
 			if err != nil {
 				return
@@ -162,6 +165,7 @@
 	}()
 	for s := range way {
 		time.Sleep(time.Until(s.due))
+		held := false
 		for {
 			l.mu.Lock()
 			silent, healed := l.silent, l.healed
@@ -172,8 +176,14 @@
 				}
 				break
 			}
+			held = true
 			<-silent
 		}
+		if held && aborted.Load() {
+			to.(*net.TCPConn).SetLinger(0)
+			to.Close()
+			return
+		}
 		if len(s.data) > 0 {
 			if _, err := to.Write(s.data); err != nil {
 				from.Close()
--- a/sites/flights.go
+++ b/sites/flights.go
@@ -25,15 +25,16 @@
 
 // leg is one place of the ring.
 type leg struct {
-	sent  Seconds
-	class int
-	ended bool
-	told  bool // counted as late already
+	sent   Seconds
+	class  int
+	server *server
+	ended  bool
+	told   bool // counted as late already
 }
 
 const flightMemory = 0.5 // s over which attempts out are averaged
 
-func (f *flights) add(now Seconds, class int) uint64 {
+func (f *flights) add(now Seconds, class int, s *server) uint64 {
 	f.mean(now)
 	if f.next-f.first == uint64(len(f.ring)) {
 		ring := make([]leg, max(16, 2*len(f.ring)))
@@ -42,7 +43,7 @@
 		}
 		f.ring = ring
 	}
-	*f.at(f.next) = leg{sent: now, class: class}
+	*f.at(f.next) = leg{sent: now, class: class, server: s}
 	f.next++
 	f.out++
 	return f.next - 1
--- a/sites/link.go
+++ b/sites/link.go
@@ -114,8 +114,10 @@
 		s.strikes = 0
 		if l.good++; l.down && l.good >= l.need {
 			l.down, l.upAt = false, now
-			st.window.limit, st.window.slow, st.window.late = max(farStart, st.window.limit/2), false, 0
-			st.window.used = now
+			if r.sites[r.set.Own].ready > 0 { // else all that the link carried is to come back at once
+				st.window.limit = max(farStart, st.window.limit/2)
+			}
+			st.window.slow, st.window.late, st.window.used = false, 0, now
 			fast = false
 			for _, s := range st.servers {
 				s.strikes = 0
--- a/sites/route.go
+++ b/sites/route.go
@@ -43,7 +43,8 @@
 		return stay
 	}
 	urgency := r.urgency[t.Class]
-	room := near.ready > 0 && float64(near.flights.out)+1 <= max(1, near.window.limit*(otherAt-(otherAt-urgentAt)*urgency))
+	part := otherAt - (otherAt-urgentAt)*urgency
+	room := near.ready > 0 && near.window.takes(now, near.flights.out, near.window.limit*part, 0)
 	cause := r.cause(near)
 	bar := FarGone
 	for _, f := range r.far {
@@ -60,6 +61,9 @@
 	}
 	stay.Bar = bar
 	stay.Reach.Room = room && near.window.calm()
+	// Nobody helps: what is beyond the window would only make the rest late. Now the urgent ones come last to it.
+	part = urgentAt + (otherAt-urgentAt)*urgency
+	stay.Reach.Full = near.ready > 0 && !near.window.takes(now, near.flights.out, near.window.limit*part, 0)
 	return stay
 }
 
@@ -94,7 +98,7 @@
 	if !room {
 		far.window.open(r.now, float64(near.flights.out))
 	}
-	if out := float64(far.flights.out); out > 0 && out+1 > r.farRoom(far, t.Class) {
+	if !far.window.takes(r.now, far.flights.out, r.farRoom(far, t.Class), class.low) {
 		return FarBusy
 	}
 	return Open
@@ -104,6 +108,9 @@
 // where it is short.
 func (r *Router) farRoom(far *site, class int) float64 {
 	room := far.window.limit * far.weight / max(1, float64(far.ready))
+	if r.sites[r.set.Own].ready == 0 { // no guest any more: there is nowhere else to go
+		room = max(room, 1)
+	}
 	if far.window.calm() { // room for all: it grows as it is used
 		return room
 	}
@@ -118,7 +125,7 @@
 		return Flight{Site: -1}, false
 	}
 	st := &r.sites[s.site]
-	f = Flight{Site: s.site, seq: st.flights.add(now, class), class: class, sent: now, server: s, cross: s.site != r.set.Own}
+	f = Flight{Site: s.site, seq: st.flights.add(now, class, s), class: class, sent: now, server: s, cross: s.site != r.set.Own}
 	st.window.used = now
 	if f.cross {
 		if v.Cause == Near {
@@ -162,10 +169,12 @@
 			r.weigh(f.Site)
 		}
 		f.server.strikes = 0
-		c.learn(now, waited, took)
 		if !told {
-			st.window.answer(now, waited > r.lateAt(f.Site, f.class), float64(st.flights.out), c.low)
+			st.window.answer(now, waited > r.lateAt(f.server, f.class), float64(st.flights.out), c.low)
 		}
+		warm := r.warmth(f.server)
+		f.server.low[f.class] = least(f.server.low[f.class], waited*warm, now-c.lowAt)
+		c.learn(now, waited*warm, took)
 	case control.Full:
 		st.window.answer(now, true, float64(st.flights.out), c.low)
 	case control.Reset, control.ConnectFailed, control.Error, control.Timeout:
@@ -178,13 +187,17 @@
 	}
 }
 
-// lateAt is the time after which an answer is late at a site.
-func (r *Router) lateAt(i, class int) Seconds {
+// lateAt is the time after which an answer of a server is late.
+func (r *Router) lateAt(s *server, class int) Seconds {
 	aim := r.set.Classes[class].Aim
-	if i == r.set.Own {
+	if s.site == r.set.Own {
 		return nearLate * aim
 	}
-	return r.sites[i].classes[class].low + farLate*aim
+	low := s.low[class]
+	if low == 0 {
+		low = r.sites[s.site].classes[class].low
+	}
+	return (low + farLate*aim) / r.warmth(s) // a cold one is slow, not crowded
 }
 
 // Refused counts a try that control turned away for want of servers, by why it could not cross.
@@ -204,7 +217,7 @@
 			if l.ended || l.told {
 				continue
 			}
-			if now-l.sent > r.lateAt(i, l.class) { // Danger: where nothing is answered no answer tells of it
+			if now-l.sent > r.lateAt(l.server, l.class) { // Danger: where nothing is answered no answer tells of it
 				l.told = true
 				st.window.answer(now, true, float64(st.flights.out), st.classes[l.class].low)
 			}
--- a/sites/sites.go
+++ b/sites/sites.go
@@ -163,7 +163,8 @@
 	site    int
 	state   control.MemberState
 	since   Seconds
-	strikes int // failures in a row
+	strikes int       // failures in a row
+	low     []Seconds // by class, as that of its site. Danger: of all, a slow machine would look like a queue
 }
 
 const (
@@ -235,12 +236,13 @@
 			continue
 		}
 		if s == nil {
-			s = &server{id: m.Server, site: m.Site}
+			s = &server{id: m.Server, site: m.Site, low: make([]Seconds, len(r.set.Classes))}
 			r.servers[s.id] = s
 			r.sites[m.Site].servers = append(r.sites[m.Site].servers, s)
 		}
 		if m.Since > s.since { // a new life: what its former one did says nothing
 			s.since, s.strikes = m.Since, 0
+			clear(s.low)
 		}
 		s.state = m.State
 	}
@@ -306,13 +308,17 @@
 	return 1
 }
 
+// least moves what counts as the time without a queue: down at once, up over minutes.
+func least(low, waited Seconds, since Seconds) Seconds {
+	if low == 0 || waited < low {
+		return max(waited, low*(1-quantileBy))
+	}
+	return low * (1 + min(quantileBy, lowRises*max(0, since)))
+}
+
 // learn books the time of an answer: the wait for its first byte, and all that the attempt took.
 func (c *class) learn(now, waited, took Seconds) {
-	if waited < c.low {
-		c.low = max(waited, c.low*(1-quantileBy))
-	} else {
-		c.low *= 1 + min(quantileBy, lowRises*max(0, now-c.lowAt))
-	}
+	c.low = least(c.low, waited, now-c.lowAt)
 	c.lowAt = now
 	if took > c.high {
 		c.high += c.high * quantileBy * highPart
--- a/sites/window.go
+++ b/sites/window.go
@@ -9,28 +9,35 @@
 	near  bool
 	limit float64 // attempts out; of warm servers. Infinite: not yet learned
 	late  float64 // share of answers that come too late, averaged
+	told  Seconds // when that was last moved
 	cutAt Seconds // last cut
 	used  Seconds // last time an attempt was begun under it
 	slow  bool    // far: past its first sign of delay
 }
 
 const (
-	farStart   = 2.0  // attempts out over a link at the first crossing
+	farStart   = 0.5  // attempts out over a link at the first crossing
+	farGrant   = 2.0  // beside what the near site had out, when it loses servers
 	farShare   = 0.1  // or this share of those out at the near site
 	idleFor    = 5.0  // s without a crossing after which the far site counts as not known
 	inUse      = 0.6  // of a window: only then do good answers let it grow
 	nearLate   = 0.4  // of its aim: an answer later than this is late at the near site
-	farLate    = 0.2  // of its aim, past the time without a queue: late at a far site
-	lateWeight = 0.08 // of an answer in the average
+	farLate    = 0.15 // of its aim, past the server's time without a queue: late at a far site
+	nearWeight = 0.03 // of an answer in the near average: two late ones by chance are no crowd
+	farWeight  = 0.06 // in a far one, which sees few
+	lateMemory = 4.0  // s after which that fades even without answers
 	nearShare  = 0.15 // of answers may be late before the near window is cut
-	farMost    = 0.25 // the same of a far one: a lossy link stalls some
-	nearCut    = 0.9
+	farMost    = 0.15 // the same of a far one: a lossy link stalls one in twenty
+	nearCut    = 0.85
 	farCut     = 0.75
-	calmPart   = 0.5  // of the late answers at which a window is cut
+	nearCalm   = 0.8  // of the late answers at which the near window is cut: below, it sheds nothing
+	calmPart   = 0.5  // the same of a far one
 	cutPause   = 0.25 // s between cuts at the least: their effect must show first
-	growth     = 0.05 // of itself, beside one attempt, that a window grows by while it is turned over once
+	nearGrow   = 2.0  // attempts that a window grows by while it is turned over once. Danger: gateways that
+	farGrow    = 0.5  // grow by a part of what they have stay as unequal as they began
+	farFirst   = 0.5  // for each answer, before the first sign of delay
 	nearLeast  = 1.0
-	farLeast   = 1.0
+	farLeast   = 0.02 // under 1 a window is a pace: one at a time, with rests between
 )
 
 func newWindow(near bool) window {
@@ -53,27 +60,41 @@
 	if late {
 		bad = 1
 	}
-	w.late += (bad - w.late) * lateWeight
-	most, cut, least := farMost, farCut, farLeast
+	weight, most, cut, least := farWeight, farMost, farCut, farLeast
 	if w.near {
-		most, cut, least = nearShare, nearCut, nearLeast
+		weight, most, cut, least = nearWeight, nearShare, nearCut, nearLeast
 	}
+	w.late *= math.Exp(-max(0, now-w.told) / lateMemory) // Danger: a window so small that next to nothing moves it
+	w.told = now
+	w.late += (bad - w.late) * weight
+	used := out+1 >= math.Floor(w.limit)*inUse // Danger: of 1.7 one is all that can be used
 	switch {
-	case w.late > most && now-w.cutAt > max(cutPause, typical):
+	case w.late > most && now-w.cutAt > max(cutPause, typical) && (used || math.IsInf(w.limit, 1)):
+		// Danger: a near window that is not used up is no cause of late answers; cut, it would only send away.
 		w.limit = max(least, min(w.limit, out+1)*cut)
 		w.cutAt, w.slow = now, true
-	case late || math.IsInf(w.limit, 1) || out+1 < w.limit*inUse || w.late > most:
+	case late || math.IsInf(w.limit, 1) || !used || w.late > most:
 	case !w.near && !w.slow:
-		w.limit++ // doubled with each round: nothing says yet that the far site feels it
+		w.limit += farFirst // half as much again with each round: nothing says yet that the far site feels it
+	case !w.near:
+		w.limit += farGrow / max(1, w.limit)
 	default:
-		w.limit += (1 + growth*w.limit) / w.limit
+		w.limit += nearGrow / w.limit
 	}
 }
 
+// takes tells whether one more may be out beside out, within a limit of part of the window.
+func (w *window) takes(now Seconds, out int, limit float64, typical Seconds) bool {
+	if limit >= 1 || w.near {
+		return float64(out)+1 <= max(1, limit)
+	}
+	return out == 0 && now-w.used >= typical*(1/limit-1)
+}
+
 // calm tells that next to nothing comes late: what is within the window has room.
 func (w *window) calm() bool {
 	if w.near {
-		return w.late < nearShare*calmPart
+		return w.late < nearShare*nearCalm
 	}
 	return w.late < farMost*calmPart
 }
@@ -90,6 +111,6 @@
 	if now-w.used > idleFor {
 		w.slow, w.late = false, 0
 	}
-	w.limit = max(w.limit, farStart+attempts)
+	w.limit = max(w.limit, farGrant+attempts)
 	w.used = now
 }
