Take configuration in numbered versions, from an API and a stream, with the last good kept

Before a tournament routes and plans change, and a bad change would halt every table; the operator's file was read once at the start.

The far site's own clients no longer pay for guests by their own narrow window: late is past half of the aim, and what is beyond a window is refused outright only where late answers still come, or the link is down.

--- /dev/null
+++ b/cmd/configstream/main.go
@@ -0,0 +1,29 @@
+// Command configstream follows control services over ADS for one gateway, and hands it each version by its
+// operations listener. It is a process of its own, so that a gateway without a control service does not carry gRPC.
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"junctionring/internal/controlplane"
+)
+
+func main() {
+	var cli struct {
+		Service []string `required:"" help:"Control services, host:port; the first that can be reached is used."`
+		Gateway string   `default:"127.0.0.1:9082" help:"The gateway's operations listener."`
+		Node    string   `required:"" help:"The gateway's name, as the control services know it."`
+	}
+	k := kong.Parse(&cli, kong.Name("configstream"), kong.Description("Streams configuration versions to a gateway."))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	c := controlplane.Client{Services: cli.Service, Node: cli.Node, Gateway: &controlplane.API{Address: cli.Gateway},
+		Log: slog.New(slog.NewTextHandler(os.Stderr, nil))}
+	k.FatalIfErrorf(c.Run(ctx))
+}
--- a/cmd/junctionring/main.go
+++ b/cmd/junctionring/main.go
@@ -43,6 +43,7 @@
 	var cli struct {
 		Serve   serveCommand   `cmd:"" help:"Serve the platform's protocol or, with an operator's file, forward authentication."`
 		Check   checkCommand   `cmd:"" help:"Check a configuration file."`
+		Config  configCommand  `cmd:"" help:"Show or set the configuration version of a running gateway."`
 		Version versionCommand `cmd:"" help:"Print the version."`
 	}
 	k := kong.Parse(&cli, kong.Name("junctionring"), kong.Description("A quota-keeping gateway."))
--- a/control/control.go
+++ b/control/control.go
@@ -118,7 +118,7 @@
 	}
 	classes := make([]classState, len(s.Classes))
 	for i, c := range s.Classes {
-		classes[i] = classState{typical: c.Aim / 5, work: c.Aim / 8}
+		classes[i] = firstState(&c)
 	}
 	for site := range max(1, s.Sites) {
 		gates := float64(s.gates(site))
@@ -127,6 +127,9 @@
 	return g, nil
 }
 
+// firstState is what a class is taken to be before anything is learned of it.
+func firstState(c *Class) classState { return classState{typical: c.Aim / 5, work: c.Aim / 8} }
+
 // Handle takes one event in and appends the actions it calls for.
 func (g *Gateway) Handle(now Seconds, ev Event, actions []Action) []Action {
 	g.now, g.out = now, actions
@@ -155,6 +158,8 @@
 		if now > g.wakeAt-pulse/4 {
 			g.sweep()
 		}
+	case Reconfigured:
+		g.reconfigure(e)
 	case Restored:
 		g.pool(e.Site).forgive()
 	case Counted:
@@ -219,6 +224,9 @@
 
 func (g *Gateway) customer(e Request) *customer {
 	if c := g.customers[e.Customer]; c != nil {
+		if c.index != e.Plan {
+			c.replan(g.now, &g.set.Plans[e.Plan], e.Plan)
+		}
 		return c
 	}
 	p := &g.set.Plans[e.Plan]
@@ -390,7 +398,7 @@
 	if c.window < current && (c.first || c.window < current-1) && c.unsure == 0 {
 		c.window, c.mine, c.others = current, 0, 0 // nothing to close: too long ago
 	}
-	name, amount := windowName(c.id, c.index, c.window), 0.0
+	name, amount := windowName(c.id, c.plan.key(c.index), c.window), 0.0
 	if c.window == current && c.unsure == 0 {
 		amount = c.delta
 		c.delta = 0
@@ -422,6 +430,11 @@
 	}
 	amount := c.flying
 	c.flying, c.calling = 0, false
+	if c.moved { // Danger: a total under the name of a plan that it has left.
+		c.moved = false
+		g.want(c)
+		return
+	}
 	if e.Status != OK {
 		if g.misses++; g.misses == 1 {
 			g.quiet = g.now
@@ -513,24 +526,6 @@
 	g.peerTold, g.peerGap = g.now, max(peerPause, float64(sent)/(peerIntake*max(1, g.set.Limits.PeerIntake)))
 }
 
-func (g *Gateway) hear(e PeerMessage) {
-	told, ok := decodeUse(e.Data)
-	if !ok {
-		return
-	}
-	g.heard = g.now
-	for _, u := range told {
-		if c := g.customers[u.customer]; c != nil {
-			c.fill(g.now, rateMemory)
-			c.told += u.units
-			c.level = max(0, c.level-u.units)
-			c.part = c.level
-		} else if len(g.hearsay) < maxCustomers {
-			g.hearsay[u.customer] += u.units
-		}
-	}
-}
-
 // ---- 3. Requests ----
 
 func (g *Gateway) request(e Request) {
--- a/control/peers.go
+++ b/control/peers.go
@@ -53,3 +53,21 @@
 	}
 	return told, true
 }
+
+func (g *Gateway) hear(e PeerMessage) {
+	told, ok := decodeUse(e.Data)
+	if !ok {
+		return
+	}
+	g.heard = g.now
+	for _, u := range told {
+		if c := g.customers[u.customer]; c != nil {
+			c.fill(g.now, rateMemory)
+			c.told += u.units
+			c.level = max(0, c.level-u.units)
+			c.part = c.level
+		} else if len(g.hearsay) < maxCustomers {
+			g.hearsay[u.customer] += u.units
+		}
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -115,6 +115,7 @@
 	since   float64 // units sent on since the last view
 	first   bool    // the first read is still to come
 	calling bool
+	moved   bool // to another plan, while a call was out
 	queued  bool
 	seen    Seconds // time of the last view
 	due     Seconds
@@ -185,9 +186,9 @@
 }
 
 // windowName names a customer's count in one window (splitmix64 steps).
-func windowName(id uint64, plan int, window int64) uint64 {
+func windowName(id, plan uint64, window int64) uint64 {
 	h := id
-	for _, v := range [...]uint64{uint64(plan) + 1, uint64(window)} {
+	for _, v := range [...]uint64{plan, uint64(window)} {
 		h += v*0x9e3779b97f4a7c15 + 0x632be59bd9b4e019
 		h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
 		h = (h ^ h>>27) * 0x94d049bb133111eb
@@ -387,3 +388,65 @@
 	}
 	return max(1, s.Gateways)
 }
+
+// key is a plan's number in the names of counts: its own, or its place where it has none.
+func (p *Plan) key(index int) uint64 {
+	if p.Key != 0 {
+		return p.Key
+	}
+	return uint64(index) + 1
+}
+
+// replan moves a customer to another plan. What it has used stays used: its store holds what it held, or the new
+// burst where that is less; units not yet added are added under the plan's new name.
+func (c *customer) replan(now Seconds, p *Plan, index int) {
+	c.fill(now, rateMemory)
+	c.plan, c.index, c.moved = p, index, c.calling
+	c.level, c.part = min(c.level, p.Burst), min(c.part, p.Burst)
+	c.ceiling = min(c.ceiling, p.CeilingBurst/c.spread)
+	c.window = int64(math.Floor(now / p.window(shortWindow)))
+	c.mine, c.others, c.unsure = 0, 0, 0
+}
+
+// reconfigure takes new classes and plans in. What is held goes on by the numbers it came in with.
+func (g *Gateway) reconfigure(e Reconfigured) {
+	set := g.set
+	set.Classes, set.Plans = slices.Clone(e.Classes), slices.Clone(e.Plans)
+	if set.validate() != nil || len(e.From) != len(e.Classes) || len(e.Classes) < len(g.set.Classes) || len(e.Plans) < len(g.set.Plans) {
+		return // whoever offers it has it checked before
+	}
+	for _, p := range g.pools {
+		old := p.classes
+		p.classes = make([]classState, len(e.Classes))
+		for i := range p.classes {
+			switch from := e.From[i]; {
+			case i < len(old) && from == i:
+				p.classes[i] = old[i]
+			case from >= 0 && from < len(old):
+				p.classes[i] = classState{typical: old[from].typical, work: old[from].work, full: old[from].full}
+			default:
+				p.classes[i] = firstState(&e.Classes[i])
+			}
+		}
+		for _, s := range p.list {
+			s.served, s.full = resized(s.served, len(e.Classes)), resized(s.full, len(e.Classes))
+		}
+	}
+	g.set = set
+}
+
+func resized(s []Seconds, n int) []Seconds {
+	return append(s, make([]Seconds, n-len(s))...)
+}
+
+// InUse counts the customers held by their plan's number.
+func (g *Gateway) InUse() map[int]int {
+	n := map[int]int{}
+	for _, c := range g.order {
+		n[c.index]++
+	}
+	return n
+}
+
+// Check says what cannot be right in settings.
+func (s *Settings) Check() error { return s.validate() }
--- a/control/types.go
+++ b/control/types.go
@@ -84,6 +84,7 @@
 
 // Plan is what a customer of this plan may use, over all gateways together.
 type Plan struct {
+	Key          uint64  // in the names of counts, the same at all gateways; 0: by the plan's place in the settings
 	Rate         float64 // units a second; 0: no such quota
 	Burst        float64 // units the store holds; it opens full
 	Open         int     // attempts out at once; 0: no such quota
@@ -223,6 +224,14 @@
 		Load    []float64
 	}
 
+	// Reconfigured brings new classes and plans. Numbers that were in use stay, and mean what they meant; From names,
+	// for each class, the one whose learned times it begins with: itself where it goes on, -1 for none.
+	Reconfigured struct {
+		Classes []Class
+		Plans   []Plan
+		From    []int
+	}
+
 	// Restored tells that the way to a site is there again: what failed meanwhile was not its servers' doing.
 	Restored struct{ Site int }
 
@@ -337,16 +346,18 @@
 	Log struct{ Text string }
 )
 
-func (Members) event()     {}
-func (Request) event()     {}
-func (Started) event()     {}
-func (Outcome) event()     {}
-func (Gone) event()        {}
-func (Timer) event()       {}
-func (Probed) event()      {}
-func (Restored) event()    {}
-func (PeerMessage) event() {}
-func (Counted) event()     {}
+func (Members) event()  {}
+func (Request) event()  {}
+func (Started) event()  {}
+func (Outcome) event()  {}
+func (Gone) event()     {}
+func (Timer) event()    {}
+func (Probed) event()   {}
+func (Restored) event() {}
+
+func (Reconfigured) event() {}
+func (PeerMessage) event()  {}
+func (Counted) event()      {}
 
 func (Send) action()      {}
 func (Cancel) action()    {}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -118,6 +118,11 @@
 		took   control.Seconds
 	}
 	report  struct{ got chan sites.Report }
+	inUse   struct{ got chan map[int]int }
+	changed struct {
+		control.Reconfigured
+		done chan struct{}
+	}
 	flush   struct{ done chan struct{} }
 	shedAll struct{}
 )
@@ -192,6 +197,28 @@
 	}
 }
 
+// Reconfigure takes new classes and plans in, and returns once exchanges may name them. Numbers in use stay.
+func (c *Core) Reconfigure(e control.Reconfigured) {
+	m := changed{e, make(chan struct{})}
+	c.post(m)
+	select {
+	case <-m.done:
+	case <-c.done:
+	}
+}
+
+// PlansInUse counts the customers that are known, by the number of their plan.
+func (c *Core) PlansInUse() map[int]int {
+	m := inUse{make(chan map[int]int, 1)}
+	c.post(m)
+	select {
+	case n := <-m.got:
+		return n
+	case <-c.done:
+		return nil
+	}
+}
+
 // Do has an exchange decided and carried out, and returns its one final answer. If ctx ends first the client
 // has left: whatever is out for it is called off.
 func (c *Core) Do(ctx context.Context, x Exchange) Answer {
@@ -319,6 +346,15 @@
 	case probed:
 		c.sites.Probed(c.now(), m.target, m.status, m.took)
 		c.tick() // a link that is up again is used at once
+	case inUse:
+		m.got <- c.gateway.InUse()
+	case changed:
+		c.classes = m.Classes
+		if c.sites != nil {
+			c.sites.Reconfigure(c.now(), m.Classes, m.From)
+		}
+		c.feed(m.Reconfigured)
+		close(m.done)
 	case report:
 		m.got <- c.sites.Report()
 	case flush:
--- a/internal/forwardauth/check.go
+++ b/internal/forwardauth/check.go
@@ -40,14 +40,14 @@
 }
 
 // closed is what a client gets when no verdict is to be had: nothing has run, it may come again.
-func (f *Front) closed() *refusal {
+func (f visit) closed() *refusal {
 	return &refusal{status: http.StatusServiceUnavailable, retryAfter: f.o.Checker.RetryAfter.Duration,
 		text: "the request could not be checked"}
 }
 
 // identify finds out who a client is: one check, with its own deadline inside the client's, or what a trusted
 // proxy says where there is no checker. It returns the headers to copy onward, or why not.
-func (f *Front) identify(ctx context.Context, h http.Header, origin map[string]string, trusted bool) (http.Header, *refusal) {
+func (f visit) identify(ctx context.Context, h http.Header, origin map[string]string, trusted bool) (http.Header, *refusal) {
 	if f.checker == nil {
 		identity := http.Header{}
 		if trusted {
@@ -83,7 +83,7 @@
 }
 
 // question is the message to the checker: the client's headers without its body, and what it asked for.
-func (f *Front) question(h http.Header, origin map[string]string) *egress.Request {
+func (f visit) question(h http.Header, origin map[string]string) *egress.Request {
 	q := http.Header{}
 	for name, values := range h {
 		if len(f.o.Checker.RequestHeaders) == 0 || slices.ContainsFunc(f.o.Checker.RequestHeaders, func(n string) bool {
--- a/internal/forwardauth/forwardauth.go
+++ b/internal/forwardauth/forwardauth.go
@@ -16,6 +16,7 @@
 	"net/url"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"junctionring/control"
@@ -39,58 +40,59 @@
 var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
 	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length"}
 
-// Front is the handler of the front.
+// Front is the handler of the front. Each request is decided under the one view that it came in under.
 type Front struct {
-	o        *config.Operator
-	names    *ingress.Names
-	core     *core.Core
-	checker  *egress.Peer
-	checkURL *url.URL
-	proxy    *httputil.ReverseProxy
-	keys     keys
-	log      *slog.Logger
+	core  *core.Core
+	proxy *httputil.ReverseProxy
+	keys  keys
+	log   *slog.Logger
+
+	mu   sync.Mutex
+	view *View
+	past []*View // replaced, and still used by requests
 }
 
 // New makes the front of an operator's file.
 func New(o *config.Operator, c *core.Core, log *slog.Logger) (*Front, error) {
 	f := &Front{
-		o: o, core: c, log: log, keys: keys{known: map[string]*keyState{}},
-		names: &ingress.Names{Gateways: o.Gateways},
+		core: c, log: log, keys: keys{known: map[string]*keyState{}},
 		proxy: ingress.Proxy(&egress.RoundTripper{Core: c, RetryAfter: egress.WholeSeconds}, log),
 	}
-	for i, class := range o.Classes {
-		f.names.Classes = append(f.names.Classes, class.Name)
-		f.names.Repeats = append(f.names.Repeats, o.Module.Classes[i].Repeat)
-	}
-	for _, plan := range o.Plans {
-		f.names.Plans = append(f.names.Plans, plan.Name)
-	}
-	if o.Checker.URL != "" {
-		u, err := url.Parse(o.Checker.URL)
-		if err != nil {
-			return nil, err
-		}
-		address := u.Host
-		if u.Port() == "" {
-			address = net.JoinHostPort(u.Hostname(), "80")
-		}
-		f.checkURL = u
-		f.checker = egress.NewPeer(address, egress.Options{
-			ConnectTimeout: checkerDial, ConnIdle: checkerIdle, Conns: checkerConns,
-		})
+	var err error
+	f.view, err = f.NewView(o, 0, places(len(o.Classes)), places(len(o.Plans)))
+	return f, err
+}
+
+func places(n int) (all []int) {
+	for i := range n {
+		all = append(all, i)
 	}
-	return f, nil
+	return all
 }
 
 // Close ends what the front keeps open.
 func (f *Front) Close() {
-	if f.checker != nil {
-		f.checker.Close()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.view.checker != nil {
+		f.view.checker.Close()
 	}
 }
 
+// visit is one request's stay, with the view that it is decided under.
+type visit struct {
+	*Front
+	*View
+}
+
 // ServeHTTP implements http.Handler.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	v := f.enterView()
+	defer f.leaveView(v)
+	visit{f, v}.serve(w, r)
+}
+
+func (f visit) serve(w http.ResponseWriter, r *http.Request) {
 	received := time.Now()
 	if f.o.Asked.Path != "" && r.URL.Path == f.o.Asked.Path {
 		f.asked(w, r, received)
@@ -137,13 +139,14 @@
 }
 
 // carry has an exchange carried out, a keyed one under the guard of its key.
-func (f *Front) carry(w http.ResponseWriter, r *http.Request, x core.Exchange, body []byte) {
-	class := f.o.Module.Classes[x.Class]
+func (f visit) carry(w http.ResponseWriter, r *http.Request, x core.Exchange, body []byte) {
+	class, name := f.o.Module.Classes[x.Class], f.names.Classes[x.Class]
+	x.Class = f.classes[x.Class]
 	if class.Repeat != control.Keyed {
 		f.proxy.ServeHTTP(w, egress.WithExchange(r, &x, body, nil))
 		return
 	}
-	id := f.names.Classes[x.Class] + "\x00" + r.Header.Get(f.o.Identity.Account) + "\x00" + r.Header.Get("Idempotency-Key")
+	id := name + "\x00" + r.Header.Get(f.o.Identity.Account) + "\x00" + r.Header.Get("Idempotency-Key")
 	v, by, reply, ranAt := f.keys.begin(id, time.Now(), time.Duration(class.Window*float64(time.Second)))
 	switch v {
 	case running, spent:
@@ -175,7 +178,7 @@
 }
 
 // asked answers a proxy that asks whether a request may pass. It is the proxy that sends the request on.
-func (f *Front) asked(w http.ResponseWriter, r *http.Request, received time.Time) {
+func (f visit) asked(w http.ResponseWriter, r *http.Request, received time.Time) {
 	if !f.trusted(r) {
 		(&refusal{status: http.StatusForbidden, text: "only configured proxies may ask"}).write(w)
 		return
@@ -202,6 +205,7 @@
 		no.write(w)
 		return
 	}
+	x.Class = f.classes[x.Class]
 	switch a := f.core.Do(ctx, x); {
 	case a.Kind == core.Allowed:
 		for name, values := range identity {
@@ -216,7 +220,7 @@
 }
 
 // decode reads a message but for who sent it: that is for the checker to say.
-func (f *Front) decode(r *http.Request, received time.Time) (x core.Exchange, err error) {
+func (f visit) decode(r *http.Request, received time.Time) (x core.Exchange, err error) {
 	if x.Class, err = f.names.Class(r); err != nil {
 		return x, err
 	}
@@ -238,11 +242,12 @@
 }
 
 // enter fills in who sent an exchange.
-func (f *Front) enter(x *core.Exchange, identity http.Header) *refusal {
+func (f visit) enter(x *core.Exchange, identity http.Header) *refusal {
 	account, plan := identity.Get(f.o.Identity.Account), identity.Get(f.o.Identity.Plan)
-	x.Plan = slices.Index(f.names.Plans, plan)
+	place := slices.Index(f.names.Plans, plan)
 	switch {
-	case account != "" && x.Plan >= 0:
+	case account != "" && place >= 0:
+		x.Plan = f.plans[place]
 		h := fnv.New64a()
 		h.Write([]byte(account))
 		x.Customer = h.Sum64()
@@ -257,7 +262,7 @@
 }
 
 // trusted tells whether the peer is a configured proxy.
-func (f *Front) trusted(r *http.Request) bool {
+func (f visit) trusted(r *http.Request) bool {
 	peer, err := netip.ParseAddrPort(r.RemoteAddr)
 	return err == nil && slices.ContainsFunc(f.o.TrustedProxies, func(p netip.Prefix) bool {
 		return p.Contains(peer.Addr().Unmap())
@@ -265,7 +270,7 @@
 }
 
 // origin is what the forwarded headers are to say: what a trusted proxy says, else what is seen here.
-func (f *Front) origin(r *http.Request, trusted bool) map[string]string {
+func (f visit) origin(r *http.Request, trusted bool) map[string]string {
 	peer, _, _ := net.SplitHostPort(r.RemoteAddr)
 	o := map[string]string{
 		"X-Forwarded-Method": r.Method, "X-Forwarded-Proto": "http", "X-Forwarded-Host": r.Host,
@@ -290,7 +295,7 @@
 }
 
 // strip removes what a client may not say of itself.
-func (f *Front) strip(h http.Header) {
+func (f visit) strip(h http.Header) {
 	for _, list := range [][]string{forwarded, f.o.Checker.ResponseHeaders, {f.o.Identity.Account, f.o.Identity.Plan}} {
 		for _, name := range list {
 			h.Del(name)
--- a/internal/forwardauth/keys.go
+++ b/internal/forwardauth/keys.go
@@ -1,6 +1,7 @@
 package forwardauth
 
 import (
+	"strings"
 	"sync"
 	"time"
 
@@ -71,6 +72,18 @@
 	return repeat, by, nil, s.ranAt
 }
 
+// inDoubt counts the keys of a class that may have run and may still be repeated.
+func (k *keys) inDoubt(class string, now time.Time, window time.Duration) (n int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for key, s := range k.known {
+		if name, _, _ := strings.Cut(key, "\x00"); name == class && !s.served && now.Before(s.first.Add(window)) {
+			n++
+		}
+	}
+	return n
+}
+
 func (k *keys) sweep(now time.Time) (room bool) {
 	for key, s := range k.known {
 		if !s.out && now.After(s.expires) {
--- /dev/null
+++ b/internal/forwardauth/view.go
@@ -0,0 +1,150 @@
+package forwardauth
+
+import (
+	"fmt"
+	"net"
+	"net/url"
+	"time"
+
+	"junctionring/internal/config"
+	"junctionring/internal/egress"
+	"junctionring/internal/ingress"
+)
+
+// View is one configuration version as the front sees it. It is not changed once it is made.
+type View struct {
+	Version  int64
+	o        *config.Operator
+	names    *ingress.Names
+	classes  []int // the numbers in the core, by their place in the document
+	plans    []int
+	checker  *egress.Peer
+	checkURL *url.URL
+	users    int // requests under it; guarded by the front
+}
+
+// NewView makes a view of a version. Nothing sees it before Install.
+func (f *Front) NewView(o *config.Operator, number int64, classes, plans []int) (*View, error) {
+	v := &View{Version: number, o: o, names: &ingress.Names{Gateways: o.Gateways, Routes: o.Paths}, classes: classes, plans: plans}
+	for i, class := range o.Classes {
+		v.names.Classes = append(v.names.Classes, class.Name)
+		v.names.Repeats = append(v.names.Repeats, o.Module.Classes[i].Repeat)
+	}
+	for _, plan := range o.Plans {
+		v.names.Plans = append(v.names.Plans, plan.Name)
+	}
+	if o.Checker.URL == "" {
+		return v, nil
+	}
+	u, err := url.Parse(o.Checker.URL)
+	if err != nil {
+		return nil, err
+	}
+	v.checkURL = u
+	f.mu.Lock()
+	now := f.view
+	f.mu.Unlock()
+	if now != nil && now.checkURL != nil && now.checkURL.Host == u.Host {
+		v.checker = now.checker // its connections go on
+		return v, nil
+	}
+	address := u.Host
+	if u.Port() == "" {
+		address = net.JoinHostPort(u.Hostname(), "80")
+	}
+	v.checker = egress.NewPeer(address, egress.Options{
+		ConnectTimeout: checkerDial, ConnIdle: checkerIdle, Conns: checkerConns,
+	})
+	return v, nil
+}
+
+// Number gives a view's classes and plans their numbers in the core, before it is installed.
+func (v *View) Number(classes, plans []int) { v.classes, v.plans = classes, plans }
+
+// Install has new requests decided under a view. Those that are held end under the one they came in with.
+func (f *Front) Install(v *View) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.past = append(f.past, f.view)
+	f.view = v
+	f.sweep()
+}
+
+// Classes are the numbers of classes, and Plans those of plans, that requests may still use.
+func (f *Front) Classes() map[int]bool { return f.used(func(v *View) []int { return v.classes }) }
+
+// Plans is documented with Classes.
+func (f *Front) Plans() map[int]bool { return f.used(func(v *View) []int { return v.plans }) }
+
+func (f *Front) used(of func(*View) []int) map[int]bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sweep()
+	all := map[int]bool{}
+	for _, v := range append([]*View{f.view}, f.past...) {
+		for _, n := range of(v) {
+			all[n] = true
+		}
+	}
+	return all
+}
+
+func (f *Front) enterView() *View {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.view.users++
+	return f.view
+}
+
+func (f *Front) leaveView(v *View) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if v.users--; v.users == 0 && v != f.view {
+		f.sweep()
+	}
+}
+
+// sweep lets go of replaced views that nobody uses, and of checkers that no view asks.
+func (f *Front) sweep() {
+	kept := f.past[:0]
+	var gone []*View
+	for _, v := range f.past {
+		if v.users > 0 {
+			kept = append(kept, v)
+		} else {
+			gone = append(gone, v)
+		}
+	}
+	f.past = kept
+	for _, v := range gone {
+		needed := v.checker == nil || v.checker == f.view.checker
+		for _, k := range kept {
+			needed = needed || k.checker == v.checker
+		}
+		if !needed {
+			go v.checker.Close()
+		}
+	}
+}
+
+// InDoubt names the keyed classes of a new version whose window is shorter than the present one while keys of it
+// are in doubt: by the new window they would count as forgotten by table servers that still know them, or not.
+func (f *Front) InDoubt(o *config.Operator) (faults []string) {
+	f.mu.Lock()
+	now := f.view
+	f.mu.Unlock()
+	windows := map[string]time.Duration{}
+	for i, c := range now.o.Classes {
+		windows[c.Name] = time.Duration(now.o.Module.Classes[i].Window * float64(time.Second))
+	}
+	for i, c := range o.Classes {
+		window := time.Duration(o.Module.Classes[i].Window * float64(time.Second))
+		if before := windows[c.Name]; window < before {
+			if n := f.keys.inDoubt(c.Name, time.Now(), before); n > 0 {
+				faults = append(faults, fmt.Sprintf("class %s: its window shrinks from %v to %v while %d keys are in doubt; "+
+					"offer it again in %v", c.Name, before, window, n, before))
+			}
+		}
+	}
+	return faults
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -13,12 +14,14 @@
 	"time"
 
 	"junctionring/internal/config"
+	"junctionring/internal/configuration"
 	"junctionring/internal/core"
 	"junctionring/internal/counter"
 	"junctionring/internal/egress"
 	"junctionring/internal/forwardauth"
 	"junctionring/internal/operations"
 	"junctionring/internal/routetable"
+	"junctionring/internal/snapshot"
 	"junctionring/sites"
 )
 
@@ -31,23 +34,28 @@
 
 // Gateway is an operator's gateway.
 type Gateway struct {
-	Core  *core.Core
-	front *forwardauth.Front
-	o     *config.Operator
-	tally *counter.Redis
-	log   *slog.Logger
+	Core    *core.Core
+	Steward *configuration.Steward
+	front   *forwardauth.Front
+	o       *config.Operator
+	tally   *counter.Redis
+	roster  *routetable.Roster
+	log     *slog.Logger
 }
 
-// New joins the parts; nothing runs yet.
-func New(o *config.Operator, log *slog.Logger, seed uint64) (*Gateway, error) {
+// New joins the parts; nothing runs yet. base is what the file says; where a snapshot is kept the gateway begins
+// with the last good version instead.
+func New(base *config.Operator, log *slog.Logger, seed uint64) (*Gateway, error) {
+	base.KeyPlans()
+	o, number, content := lastGood(base, log)
 	tally := counter.NewRedis(o.Redis.Address, o.Redis.Timeout.Duration)
 	c, err := core.New(o.Module, seed, egress.NewFleet(egressOptions(o)...), tally, log)
 	if err != nil {
 		return nil, err
 	}
 	if len(o.Sites) > 0 {
-		o.Routes.Seed = rand.New(rand.NewPCG(seed, 1)).Uint64()
-		router, err := sites.New(o.Routes)
+		o.Far.Seed = rand.New(rand.NewPCG(seed, 1)).Uint64()
+		router, err := sites.New(o.Far)
 		if err != nil {
 			return nil, err
 		}
@@ -57,27 +65,66 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Gateway{Core: c, front: front, o: o, tally: tally, log: log}, nil
+	g := &Gateway{Core: c, front: front, o: o, tally: tally, log: log, roster: &routetable.Roster{Tell: c.Routes}}
+	g.Steward = configuration.New(base, o, number, content, c, front, g.targets, log)
+	g.roster.Known = g.Steward.Roster
+	return g, nil
+}
+
+// lastGood is the version that a gateway begins with. A snapshot that can't be used is named, and the file serves.
+func lastGood(base *config.Operator, log *slog.Logger) (o *config.Operator, number int64, content []byte) {
+	path := base.Versions.Snapshot
+	if path == "" {
+		return base, 0, nil
+	}
+	v, err := snapshot.Load(path)
+	if err != nil {
+		if !errors.Is(err, snapshot.ErrNone) {
+			log.Error("the snapshot is not used; the file is", "err", err)
+		}
+		return base, 0, nil
+	}
+	next, faults := config.ReadVersion(v.Content, base)
+	if len(faults) > 0 {
+		log.Error("the snapshot's version does not fit the file any more; the file is used", "number", v.Number, "err", errors.Join(faults...))
+		return base, 0, nil
+	}
+	log.Info("begins with the last good version", "number", v.Number)
+	return next, v.Number, v.Content
+}
+
+// targets has the targets of a version that comes into force used.
+func (g *Gateway) targets(o *config.Operator) {
+	if o.Discovery.Address == "" {
+		g.Core.Routes(routetable.Static(o))
+		return
+	}
+	allowed := map[string]bool{}
+	for _, t := range o.Targets {
+		allowed[t.ID] = true
+	}
+	g.roster.Allow(allowed)
 }
 
 // Front is the handler for clients.
 func (g *Gateway) Front() http.Handler { return g.front }
 
 // Operations is the handler for operators.
-func (g *Gateway) Operations() http.Handler { return operations.New(g.o, g.Core) }
+func (g *Gateway) Operations() http.Handler { return operations.New(g.o, g.Core, g.Steward) }
 
 // Start has the parts run until ctx ends, and returns once the route table is known; false: ready ended first.
 func (g *Gateway) Start(ctx, ready context.Context) bool {
 	go g.Core.Run(ctx)
 	go g.tally.Run(ctx)
+	go g.Steward.Run(ctx)
+	g.targets(g.o)
 	if g.o.Discovery.Address == "" {
-		g.Core.Routes(routetable.Static(g.o))
 		return true
 	}
 	known := make(chan struct{})
 	var once sync.Once
 	list := &routetable.Discovery{Address: g.o.Discovery.Address, Log: g.log, Tell: func(t core.Table) {
-		g.Core.Routes(t)
+		g.roster.Take(t)
 		once.Do(func() { close(known) })
 	}}
 	if len(g.o.Sites) > 0 {
@@ -114,7 +161,7 @@
 		rest -= site.Conns
 		all = append(all, site)
 	}
-	if own := o.Routes.Own; o.Sites[own].Connections == 0 {
+	if own := o.Far.Own; o.Sites[own].Connections == 0 {
 		all[own].Conns += max(0, rest)
 	}
 	return all
--- a/internal/gateway/twosites_test.go
+++ b/internal/gateway/twosites_test.go
@@ -393,3 +393,63 @@
 	}
 	w.rules()
 }
+
+// Four gateways ask more of the near site than it can do in time: the excess crosses, nobody is left without an
+// answer, and when the crowd is gone everything is served near again.
+func TestOverloadCrossesAndComesBack(t *testing.T) {
+	w := newWorld(t, scene{gates: 4, near: 1, far: 3, work: 40 * time.Millisecond, group: "site", queue: 200})
+	all := w.crowd(60, 6, "move-submit") // 60 at once where 2 are done in 40 ms: more than a second's work
+	if near, far := count(all, "near"), count(all, "far"); near == 0 || far == 0 {
+		t.Errorf("%d near, %d far", near, far)
+	}
+	slow := uint64(0)
+	for gate := range w.gates {
+		for _, c := range w.report(gate).Sites[1].Crossed {
+			if c.Cause == "near too slow" {
+				slow += c.Count
+			}
+		}
+	}
+	if slow < uint64(count(all, "far")) {
+		t.Errorf("%d crossings counted as near too slow, %d served far", slow, count(all, "far"))
+	}
+	w.await("the late answers to be forgotten", func() bool {
+		one := w.ask(0, "table-view", "")
+		return one.site() == "near" && w.report(0).Sites[0].Late < 0.1
+	})
+	if calm := w.crowd(4, 6, "table-view"); count(calm, "near") < len(calm)-1 {
+		t.Errorf("after: %d of %d near", count(calm, "near"), len(calm))
+	}
+	w.rules()
+}
+
+// The far site drains while it serves for a near one that drains, too, and comes back: what was under way ends
+// with its own answer, what comes meanwhile is refused early, and then served again.
+func TestFarDrainsWhileItServes(t *testing.T) {
+	w := newWorld(t, scene{gates: 1, near: 1, far: 2, work: 100 * time.Millisecond, group: "site"})
+	w.registry.Drain("near-0")
+	w.await("the notice", func() bool { return w.report(0).Sites[0].Draining == 1 })
+	flying := make(chan []answer, 1)
+	go func() { flying <- w.crowd(2, 1, "move-submit") }()
+	w.await("two moves at far servers", func() bool { return len(w.record.All()) == 2 })
+	w.registry.Drain("far-0", "far-1")
+	for _, a := range <-flying {
+		if a.site() != "far" {
+			t.Errorf("under way: %+v", a)
+		}
+	}
+	w.await("the notice", func() bool { return w.report(0).Sites[1].Draining == 2 })
+	if a := w.ask(0, "move-submit", ""); a.status != http.StatusServiceUnavailable {
+		t.Errorf("with both drained: %+v", a)
+	}
+	address, err := w.link.To(w.far[0].Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.registry.Put(w.far[0].Instance(address))
+	w.await("a far server", func() bool { return w.report(0).Sites[1].Ready == 1 })
+	if a := w.ask(0, "move-submit", ""); a.site() != "far" {
+		t.Errorf("back: %+v", a)
+	}
+	w.rules()
+}
--- a/internal/ingress/decode.go
+++ b/internal/ingress/decode.go
@@ -15,6 +15,7 @@
 
 	"junctionring/control"
 	"junctionring/internal/core"
+	"junctionring/internal/routes"
 )
 
 // Margin is how long before the client gives up its answer is to be on its way.
@@ -47,6 +48,7 @@
 	Plans    []string
 	Repeats  []control.Repeat  // by class
 	Longest  []control.Seconds // by class: no client waits longer; 0 or none: any wait
+	Routes   *routes.Table     // nil: the first part of a path is its class
 	Gateways int
 	MaxUnits float64 // of one exchange; 0: mostUnits
 }
@@ -55,6 +57,13 @@
 func (n *Names) Class(r *http.Request) (int, error) {
 	first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), "/"), "/")
 	class := slices.Index(n.Classes, first)
+	if n.Routes != nil {
+		var ok bool
+		if class, ok = n.Routes.Match(r.Method, r.URL.EscapedPath()); !ok {
+			return 0, &Malformed{http.StatusNotFound, fmt.Sprintf("no route for %s %.40q", r.Method, r.URL.EscapedPath())}
+		}
+		first = n.Classes[class]
+	}
 	if class < 0 {
 		return 0, &Malformed{http.StatusNotFound, fmt.Sprintf("no such class: %.40q", first)}
 	}
--- a/internal/operations/operations.go
+++ b/internal/operations/operations.go
@@ -1,5 +1,6 @@
 // Package operations is the listener for operators: what the gateway knows and counts, as JSON. It owns the
-// words under which that is shown, and never changes anything.
+// words under which that is shown, and the calls by which they set versions; what is
+// done about those is decided elsewhere.
 package operations
 
 import (
@@ -7,6 +8,7 @@
 	"net/http"
 
 	"junctionring/internal/config"
+	"junctionring/internal/configuration"
 	"junctionring/internal/core"
 	"junctionring/sites"
 )
@@ -17,10 +19,11 @@
 	Gateways int           `json:"gateways"`
 	Classes  []string      `json:"classes"` // by the numbers used below
 	Sites    *sites.Report `json:"sites,omitempty"`
+	Config   *Config       `json:"config,omitempty"`
 }
 
 // New is the handler of the listener.
-func New(o *config.Operator, c *core.Core) http.Handler {
+func New(o *config.Operator, c *core.Core, steward *configuration.Steward) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, r *http.Request) {
 		s := Status{Ordinal: o.Ordinal, Gateways: o.Gateways}
@@ -30,10 +33,14 @@
 		if report, ok := c.Sites(); ok {
 			s.Sites = &report
 		}
+		if st, ok := steward.Status(); ok {
+			s.Config = configOf(st)
+		}
 		w.Header().Set("Content-Type", "application/json")
 		in := json.NewEncoder(w)
 		in.SetIndent("", "  ")
 		in.Encode(s)
 	})
+	serveConfig(mux, steward)
 	return mux
 }
--- a/sites/count.go
+++ b/sites/count.go
@@ -1,5 +1,12 @@
 package sites
 
+import (
+	"fmt"
+	"strings"
+)
+
+const summaryEvery = 10.0 // s between lines for the operators, where something crossed or could not
+
 // Counts is what crossed and what could not, since the start. The indexes are those of the settings.
 type Counts struct {
 	Crossed  [][][causes]uint64 // attempts sent over a link, by site and class
@@ -99,3 +106,36 @@
 	}
 	return n
 }
+
+// summary leaves a line of what crossed since the last one, and what was refused because it could not.
+func (r *Router) summary() {
+	if r.now-r.sumAt < summaryEvery {
+		return
+	}
+	r.sumAt = r.now
+	if r.summed.Crossed == nil {
+		r.summed = newCounts(len(r.sites), len(r.set.Classes))
+	}
+	var b strings.Builder
+	for i := range r.counts.Crossed {
+		for class := range r.counts.Crossed[i] {
+			for cause, n := range r.counts.Crossed[i][class] {
+				if before := r.summed.Crossed[i][class][cause]; n > before {
+					fmt.Fprintf(&b, " %d of class %d to %s (%v)", n-before, class, r.sites[i].Name, Cause(cause))
+				}
+			}
+			r.summed.Crossed[i][class] = r.counts.Crossed[i][class]
+		}
+	}
+	for class := range r.counts.Refused {
+		for bar, n := range r.counts.Refused[class] {
+			if before := r.summed.Refused[class][bar]; n > before {
+				fmt.Fprintf(&b, " %d of class %d refused (%v)", n-before, class, Bar(bar))
+			}
+		}
+		r.summed.Refused[class] = r.counts.Refused[class]
+	}
+	if b.Len() > 0 {
+		r.say("crossed:%s", b.String())
+	}
+}
--- a/sites/route.go
+++ b/sites/route.go
@@ -63,7 +63,8 @@
 	stay.Reach.Room = room && near.window.calm()
 	// Nobody helps: what is beyond the window would only make the rest late. Now the urgent ones come last to it.
 	part = urgentAt + (otherAt-urgentAt)*urgency
-	stay.Reach.Full = near.ready > 0 && !near.window.takes(now, near.flights.out, near.window.limit*part, 0)
+	// A far site that is only busy will soon help again: until then control sheds by what it sees.
+	stay.Reach.Full = near.ready > 0 && (bar == LinkDown || !near.window.calm()) && !near.window.takes(now, near.flights.out, near.window.limit*part, 0)
 	return stay
 }
 
@@ -230,6 +231,7 @@
 		actions = append(actions, Restored{i})
 	}
 	r.back = r.back[:0]
+	r.summary()
 	for _, text := range r.log {
 		actions = append(actions, Log{text})
 	}
--- a/sites/sites.go
+++ b/sites/sites.go
@@ -131,7 +131,9 @@
 	urgency []float64 // by class, from worth a second of the wanted time: 0 for the least, 1 for the most
 	counts  Counts
 	log     []string // lines that wait for the next Tick
-	back    []int    // sites whose link came up since the last Tick
+	summed  Counts   // the counts at the last summary
+	sumAt   Seconds
+	back    []int // sites whose link came up since the last Tick
 }
 
 // site is what is known of one site.
@@ -183,24 +185,14 @@
 	}
 	r := &Router{set: s, rng: rand.New(rand.NewPCG(s.Seed, 0xbf58476d1ce4e5b9)), servers: map[string]*server{},
 		sites: make([]site, len(s.Sites)), counts: newCounts(len(s.Sites), len(s.Classes))}
-	least, most := math.Inf(1), 0.0
-	for _, c := range s.Classes {
-		least, most = min(least, c.Worth/c.Aim), max(most, c.Worth/c.Aim)
-	}
-	for _, c := range s.Classes {
-		u := 1.0
-		if most > least {
-			u = (c.Worth/c.Aim - least) / (most - least)
-		}
-		r.urgency = append(r.urgency, u)
-	}
+	r.urgency = urgencies(s.Classes)
 	for i := range r.sites {
 		st := &r.sites[i]
 		st.Site = s.Sites[i]
 		st.window = newWindow(i == s.Own)
 		st.link.rtt = 2 * st.Distance
 		for _, c := range s.Classes {
-			st.classes = append(st.classes, class{low: c.Aim*firstLow + 2*st.Distance, high: c.Aim*firstHigh + 2*st.Distance})
+			st.classes = append(st.classes, firstClass(c, st.Distance))
 		}
 		if i != s.Own {
 			r.far = append(r.far, i)
--- a/sites/sites_test.go
+++ b/sites/sites_test.go
@@ -265,6 +265,27 @@
 	}
 }
 
+// What crossed and what could not is said once, in one line.
+func TestSummaryInTheLog(t *testing.T) {
+	r := two(t, 2)
+	r.Tick(100, nil)
+	r.Sent(101, id(1, 0), move, Verdict{Cause: NearDraining})
+	r.Refused(view, Verdict{Bar: FarBusy})
+	var lines []string
+	for _, now := range []Seconds{102, 111, 122, 133} {
+		for _, a := range r.Tick(now, nil) {
+			if l, ok := a.(Log); ok {
+				lines = append(lines, l.Text)
+			}
+		}
+		r.Probed(now, id(1, 0), control.OK, 0.08)
+	}
+	want := "crossed: 1 of class 1 to far (near draining) 1 of class 0 refused (far busy)"
+	if len(lines) != 1 || lines[0] != want {
+		t.Errorf("said %q", lines)
+	}
+}
+
 // A window that was cut to next to nothing grows again as soon as answers are in time.
 func TestSmallWindowGrows(t *testing.T) {
 	for _, limit := range []float64{1, 1.7, 2.9} {
--- a/sites/window.go
+++ b/sites/window.go
@@ -21,11 +21,11 @@
 	farShare   = 0.1  // or this share of those out at the near site
 	idleFor    = 5.0  // s without a crossing after which the far site counts as not known
 	inUse      = 0.6  // of a window: only then do good answers let it grow
-	nearLate   = 0.4  // of its aim: an answer later than this is late at the near site
-	farLate    = 0.15 // of its aim, past the server's time without a queue: late at a far site
+	nearLate   = 0.5  // of its aim: an answer later than this is late at the near site
+	farLate    = 0.13 // of its aim, past the server's time without a queue: late at a far site
 	nearWeight = 0.03 // of an answer in the near average: two late ones by chance are no crowd
 	farWeight  = 0.06 // in a far one, which sees few
-	lateMemory = 4.0  // s after which that fades even without answers
+	lateMemory = 6.0  // s after which that fades even without answers
 	nearShare  = 0.15 // of answers may be late before the near window is cut
 	farMost    = 0.15 // the same of a far one: a lossy link stalls one in twenty
 	nearCut    = 0.85
