Play configuration churn in the lab, and measure versions under load and kills

'lab try churn' pushes 300 versions in 60 s (a third broken, a third cut short) from a stand-in control service by way of a configstream process beside each of 3 gateways; 'lab control' is that service for people. The first run showed a control service with gRPC's default enforcement ending streams for too many keep-alives after 30 s: the client now rests longer where it is told so.

--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -150,6 +150,7 @@
 		Registry registryCommand `cmd:"" help:"Start a stand-in registry."`
 		Link     linkCommand     `cmd:"" help:"Start a link that forwards TCP with delay and loss."`
 		Checker  checkerCommand  `cmd:"" help:"Start a stand-in checker."`
+		Control  controlCommand  `cmd:"" help:"Start a stand-in control service to push versions from."`
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
--- a/internal/controlplane/client.go
+++ b/internal/controlplane/client.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"log/slog"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -35,6 +36,7 @@
 
 const (
 	pingEvery  = 10 * time.Second // gRPC takes no less; a control service that fell silent is noticed by it
+	pingMost   = 6 * time.Minute  // what servers allow unless they say otherwise, and some more
 	pingWait   = 3 * time.Second
 	openWait   = 3 * time.Second        // for a connection to come up and speak
 	firstPause = 100 * time.Millisecond // between streams, doubled with jitter
@@ -64,6 +66,8 @@
 	Node     string   // this gateway's name, as control services know it
 	Gateway  Gateway
 	Log      *slog.Logger
+
+	ping time.Duration // between keep-alives; longer where a control service calls that too many
 }
 
 // Run follows until ctx ends. A stream that breaks changes nothing: the next one asks from the version held.
@@ -71,6 +75,7 @@
 	if len(c.Services) == 0 {
 		return errors.New("controlplane: no control service is named")
 	}
+	c.ping = pingEvery
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval, pause.MaxInterval = firstPause, longPause
 	for turn := 0; ; turn++ {
@@ -80,6 +85,9 @@
 			return nil
 		}
 		c.Log.Warn("the stream ended", "service", c.Services[source], "err", err)
+		if err != nil && strings.Contains(err.Error(), "too_many_pings") {
+			c.ping = min(2*c.ping, pingMost)
+		}
 		if time.Since(begun) > steadyFor {
 			pause.Reset()
 		}
@@ -114,7 +122,7 @@
 	defer cancel()
 	conn, err := grpc.NewClient("passthrough:///"+c.Services[source], grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: grpcbackoff.DefaultConfig, MinConnectTimeout: openWait}),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingEvery, Timeout: pingWait}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: c.ping, Timeout: pingWait}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessage)))
 	if err != nil {
 		return err
--- a/internal/lab/plays.go
+++ b/internal/lab/plays.go
@@ -40,6 +40,7 @@
 	ColdFar         bool
 	From            float64 // part of the length after which the near load begins
 	Seconds         int
+	Versions        int // pushed from the first step on
 	Steps           []step
 	judge           func(w *World, r *Result)
 }
@@ -78,6 +79,8 @@
 		}, judge: judgeCold},
 	{Name: "short", About: "both sites asked 1.3 times their capacity", Servers: 6, Gates: 3, FarGates: 3, Near: 1.3, Far: 1.3,
 		Seconds: 25, judge: judgeShort},
+	{Name: "churn", About: "300 configuration versions in 60 s, a third broken, a third cut short", Servers: 16, Gates: 3, FarGates: 1,
+		Near: 0.6, Far: 0.1, Seconds: 90, Versions: 300, Steps: []step{{1.0 / 3, "versions begin", func(*World) {}}}, judge: judgeChurn},
 }
 
 // Run plays it once. progress is told how many requests have ended, of about how many.
@@ -120,6 +123,15 @@
 		timer := time.AfterFunc(time.Until(begun.Add(at)), func() { s.do(w) })
 		defer timer.Stop()
 	}
+	if p.Versions > 0 {
+		if w.churn, err = w.StartChurn(ctx); err != nil {
+			w.Close()
+			return nil, err
+		}
+		at := time.Duration(p.Steps[0].at * float64(length))
+		timer := time.AfterFunc(at, func() { w.churn.Run(ctx, w, p.Versions, length-at-time.Second) })
+		defer timer.Stop()
+	}
 	var runs sync.WaitGroup
 	faults := make([]error, 2)
 	for i, l := range loads {
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -66,6 +66,7 @@
 	back       *standin.Link // from the far site to the near one
 	gates      map[string][]*gate
 	notices    []notice
+	churn      *Churn
 	closers    []func()
 }
 
@@ -192,14 +193,7 @@
 			fmt.Fprintf(&b, "[[site]]\nname = %q\ndistance = %q\n", s, w.Layout.Link.Delay)
 		}
 	}
-	for _, c := range Classes {
-		fmt.Fprintf(&b, "[[class]]\nname = %q\naim = %q\ndeadline = %q\nworth = %v\nlate_worth = 0.2\n", c.Name, c.Aim, c.Deadline, c.Worth)
-		if c.carriesMoveKey {
-			b.WriteString("repeat = \"keyed\"\nwindow = \"4s\"\ngroup = \"site\"\n")
-		} else {
-			b.WriteString("repeat = \"safe\"\n")
-		}
-	}
+	writeClasses(&b)
 	b.WriteString(plans)
 	path := filepath.Join(w.Dir, fmt.Sprintf("gateway-%d.toml", ordinal))
 	if err := os.WriteFile(path, []byte(b.String()), 0o644); err != nil {
@@ -251,6 +245,18 @@
 	}
 }
 
+// writeClasses writes the lab's classes in the operator's form.
+func writeClasses(b *strings.Builder) {
+	for _, c := range Classes {
+		fmt.Fprintf(b, "[[class]]\nname = %q\naim = %q\ndeadline = %q\nworth = %v\nlate_worth = 0.2\n", c.Name, c.Aim, c.Deadline, c.Worth)
+		if c.carriesMoveKey {
+			b.WriteString("repeat = \"keyed\"\nwindow = \"4s\"\ngroup = \"site\"\n")
+		} else {
+			b.WriteString("repeat = \"safe\"\n")
+		}
+	}
+}
+
 // Addresses are where a site's gateways serve.
 func (w *World) Addresses(site string) (all []string) {
 	for _, g := range w.gates[site] {
--- a/internal/snapshot/snapshot_test.go
+++ b/internal/snapshot/snapshot_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -80,7 +81,11 @@
 // newer one. TestMain's child is that program.
 func TestKilledWhileSaving(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "config")
-	for round := range 20 {
+	rounds := 20
+	if n, err := strconv.Atoi(os.Getenv("SNAPSHOT_ROUNDS")); err == nil { // the measurement takes 200
+		rounds = n
+	}
+	for round := range rounds {
 		cmd := exec.Command(os.Args[0], "-test.run", "^TestChild$")
 		cmd.Env = append(os.Environ(), "SNAPSHOT_CHILD="+path)
 		out, err := cmd.StdoutPipe()
@@ -96,7 +101,7 @@
 			b.ReadFrom(out)
 			said <- b.String()
 		}()
-		time.Sleep(time.Duration(20+7*round) * time.Millisecond) // any moment will do
+		time.Sleep(time.Duration(20+7*(round%40)) * time.Millisecond) // any moment will do
 		cmd.Process.Kill()
 		text := <-said
 		cmd.Wait()
--- a/internal/standin/controlservice/controlservice.go
+++ b/internal/standin/controlservice/controlservice.go
@@ -12,6 +12,7 @@
 
 	discovery "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
 	"google.golang.org/protobuf/types/known/anypb"
 
 	"junctionring/internal/controlplane"
@@ -52,7 +53,8 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Service{listener: l, server: grpc.NewServer(grpc.MaxSendMsgSize(64 << 20)), sent: map[string]time.Time{},
+	s := &Service{listener: l, server: grpc.NewServer(grpc.MaxSendMsgSize(64<<20),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: 5 * time.Second})), sent: map[string]time.Time{},
 		numbers: map[string]int64{}, nodes: map[string]string{}}
 	s.changed = sync.NewCond(&s.mu)
 	discovery.RegisterAggregatedDiscoveryServiceServer(s.server, s)
