Give plans their keys in one place, and drop a view's number that nobody read

Read over once more: ReadVersion repeated KeyPlans, the steward had two ways to leave a message without waiting, and a view carried its version's number though only the life of versions is asked for it. Behaviour is as it was.

--- a/internal/config/version.go
+++ b/internal/config/version.go
@@ -46,9 +46,7 @@
 			faults = append(faults, fmt.Errorf("%s can't change while the gateway serves: %s", f.key, f.why))
 		}
 	}
-	for i := range o.Module.Plans { // alike at all gateways, whatever versions each has seen
-		o.Module.Plans[i].Key = planKey(o.Plans[i])
-	}
+	o.KeyPlans()
 	return o, faults
 }
 
@@ -64,7 +62,7 @@
 	return h.Sum64() | 1
 }
 
-// KeyPlans gives the plans of a file that may be followed by versions the keys that those would have.
+// KeyPlans gives the plans their keys, alike at all gateways, whatever versions each has seen.
 func (o *Operator) KeyPlans() {
 	for i := range o.Module.Plans {
 		o.Module.Plans[i].Key = planKey(o.Plans[i])
--- a/internal/configuration/steward.go
+++ b/internal/configuration/steward.go
@@ -124,13 +124,7 @@
 }
 
 // Roster tells which targets the roster names. It does not wait.
-func (s *Steward) Roster(ids map[string]bool) {
-	select {
-	case s.mailbox <- roster{ids}:
-	default:
-		go s.post(roster{ids})
-	}
-}
+func (s *Steward) Roster(ids map[string]bool) { s.leave(roster{ids}) }
 
 // Pin keeps the version in force, or lets go of it.
 func (s *Steward) Pin(on bool) { s.post(pin{on}) }
@@ -362,7 +356,7 @@
 func (s *Steward) stage(o versions.Offer) {
 	next := s.next
 	go func() {
-		view, err := s.front.NewView(next.o, o.Number, nil, nil)
+		view, err := s.front.NewView(next.o, nil, nil)
 		var faults []string
 		if err != nil {
 			faults = []string{err.Error()}
@@ -397,11 +391,11 @@
 	s.front.Install(next.view)
 	s.targets(next.o)
 	s.now, s.next = next, nil
-	s.post1(done{finished(o, nil, false), nil})
+	s.leave(done{finished(o, nil, false), nil})
 }
 
-// post1 is post to one's own mailbox, which must not be waited for.
-func (s *Steward) post1(m any) {
+// leave is post by those who must not wait: the steward itself, and who tells of the roster.
+func (s *Steward) leave(m any) {
 	select {
 	case s.mailbox <- m:
 	default:
--- a/internal/forwardauth/forwardauth.go
+++ b/internal/forwardauth/forwardauth.go
@@ -59,7 +59,7 @@
 		proxy: ingress.Proxy(&egress.RoundTripper{Core: c, RetryAfter: egress.WholeSeconds}, log),
 	}
 	var err error
-	f.view, err = f.NewView(o, 0, places(len(o.Classes)), places(len(o.Plans)))
+	f.view, err = f.NewView(o, places(len(o.Classes)), places(len(o.Plans)))
 	return f, err
 }
 
--- a/internal/forwardauth/view.go
+++ b/internal/forwardauth/view.go
@@ -13,7 +13,6 @@
 
 // View is one configuration version as the front sees it. It is not changed once it is made.
 type View struct {
-	Version  int64
 	o        *config.Operator
 	names    *ingress.Names
 	classes  []int // the numbers in the core, by their place in the document
@@ -24,8 +23,8 @@
 }
 
 // NewView makes a view of a version. Nothing sees it before Install.
-func (f *Front) NewView(o *config.Operator, number int64, classes, plans []int) (*View, error) {
-	v := &View{Version: number, o: o, names: &ingress.Names{Gateways: o.Gateways, Routes: o.Paths}, classes: classes, plans: plans}
+func (f *Front) NewView(o *config.Operator, classes, plans []int) (*View, error) {
+	v := &View{o: o, names: &ingress.Names{Gateways: o.Gateways, Routes: o.Paths}, classes: classes, plans: plans}
 	for i, class := range o.Classes {
 		v.names.Classes = append(v.names.Classes, class.Name)
 		v.names.Repeats = append(v.names.Repeats, o.Module.Classes[i].Repeat)
