Listen on the client address with SO_REUSEPORT, so that a replacement can start

The new process is started beside the old one with the same client address, and serve() bound it with net.Listen, which fails with EADDRINUSE while the old process holds it; the program then ends with 1.

The old process's drain is as before.

--- a/cmd/junctionring/serve.go
+++ b/cmd/junctionring/serve.go
@@ -23,6 +23,7 @@
 	"junctionring/internal/gateway"
 	"junctionring/internal/ingress"
 	"junctionring/internal/routetable"
+	"junctionring/internal/socket"
 )
 
 const (
@@ -158,7 +159,7 @@
 
 // serve takes connections until ctx ends, then drains.
 func serve(ctx context.Context, c *core.Core, server *ingress.Server, listen string, conns int, drainFor time.Duration, log *slog.Logger) error {
-	l, err := net.Listen("tcp", listen)
+	l, err := socket.Listen(context.Background(), listen) // shared with the process that replaces this one
 	if err != nil {
 		return err
 	}
