Serve the management address: readiness, figures by class, evacuate and rejoin

Change: - internal/management: HTTP/1.1, keep-alives off, a head within 0.5 s and the call within 1 s, so that silent or half callers are let go early and hold nobody; GET /api/ready, GET /api/telemetry, PUT /api/evacuate, PUT /api/rejoin; another path 404, another method 405. Handlers read atomics or set a flag. - internal/telemetry: counts by class (success, overload, error, dispatches) and gauges (concurrent, targets, targets_disabled) and reload counts, in statsd form under svc. The core counts each final answer by its kind in end() (and its two sheds in Do); egress marks an attempt Written once its last byte is out, and the core counts it when it ends; ingress counts the requests held; SIGHUP counts files taken and turned down; the core reads control's list every 250 ms (Gateway.Listed, a view in state.go, not in policy). - ingress: Evacuate says no on /health/ready at once, answers close their connections, and resting ones are closed every 100 ms once nothing unread is on them (socket.Quiet), as eviction does; Rejoin undoes it.

--- a/cmd/junctionring/serve.go
+++ b/cmd/junctionring/serve.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"log/slog"
@@ -22,8 +23,10 @@
 	"junctionring/internal/egress"
 	"junctionring/internal/gateway"
 	"junctionring/internal/ingress"
+	"junctionring/internal/management"
 	"junctionring/internal/routetable"
 	"junctionring/internal/socket"
+	"junctionring/internal/telemetry"
 )
 
 const (
@@ -70,6 +73,9 @@
 	if err != nil {
 		return err
 	}
+	figures := telemetry.New("svc")
+	figures.Classes(set.Classes)
+	c.Count(figures)
 	known, err := routetable.Decode(p.Known, set.Zones)
 	if err != nil {
 		return fmt.Errorf("known: %w", err)
@@ -95,9 +101,11 @@
 			err = p.Addresses()
 		}
 		if err != nil {
+			figures.ReloadFailure.Add(1)
 			log.Error("the new configuration is not taken: the old one stays", "err", err)
 			return
 		}
+		figures.ReloadSuccess.Add(1)
 		log.Info("new configuration", "discovery", p.Discovery, "counter", p.Counter)
 		select { // one that the watch has not yet gone to is out of date
 		case <-moves:
@@ -114,7 +122,22 @@
 		names.Longest = append(names.Longest, class.Deadline)
 		names.Repeats = append(names.Repeats, class.Repeat)
 	}
-	server := ingress.NewServer(ingress.Platform(names, c, log), ingress.MaxHeader, log)
+	server := ingress.NewServer(ingress.Platform(names, c, log), ingress.MaxHeader, &figures.Concurrent, log)
+	if p.Management != "" {
+		l, err := net.Listen("tcp", p.Management)
+		if err != nil {
+			return fmt.Errorf("management: %w", err)
+		}
+		m := management.New(management.Hooks{
+			Ready:     server.Taking,
+			Telemetry: func(b *bytes.Buffer) { figures.WriteTo(b) },
+			Evacuate:  func() { server.Evacuate(work) },
+			Rejoin:    server.Rejoin,
+		}, log)
+		defer m.Close()
+		go m.Serve(l)
+		log.Info("management", "listen", l.Addr().String())
+	}
 	return serve(ctx, c, server, p.Listen, ingressConns(p.Sockets), drainFor, log)
 }
 
@@ -142,7 +165,7 @@
 	if !g.Start(work, ctx) {
 		return nil // told to end before the route table was known
 	}
-	return serve(ctx, g.Core, ingress.NewServer(g.Front(), o.MaxHeader, log), o.Listen, ingressConns(o.Limits.Sockets), o.Drain.Duration, log)
+	return serve(ctx, g.Core, ingress.NewServer(g.Front(), o.MaxHeader, nil, log), o.Listen, ingressConns(o.Limits.Sockets), o.Drain.Duration, log)
 }
 
 // eachHangup calls reload for each SIGHUP until ctx ends.
--- a/control/state.go
+++ b/control/state.go
@@ -471,3 +471,18 @@
 
 // Check says what cannot be right in settings.
 func (s *Settings) Check() error { return s.validate() }
+
+// Listed tells how many servers are on the list, and how many of those are avoided now: not ready, or left
+// alone for a while. It is a view for operators and decides nothing.
+func (g *Gateway) Listed() (listed, avoided int) {
+	for _, s := range g.servers {
+		if s.member.State == Removed {
+			continue
+		}
+		listed++
+		if !s.listed || g.now < s.until {
+			avoided++
+		}
+	}
+	return listed, avoided
+}
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -13,6 +13,7 @@
 // Platform is what the platform tells a gateway at its start.
 type Platform struct {
 	Name, Listen, Discovery, Counter string
+	Management                       string // the operators' address; "": none
 	Seed                             uint64
 	Cores                            float64
 	MemoryMB, Sockets                int
@@ -28,6 +29,7 @@
 	}
 	p.Name, p.Listen = cmp.Or(os.Getenv("EDGE_NAME"), p.Name), cmp.Or(os.Getenv("EDGE_LISTEN"), p.Listen)
 	p.Discovery = cmp.Or(os.Getenv("EDGE_DISCOVERY"), p.Discovery)
+	p.Management = cmp.Or(os.Getenv("EDGE_MANAGEMENT"), p.Management)
 	if p.Listen == "" {
 		return p, fmt.Errorf("%s: no address to listen on", path)
 	}
@@ -48,6 +50,7 @@
 	top := gjson.ParseBytes(raw)
 	p.Name, p.Listen = top.Get("name").String(), top.Get("listen").String()
 	p.Discovery, p.Counter = top.Get("discovery").String(), top.Get("counter").String()
+	p.Management = top.Get("management").String()
 	if p.Seed, err = strconv.ParseUint(top.Get("seed").String(), 16, 64); err != nil {
 		return p, fmt.Errorf("%s: seed: %w", path, err)
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"junctionring/control"
+	"junctionring/internal/telemetry"
 	"junctionring/sites"
 )
 
@@ -60,10 +61,11 @@
 
 // Outcome is how an attempt ended.
 type Outcome struct {
-	Status control.Status
-	Reply  any
-	Load   []float64
-	Waited time.Duration // from the request's last byte to the answer's first; 0: not known
+	Status  control.Status
+	Written bool // the attempt's last byte went out
+	Reply   any
+	Load    []float64
+	Waited  time.Duration // from the request's last byte to the answer's first; 0: not known
 }
 
 // Target is an entry of the route table with the address to send to, opaque to the core.
@@ -97,6 +99,7 @@
 const (
 	mailboxSize = 4096
 	siteTick    = 50 * time.Millisecond  // between looks at what time alone tells of sites
+	figureTick  = 250 * time.Millisecond // between looks at the servers for the figures: they may be 0.5 s late
 	busyPause   = 500 * time.Millisecond // told to a client when the mailbox is full
 	overdue     = 15 * time.Millisecond  // past the deadline at which the core answers by itself
 )
@@ -163,6 +166,7 @@
 	lastID  uint64
 	later   []any // messages to itself, which must not wait on its own mailbox
 	actions []control.Action
+	figures *telemetry.Figures // nil: not counted
 }
 
 // New makes the actor of a gateway.
@@ -179,6 +183,26 @@
 	}, nil
 }
 
+// Count has the core count its answers and attempts, and the servers it knows, into f. It must be called before
+// Run.
+func (c *Core) Count(f *telemetry.Figures) { c.figures = f }
+
+// tally counts a final answer by its kind. One that nobody reads counts as nothing.
+func (c *Core) tally(class int, k Kind) {
+	n := c.figures.Class(class)
+	if n == nil {
+		return
+	}
+	switch k {
+	case Served:
+		n.Success.Add(1)
+	case Refused:
+		n.Overload.Add(1)
+	case Failed:
+		n.Error.Add(1)
+	}
+}
+
 // At tells the core of sites. It must be called before Run.
 func (c *Core) At(r *sites.Router) { c.sites = r }
 
@@ -226,6 +250,7 @@
 	select {
 	case c.mailbox <- opened{h}:
 	default: // more than the core can take in: shed here, without waiting
+		c.tally(x.Class, Refused)
 		return Answer{Kind: Refused, RetryAfter: busyPause}
 	}
 	select {
@@ -240,6 +265,7 @@
 			return Answer{Kind: Left, MayHaveRun: true}
 		}
 	case <-c.done:
+		c.tally(x.Class, Refused)
 		return Answer{Kind: Refused, RetryAfter: busyPause}
 	}
 }
@@ -293,18 +319,27 @@
 func (c *Core) Run(ctx context.Context) {
 	defer close(c.done)
 	c.ctx = ctx
-	var tick <-chan time.Time
+	var tick, look <-chan time.Time
 	if c.sites != nil {
 		t := time.NewTicker(siteTick)
 		defer t.Stop()
 		tick = t.C
 	}
+	if c.figures != nil {
+		t := time.NewTicker(figureTick)
+		defer t.Stop()
+		look = t.C
+	}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick:
 			c.tick()
+		case <-look:
+			listed, avoided := c.gateway.Listed()
+			c.figures.Targets.Store(int64(listed))
+			c.figures.Disabled.Store(int64(avoided))
 		case m := <-c.mailbox:
 			c.handle(m)
 		}
@@ -393,6 +428,7 @@
 		return
 	}
 	h.final = true
+	c.tally(h.Class, a.Kind)
 	a.MayHaveRun, a.RanAt = h.mayRan || h.out > 0, h.ranAt
 	h.answer <- a
 	if h.guard != nil {
@@ -408,6 +444,11 @@
 }
 
 func (c *Core) ended(e ended) {
+	if e.Written {
+		if n := c.figures.Class(e.h.Class); n != nil {
+			n.Dispatches.Add(1)
+		}
+	}
 	e.h.out--
 	e.h.cancels[e.attempt]()
 	if e.Status != control.Full && e.Status != control.ConnectFailed && e.Status != control.Moot {
--- a/internal/egress/conn.go
+++ b/internal/egress/conn.go
@@ -98,6 +98,7 @@
 	if o, reuse = c.read(r.Method, fields); !first.IsZero() {
 		o.Waited = first.Sub(written)
 	}
+	o.Written = true
 	if o.Status == control.Reset && ctx.Err() != nil { // closed by us
 		o.Status = control.Timeout
 		if ctx.Err() == context.Canceled {
--- a/internal/forwardauth/forwardauth_test.go
+++ b/internal/forwardauth/forwardauth_test.go
@@ -133,7 +133,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := ingress.NewServer(front, o.MaxHeader, log)
+	s := ingress.NewServer(front, o.MaxHeader, nil, log)
 	go s.Serve(l, 64)
 	t.Cleanup(func() {
 		now, stop := context.WithCancel(context.Background())
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -20,41 +20,83 @@
 	MaxHeader  = 16 << 10
 	headerWait = 1500 * time.Millisecond // from the accept on: who sends no whole head holds a slot for nothing
 	idleWait   = 2 * time.Minute         // clients that went away without a word must not hold descriptors for ever
+
+	evacuateSweep = 100 * time.Millisecond // between closes of resting connections while evacuated
+	evacuateRest  = 250 * time.Millisecond // rested at least: a client that just connected sends at once
 )
 
 // Server is a front's HTTP server with a drain.
 type Server struct {
-	http     *http.Server
-	draining atomic.Bool
-	closing  atomic.Bool
-	ready    atomic.Bool
+	http      *http.Server
+	draining  atomic.Bool
+	closing   atomic.Bool
+	ready     atomic.Bool
+	evacuated atomic.Bool
+	slots     atomic.Pointer[slots]
+	taken     *atomic.Int64 // requests held now; nil: not counted
 }
 
-// NewServer serves h, with the readiness path in front of it.
-func NewServer(h http.Handler, maxHeader int, log *slog.Logger) *Server {
-	s := &Server{}
+// NewServer serves h, with the readiness path in front of it. taken, where not nil, counts the requests held.
+func NewServer(h http.Handler, maxHeader int, taken *atomic.Int64, log *slog.Logger) *Server {
+	s := &Server{taken: taken}
 	s.http = &http.Server{
 		MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerWait, IdleTimeout: idleWait,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if s.closing.Load() { // clients keep a connection for as long as it stays open
+			if s.closing.Load() || s.evacuated.Load() { // clients keep a connection for as long as it stays open
 				w.Header().Set("Connection", "close")
 			}
 			if r.URL.Path == "/health/ready" {
-				if s.draining.Load() || !s.ready.Load() {
+				if !s.Taking() {
 					w.WriteHeader(http.StatusServiceUnavailable)
 				}
 				return
 			}
+			if s.taken != nil {
+				s.taken.Add(1)
+				defer s.taken.Add(-1)
+			}
 			h.ServeHTTP(w, r)
 		}),
 	}
 	return s
 }
 
+// Taking tells whether clients are welcome: ready, and neither draining nor evacuated.
+func (s *Server) Taking() bool {
+	return s.ready.Load() && !s.draining.Load() && !s.evacuated.Load()
+}
+
+// Evacuate sends clients away while the process runs on: readiness says no at once, each answer closes its
+// connection, and resting connections are closed, now and every evacuateSweep, once nothing unread is on them.
+// Connections that still come are served. It lasts until Rejoin, or ctx ends.
+func (s *Server) Evacuate(ctx context.Context) {
+	if s.evacuated.Swap(true) {
+		return
+	}
+	go func() {
+		t := time.NewTicker(evacuateSweep)
+		defer t.Stop()
+		for s.evacuated.Load() {
+			if l := s.slots.Load(); l != nil {
+				l.closeResting(evacuateRest)
+			}
+			select {
+			case <-t.C:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+}
+
+// Rejoin takes clients again after Evacuate.
+func (s *Server) Rejoin() { s.evacuated.Store(false) }
+
 // Serve takes connections until Drain has ended, at most so many at once.
 func (s *Server) Serve(l net.Listener, most int) error {
 	limited := newSlots(l, most)
+	s.slots.Store(limited)
 	s.http.ConnState = limited.state
 	if err := s.http.Serve(limited); !errors.Is(err, http.ErrServerClosed) {
 		return err
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,6 +17,7 @@
 	"junctionring/internal/core"
 	"junctionring/internal/egress"
 	"junctionring/internal/ingress"
+	"junctionring/internal/telemetry"
 )
 
 // uncounted is a counter that takes nothing in.
@@ -96,6 +98,12 @@
 
 // startServer is start with so many slots for clients.
 func startServer(t *testing.T, most int, fleet *egress.Fleet, peers ...*peer) (string, *core.Core, *ingress.Server) {
+	t.Helper()
+	return startCounted(t, most, fleet, nil, peers...)
+}
+
+// startCounted is startServer with figures; nil: none.
+func startCounted(t *testing.T, most int, fleet *egress.Fleet, figures *telemetry.Figures, peers ...*peer) (string, *core.Core, *ingress.Server) {
 	t.Helper()
 	log := slog.New(slog.DiscardHandler)
 	c, err := core.New(control.Settings{
@@ -111,12 +119,18 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	var taken *atomic.Int64
+	if figures != nil {
+		figures.Classes([]string{"table-view", "move-submit"})
+		c.Count(figures)
+		taken = &figures.Concurrent
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	go c.Run(ctx)
 	c.Routes(table(control.Ready, peers...))
 	names := &ingress.Names{Classes: []string{"table-view", "move-submit"}, Plans: []string{"club"},
 		Repeats: []control.Repeat{control.Safe, control.Keyed}, Gateways: 1, MaxUnits: 6}
-	s := ingress.NewServer(ingress.Platform(names, c, log), ingress.MaxHeader, log)
+	s := ingress.NewServer(ingress.Platform(names, c, log), ingress.MaxHeader, taken, log)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/ingress/slots.go
+++ b/internal/ingress/slots.go
@@ -98,6 +98,24 @@
 	}
 }
 
+// closeResting closes each connection that has rested at least so long with nothing unread on it.
+func (s *slots) closeResting(least time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for e := s.resting.Front(); e != nil; {
+		next := e.Next()
+		r := e.Value.(*rest)
+		if time.Since(r.since) < least {
+			return // those behind have rested less
+		}
+		if socket.Quiet(r.conn) {
+			s.forget(r.conn)
+			r.conn.Close()
+		}
+		e = next
+	}
+}
+
 func (s *slots) forget(c net.Conn) {
 	if e := s.rests[c]; e != nil {
 		s.resting.Remove(e)
--- /dev/null
+++ b/internal/management/management.go
@@ -0,0 +1,81 @@
+// Package management is the operators' front: a second address with four calls, HTTP/1.1, one call per
+// connection. Each answer is due within a second whatever the load, so no handler waits on the core or on
+// another caller: they read atomics or set a flag.
+package management
+
+import (
+	"bytes"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	headWait  = 500 * time.Millisecond // a caller who sends nothing, or half a head, is let go by then
+	callWait  = time.Second            // the whole call, head and body
+	writeWait = time.Second            // a caller who does not read its answer
+	maxHead   = 8 << 10
+	maxBody   = 4 << 10
+)
+
+// Hooks are what the calls do; each returns at once.
+type Hooks struct {
+	Ready     func() bool         // this process takes clients
+	Telemetry func(*bytes.Buffer) // the figures
+	Evacuate  func()              // send clients away
+	Rejoin    func()              // back to work
+}
+
+// Server serves the calls.
+type Server struct{ http *http.Server }
+
+// New serves h.
+func New(h Hooks, log *slog.Logger) *Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /api/ready", func(w http.ResponseWriter, r *http.Request) {
+		if !h.Ready() {
+			http.Error(w, "not taking clients", http.StatusServiceUnavailable)
+			return
+		}
+		w.Write([]byte("ready\n"))
+	})
+	mux.HandleFunc("GET /api/telemetry", func(w http.ResponseWriter, r *http.Request) {
+		var b bytes.Buffer // written whole, so that a slow reader holds no figure back
+		h.Telemetry(&b)
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		w.Write(b.Bytes())
+	})
+	mux.HandleFunc("PUT /api/evacuate", func(w http.ResponseWriter, r *http.Request) {
+		h.Evacuate()
+		log.Info("evacuate: clients are sent away")
+		w.Write([]byte("done\n"))
+	})
+	mux.HandleFunc("PUT /api/rejoin", func(w http.ResponseWriter, r *http.Request) {
+		h.Rejoin()
+		log.Info("rejoin: clients are taken again")
+		w.Write([]byte("done\n"))
+	})
+	s := &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			r.Body = http.MaxBytesReader(w, r.Body, maxBody)
+			mux.ServeHTTP(w, r)
+		}),
+		ReadHeaderTimeout: headWait, ReadTimeout: callWait, WriteTimeout: writeWait, IdleTimeout: headWait,
+		MaxHeaderBytes: maxHead,
+		ErrorLog:       slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+	}
+	s.SetKeepAlivesEnabled(false) // one call per connection
+	return &Server{http: s}
+}
+
+// Serve takes calls on l until Close.
+func (s *Server) Serve(l net.Listener) error {
+	if err := s.http.Serve(l); err != http.ErrServerClosed {
+		return err
+	}
+	return nil
+}
+
+// Close ends the server and every call on it.
+func (s *Server) Close() error { return s.http.Close() }
--- /dev/null
+++ b/internal/management/management_test.go
@@ -0,0 +1,115 @@
+package management
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+func serve(t *testing.T, h Hooks) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := New(h, slog.New(slog.DiscardHandler))
+	go s.Serve(l)
+	t.Cleanup(func() { s.Close() })
+	return l.Addr().String()
+}
+
+func call(t *testing.T, address, message string) (*http.Response, string) {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(10 * time.Second))
+	io.WriteString(c, message)
+	in := bufio.NewReader(c)
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, _ := io.ReadAll(resp.Body)
+	if _, err := in.ReadByte(); err == nil {
+		t.Error("more than one answer on a connection")
+	}
+	return resp, string(body)
+}
+
+// The four calls do what they say; another path or method is turned down; each connection takes one call.
+func TestCalls(t *testing.T) {
+	var ready, evacuated atomic.Bool
+	address := serve(t, Hooks{
+		Ready:     ready.Load,
+		Telemetry: func(b *bytes.Buffer) { b.WriteString("svc.concurrent:3|g\n") },
+		Evacuate:  func() { evacuated.Store(true) },
+		Rejoin:    func() { evacuated.Store(false) },
+	})
+	if resp, _ := call(t, address, "GET /api/ready HTTP/1.1\r\nHost: m\r\n\r\n"); resp.StatusCode != 503 {
+		t.Errorf("not ready, and said %d", resp.StatusCode)
+	}
+	ready.Store(true)
+	if resp, _ := call(t, address, "GET /api/ready HTTP/1.1\r\nHost: m\r\n\r\n"); resp.StatusCode != 200 || !resp.Close {
+		t.Errorf("ready, and said %d (close %v)", resp.StatusCode, resp.Close)
+	}
+	if resp, body := call(t, address, "GET /api/telemetry HTTP/1.1\r\nHost: m\r\n\r\n"); resp.StatusCode != 200 || body != "svc.concurrent:3|g\n" {
+		t.Errorf("telemetry: %d %q", resp.StatusCode, body)
+	}
+	if resp, _ := call(t, address, "PUT /api/evacuate HTTP/1.1\r\nHost: m\r\nContent-Length: 0\r\n\r\n"); resp.StatusCode != 200 || !evacuated.Load() {
+		t.Errorf("evacuate: %d, evacuated %v", resp.StatusCode, evacuated.Load())
+	}
+	if resp, _ := call(t, address, "PUT /api/rejoin HTTP/1.1\r\nHost: m\r\n\r\n"); resp.StatusCode != 200 || evacuated.Load() {
+		t.Errorf("rejoin: %d, evacuated %v", resp.StatusCode, evacuated.Load())
+	}
+	for message, want := range map[string]int{
+		"GET /api/evacuate HTTP/1.1\r\nHost: m\r\n\r\n":  405,
+		"POST /api/ready HTTP/1.1\r\nHost: m\r\n\r\n":    405,
+		"GET /api/nothing HTTP/1.1\r\nHost: m\r\n\r\n":   404,
+		"GET /health/ready HTTP/1.1\r\nHost: m\r\n\r\n":  404,
+		"PUT /api/rejoin HTTP/1.1\r\nHost: m\r\n\r\nxyz": 200,
+	} {
+		if resp, _ := call(t, address, message); resp.StatusCode != want {
+			t.Errorf("%q: %d, want %d", strings.SplitN(message, "\r\n", 2)[0], resp.StatusCode, want)
+		}
+	}
+}
+
+// Callers that send nothing, or half a call, and stay, hold up neither each other nor the next caller, and are
+// let go well before they would leave by themselves.
+func TestSlowCallersHoldNobody(t *testing.T) {
+	address := serve(t, Hooks{Ready: func() bool { return true }})
+	var slow []net.Conn
+	for i := range 40 {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if i%2 == 1 {
+			io.WriteString(c, "GET /api/ready HTTP/1.1\r\nHo")
+		}
+		slow = append(slow, c)
+	}
+	asked := time.Now()
+	if resp, _ := call(t, address, "GET /api/ready HTTP/1.1\r\nHost: m\r\n\r\n"); resp.StatusCode != 200 {
+		t.Errorf("beside slow callers: %d", resp.StatusCode)
+	}
+	for _, c := range slow {
+		c.SetReadDeadline(asked.Add(4 * time.Second))
+		if _, err := io.Copy(io.Discard, c); err != nil {
+			if e, ok := err.(net.Error); ok && e.Timeout() {
+				t.Fatal("a slow caller is held for 4 s")
+			}
+		}
+	}
+}
