At the end of a drain, take what waits in the listener and close resting connections with a look

Ruled out: the shed at the end (3.3 s, not reached) and the new process (it served from 19.09 s on and logged nothing wrong).

At fault: ingress.go Drain, which ends in http.Server.Shutdown. That closes the listener, resetting the connections that wait in its queue (with SO_REUSEPORT the queue is this process's alone), and closes idle connections without a look for a request already on its way in.

Change: before Shutdown, resting connections are closed only where nothing unread is on them (socket.Quiet, as eviction does), and slots.stop() takes the connections that wait in the queue (Accept with a 1 ms deadline, re-armed each time) before it closes the listener itself; net/http then ends its loop on a non-temporary error.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -115,6 +115,13 @@
 	pause(ctx, serve)
 	s.closing.Store(true)
 	pause(ctx, closing)
+	if l := s.slots.Load(); l != nil {
+		l.closeResting(0) // Shutdown would close them without a look for a request on its way in
+		select {          // Shutdown would close the listener with connections that wait in it
+		case <-l.stop():
+		case <-ctx.Done():
+		}
+	}
 	return s.http.Shutdown(ctx)
 }
 
--- a/internal/ingress/slots.go
+++ b/internal/ingress/slots.go
@@ -2,9 +2,11 @@
 
 import (
 	"container/list"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"junctionring/internal/socket"
@@ -16,6 +18,7 @@
 	spareSlots = 8                      // one part in so many is kept free, lest a client wait for a close
 	evictTries = 16                     // connections looked at for one that can be closed
 	slotPause  = 20 * time.Millisecond  // between looks while every slot is taken
+	stopLook   = time.Millisecond       // how long a stopping listener waits for one more connection
 )
 
 // slots is a listener that takes so many connections at once, since descriptors are few, and makes room:
@@ -30,6 +33,9 @@
 	most  int
 	freed chan struct{} // of one place: a slot may be free
 
+	stopping atomic.Bool
+	stopped  chan struct{} // closed once the listener is, after the last connection waiting in it was taken
+
 	mu      sync.Mutex
 	open    int
 	resting *list.List // of *rest: those without an open request, the longest first
@@ -42,7 +48,7 @@
 }
 
 func newSlots(l net.Listener, most int) *slots {
-	return &slots{Listener: l, most: most, freed: make(chan struct{}, 1),
+	return &slots{Listener: l, most: most, freed: make(chan struct{}, 1), stopped: make(chan struct{}),
 		resting: list.New(), rests: map[net.Conn]*list.Element{}}
 }
 
@@ -56,13 +62,44 @@
 		}
 		wait.Stop()
 	}
+	if s.stopping.Load() {
+		s.noWait()
+	}
 	c, err := s.Listener.Accept()
 	if err != nil {
 		s.release()
+		if e, ok := err.(net.Error); ok && e.Timeout() && s.stopping.Load() { // none is waiting: close now
+			s.Listener.Close()
+			close(s.stopped)
+			return nil, errStopped
+		}
 	}
 	return c, err
 }
 
+// errStopped ends net/http's loop of accepts; it is not temporary, so it is not tried again.
+var errStopped = errors.New("the listener is closed: the gateway drains")
+
+// stop takes the connections that wait in the listener's queue, and closes it once none is left. A listener
+// closed with connections in its queue resets them, with their requests sent: with SO_REUSEPORT its queue is
+// its own, and nobody else takes them.
+func (s *slots) stop() <-chan struct{} {
+	if !s.stopping.Swap(true) {
+		s.noWait()
+	}
+	return s.stopped
+}
+
+// noWait makes Accept return soon where nothing is waiting. A deadline that has passed already would return
+// before a look at the queue.
+func (s *slots) noWait() {
+	if d, ok := s.Listener.(interface{ SetDeadline(time.Time) error }); ok {
+		d.SetDeadline(time.Now().Add(stopLook))
+		return
+	}
+	s.Listener.Close() // it cannot be asked without waiting
+}
+
 // take takes a slot if one is free, and closes one connection if few are.
 func (s *slots) take() bool {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/ingress/slots_test.go
@@ -0,0 +1,47 @@
+package ingress
+
+import (
+	"errors"
+	"io"
+	"net"
+	"testing"
+)
+
+// Connections that wait in the listener's queue when the drain stops taking new ones are taken all the same;
+// only then is the listener closed, and nothing new is taken after it.
+func TestStopTakesWhatWaits(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := newSlots(l, 64)
+	waiting := make([]net.Conn, 5)
+	for i := range waiting { // the kernel completes their handshakes: they wait in the queue, unaccepted
+		if waiting[i], err = net.Dial("tcp", l.Addr().String()); err != nil {
+			t.Fatal(err)
+		}
+		defer waiting[i].Close()
+		io.WriteString(waiting[i], "GET /table-view/1 HTTP/1.1\r\nHost: g\r\n\r\n")
+	}
+	stopped := s.stop()
+	taken := 0
+	for {
+		c, err := s.Accept()
+		if err != nil {
+			if !errors.Is(err, errStopped) {
+				t.Fatalf("accept: %v", err)
+			}
+			break
+		}
+		taken++
+		c.Close()
+	}
+	<-stopped
+	if taken != len(waiting) {
+		t.Errorf("%d of the %d connections that waited were taken", taken, len(waiting))
+	}
+	if c, err := net.Dial("tcp", l.Addr().String()); err == nil {
+		c.Close()
+		t.Error("a connection was taken after the listener stopped")
+	}
+}
