--- a/cmd/junctionring/inservice_test.go
+++ b/cmd/junctionring/inservice_test.go
@@ -4,9 +4,12 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // free is an address on loopback that nobody listens on just now.
@@ -76,3 +79,70 @@
 	replacement.Process.Signal(syscall.SIGTERM)
 	exits(t, replacement)
 }
+
+// On SIGHUP a class is added and the old one dropped; a broken file is taken not at all, and counted.
+func TestHangupBringsNewSettings(t *testing.T) {
+	discovery, _ := watched(t)
+	counts, _ := dialled(t)
+	management := free(t)
+	text := strings.Replace(platform(discovery, counts, `{"generation":1,"reset":true,"instances":[]}`),
+		`"listen":"127.0.0.1:0"`, `"listen":"127.0.0.1:0","management":"`+management+`"`, 1)
+	path := write(t, "config.json", text)
+	cmd, address := start(t, "--config", path)
+	class := func(path string) int {
+		status, _ := get(t, "GET", "http://"+address+path)
+		return status
+	}
+	figure := func(name string) string {
+		_, figures := get(t, "GET", "http://"+management+"/api/telemetry")
+		for _, line := range strings.Split(figures, "\n") {
+			if strings.HasPrefix(line, name+":") {
+				return line
+			}
+		}
+		return ""
+	}
+	// waitFor asks until the figure says what is wanted: the SIGHUP is taken in by another goroutine.
+	waitFor := func(name, want string) {
+		t.Helper()
+		for i := 0; figure(name) != want; i++ {
+			if i > 2000 {
+				t.Fatalf("%s is %q, not %q", name, figure(name), want)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	if status := class("/table-view/1"); status != 404 {
+		t.Fatalf("a class that is not there yet: %d", status)
+	}
+	added := strings.Replace(text, `"RequestClasses":[`, `"RequestClasses":[{"Name":"table-view","Aim":0.5,"HardLimit":2,"Worth":1,"Repeat":"read_like","Group":"all","Window":0},`, 1)
+	if err := os.WriteFile(path, []byte(added), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd.Process.Signal(syscall.SIGHUP)
+	waitFor("svc.reload_success", "svc.reload_success:1|c")
+	if status := class("/table-view/1"); status == 404 {
+		t.Error("the added class is not known")
+	}
+	dropped := strings.Replace(added, `{"Name":"move-submit","Aim":1,"HardLimit":4,"Worth":6,"Repeat":"idempotency_key","Group":"all","Window":4}`, ``, 1)
+	dropped = strings.Replace(dropped, `"Window":0},]`, `"Window":0}]`, 1)
+	os.WriteFile(path, []byte(dropped), 0o600)
+	cmd.Process.Signal(syscall.SIGHUP)
+	waitFor("svc.reload_success", "svc.reload_success:2|c")
+	if status, _ := get(t, "POST", "http://"+address+"/move-submit/1"); status != 404 {
+		t.Errorf("a dropped class is still taken: %d", status)
+	}
+	for i, broken := range []string{"", dropped[:len(dropped)/2], strings.Replace(dropped, `"HardLimit":2`, `"HardLimit":0`, 1)} {
+		os.WriteFile(path, []byte(broken), 0o600)
+		cmd.Process.Signal(syscall.SIGHUP)
+		waitFor("svc.reload_failure", "svc.reload_failure:"+strconv.Itoa(i+1)+"|c")
+	}
+	if status := class("/table-view/1"); status == 404 {
+		t.Error("a broken file undid the settings in force")
+	}
+	if line := figure("svc.replies.move-submit.success"); line != "svc.replies.move-submit.success:0|c" {
+		t.Errorf("a dropped class's count: %q", line)
+	}
+	cmd.Process.Signal(syscall.SIGTERM)
+	exits(t, cmd)
+}
--- a/cmd/junctionring/serve.go
+++ b/cmd/junctionring/serve.go
@@ -13,6 +13,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -24,6 +25,7 @@
 	"junctionring/internal/gateway"
 	"junctionring/internal/ingress"
 	"junctionring/internal/management"
+	"junctionring/internal/retune"
 	"junctionring/internal/routetable"
 	"junctionring/internal/socket"
 	"junctionring/internal/telemetry"
@@ -95,11 +97,17 @@
 		list.Gateways, list.AskEvery = set.Module.Gateways, seconds(set.Module.Guarantees.AskEvery)
 	}
 	go list.Run(work)
+	table := retune.Start(set.Classes, set.Module.Classes, set.Plans, set.Module.Plans, set.Module.Limits.MaxAttempts)
+	var names atomic.Pointer[ingress.Names]
+	names.Store(platformNames(table, set))
 	go eachHangup(work, hup, func() {
 		p, err := config.ReadPlatform(path)
 		if err == nil {
 			err = p.Addresses()
 		}
+		if err == nil {
+			err = config.CheckReload(p.SettingsRaw)
+		}
 		if err != nil {
 			figures.ReloadFailure.Add(1)
 			log.Error("the new configuration is not taken: the old one stays", "err", err)
@@ -115,14 +123,18 @@
 		if set.Module.Counter.Allowed {
 			tally.Move(p.Counter)
 		}
+		// Held requests end under the numbers they came in with; new ones are decoded by the new names.
+		next, from := table.Next(p.Settings.Classes, p.Settings.Module.Classes, p.Settings.Plans, p.Settings.Module.Plans,
+			p.Settings.Module.Limits.MaxAttempts)
+		c.Reconfigure(control.Reconfigured{Classes: retune.Rules(next.Classes), Plans: retune.Rules(next.Plans),
+			From: from, Attempts: next.Attempts})
+		figures.Classes(retune.All(next.Classes))
+		names.Store(platformNames(next, p.Settings))
+		table = next
+		log.Info("new settings", "classes", retune.Names(next.Classes), "plans", retune.Names(next.Plans), "attempts", next.Attempts)
 	})
 
-	names := &ingress.Names{Classes: set.Classes, Plans: set.Plans, Gateways: max(1, set.Module.Gateways), MaxUnits: set.MaxUnits}
-	for _, class := range set.Module.Classes {
-		names.Longest = append(names.Longest, class.Deadline)
-		names.Repeats = append(names.Repeats, class.Repeat)
-	}
-	server := ingress.NewServer(ingress.Platform(names, c, log), ingress.MaxHeader, &figures.Concurrent, log)
+	server := ingress.NewServer(ingress.PlatformLive(names.Load, c, log), ingress.MaxHeader, &figures.Concurrent, log)
 	if p.Management != "" {
 		l, err := net.Listen("tcp", p.Management)
 		if err != nil {
@@ -168,6 +180,16 @@
 	return serve(ctx, g.Core, ingress.NewServer(g.Front(), o.MaxHeader, nil, log), o.Listen, ingressConns(o.Limits.Sockets), o.Drain.Duration, log)
 }
 
+// platformNames are the words that new requests may use under the table.
+func platformNames(t retune.Table, set config.Settings) *ingress.Names {
+	n := &ingress.Names{Classes: retune.Names(t.Classes), Plans: retune.Names(t.Plans), Gateways: max(1, set.Module.Gateways), MaxUnits: set.MaxUnits}
+	for _, class := range retune.Rules(t.Classes) {
+		n.Longest = append(n.Longest, class.Deadline)
+		n.Repeats = append(n.Repeats, class.Repeat)
+	}
+	return n
+}
+
 // eachHangup calls reload for each SIGHUP until ctx ends.
 func eachHangup(ctx context.Context, hup <-chan os.Signal, reload func()) {
 	for {
--- a/control/state.go
+++ b/control/state.go
@@ -433,6 +433,9 @@
 func (g *Gateway) reconfigure(e Reconfigured) {
 	set := g.set
 	set.Classes, set.Plans = slices.Clone(e.Classes), slices.Clone(e.Plans)
+	if e.Attempts > 0 {
+		set.Limits.MaxAttempts = e.Attempts
+	}
 	if set.validate() != nil || len(e.From) != len(e.Classes) || len(e.Classes) < len(g.set.Classes) || len(e.Plans) < len(g.set.Plans) {
 		return // whoever offers it has it checked before
 	}
--- a/control/types.go
+++ b/control/types.go
@@ -227,9 +227,10 @@
 	// Reconfigured brings new classes and plans. Numbers that were in use stay, and mean what they meant; From names,
 	// for each class, the one whose learned times it begins with: itself where it goes on, -1 for none.
 	Reconfigured struct {
-		Classes []Class
-		Plans   []Plan
-		From    []int
+		Classes  []Class
+		Plans    []Plan
+		From     []int
+		Attempts int // MaxAttempts from now on; 0: as it was
 	}
 
 	// Restored tells that the way to a site is there again: what failed meanwhile was not its servers' doing.
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -19,6 +19,7 @@
 	MemoryMB, Sockets                int
 	Known                            []byte // the list as last had, in discovery's form
 	Settings                         Settings
+	SettingsRaw                      []byte // as written, for CheckReload
 }
 
 // LoadPlatform reads the file that EDGE_CONFIG names. The other variables win over it.
@@ -58,7 +59,8 @@
 	p.Cores, p.MemoryMB = limits.Get("cores").Float(), int(limits.Get("memory_mb").Int())
 	p.Sockets = int(limits.Get("sockets").Int())
 	p.Known = []byte(top.Get("known").Raw)
-	if p.Settings, err = DecodeSettings([]byte(top.Get("settings").Raw)); err != nil {
+	p.SettingsRaw = []byte(top.Get("settings").Raw)
+	if p.Settings, err = DecodeSettings(p.SettingsRaw); err != nil {
 		return p, fmt.Errorf("%s: %w", path, err)
 	}
 	return p, nil
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -136,11 +136,16 @@
 
 // Platform is the handler of the platform's protocol.
 func Platform(names *Names, c *core.Core, log *slog.Logger) http.Handler {
+	return PlatformLive(func() *Names { return names }, c, log)
+}
+
+// PlatformLive is Platform with names that may change: each request is decoded by those in force as it comes.
+func PlatformLive(in func() *Names, c *core.Core, log *slog.Logger) http.Handler {
 	proxy := Proxy(&egress.RoundTripper{Core: c, RetryAfter: egress.DecimalSeconds}, log)
 	var open sync.Map // ids of the exchanges that are held
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		received := time.Now()
-		x, err := names.Decode(r, received)
+		x, err := in().Decode(r, received)
 		if err != nil {
 			Reject(w, r, err)
 			return
