Take chunked request bodies on a POST, and close the connection after their answer

Change: a POST with Transfer-Encoding: chunked alone is taken; net/http decodes it, ReadBody takes it up to 64 KiB as before, and egress sends it on with its length. Its answer says Connection: close, so that whatever a Content-Length beside it may have hidden is never read as a request. Other codings, and chunked on a GET, are still refused.

--- a/internal/ingress/decode.go
+++ b/internal/ingress/decode.go
@@ -85,24 +85,28 @@
 }
 
 // Framing refuses what the platform's clients never send and what two readers may take for different
-// messages. net/http has dropped a Content-Length that stood beside a Transfer-Encoding: behind such a head a
-// second request may be hidden in the body.
+// messages. A chunked body is taken on a POST; net/http has dropped a Content-Length that stood beside it, so
+// behind such a head a second request may be hidden, and the connection is closed after the answer (Chunked).
 func Framing(r *http.Request) error {
 	switch {
 	case !r.ProtoAtLeast(1, 1):
 		return &Malformed{http.StatusHTTPVersionNotSupported, "HTTP/1.1 is spoken here"}
-	case len(r.TransferEncoding) > 0:
-		return bad("Transfer-Encoding is not taken")
+	case len(r.TransferEncoding) > 0 && (r.Method != http.MethodPost || len(r.TransferEncoding) != 1 || r.TransferEncoding[0] != "chunked"):
+		return bad("Transfer-Encoding is taken only as chunked, on a POST")
 	case r.URL.Host != "" || !strings.HasPrefix(r.RequestURI, "/"):
 		return bad("the target must be a path")
 	case r.Method == http.MethodGet && r.ContentLength != 0:
 		return bad("a GET has no body")
-	case r.Method == http.MethodPost && r.Header.Get("Content-Length") == "":
+	case r.Method == http.MethodPost && r.Header.Get("Content-Length") == "" && len(r.TransferEncoding) == 0:
 		return &Malformed{http.StatusLengthRequired, "Content-Length is missing"}
 	}
 	return nil
 }
 
+// Chunked tells that a request came with a chunked body: its answer closes the connection, so that nothing
+// that a Content-Length beside it would have hidden is ever read as a request of its own.
+func Chunked(r *http.Request) bool { return len(r.TransferEncoding) > 0 }
+
 // one returns the value of a header that may stand once at most: of two, nobody knows which one the next
 // reader would take.
 func one(h http.Header, name string) (string, error) {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -145,6 +145,9 @@
 	var open sync.Map // ids of the exchanges that are held
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		received := time.Now()
+		if Chunked(r) {
+			w.Header().Set("Connection", "close")
+		}
 		x, err := in().Decode(r, received)
 		if err != nil {
 			Reject(w, r, err)
