Leave Shutdown no idle connection, and close none that has had no request yet

At fault, both in the end of Drain (ingress.go) and closeResting (slots.go) from: - closeResting(0) also closed connections in StateNew, accepted a moment before with the request not yet sent: the first request on a connection is lost by that close. - connections passed over as not quiet (a request come in, unread) were left idle to Shutdown, which closes idle connections at once and at each of its polls, without a look.

Change: a connection without a request yet is left for firstWord (250 ms) and then to net/http, which waits for it; the end of the drain repeats closeResting every 2 ms until no idle connection with a request in it is left, and only then stops the listener and calls Shutdown.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -21,6 +21,7 @@
 	headerWait = 1500 * time.Millisecond // from the accept on: who sends no whole head holds a slot for nothing
 	idleWait   = 2 * time.Minute         // clients that went away without a word must not hold descriptors for ever
 
+	idleLook      = 2 * time.Millisecond   // at the end of a drain, between looks at idle connections
 	evacuateSweep = 100 * time.Millisecond // between closes of resting connections while evacuated
 	evacuateRest  = 250 * time.Millisecond // rested at least: a client that just connected sends at once
 )
@@ -116,8 +117,13 @@
 	s.closing.Store(true)
 	pause(ctx, closing)
 	if l := s.slots.Load(); l != nil {
-		l.closeResting(0) // Shutdown would close them without a look for a request on its way in
-		select {          // Shutdown would close the listener with connections that wait in it
+		// Shutdown closes idle connections, again and again, without a look for a request come in on them:
+		// none may be left to it. Those with a request unread become active in a moment, and their answers
+		// close them.
+		for l.closeResting(0) > 0 && ctx.Err() == nil {
+			pause(ctx, idleLook)
+		}
+		select { // Shutdown would close the listener with connections that wait in it
 		case <-l.stop():
 		case <-ctx.Done():
 		}
--- a/internal/ingress/slots.go
+++ b/internal/ingress/slots.go
@@ -45,6 +45,7 @@
 type rest struct {
 	conn  net.Conn
 	since time.Time
+	fresh bool // no request yet: its first may be on its way
 }
 
 func newSlots(l net.Listener, most int) *slots {
@@ -135,22 +136,27 @@
 	}
 }
 
-// closeResting closes each connection that has rested at least so long with nothing unread on it.
-func (s *slots) closeResting(least time.Duration) {
+// closeResting closes each connection that has rested at least so long with nothing unread on it. One that
+// has had no request yet is left for firstWord: a client that has just connected sends its request next, and a
+// close then would lose it.
+func (s *slots) closeResting(least time.Duration) (left int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for e := s.resting.Front(); e != nil; {
 		next := e.Next()
 		r := e.Value.(*rest)
 		if time.Since(r.since) < least {
-			return // those behind have rested less
+			return left // those behind have rested less
 		}
-		if socket.Quiet(r.conn) {
+		if (!r.fresh || time.Since(r.since) >= firstWord) && socket.Quiet(r.conn) {
 			s.forget(r.conn)
 			r.conn.Close()
+		} else if !r.fresh {
+			left++ // a request has come in on it, and net/http is about to read it
 		}
 		e = next
 	}
+	return left
 }
 
 func (s *slots) forget(c net.Conn) {
@@ -175,7 +181,7 @@
 	s.mu.Lock()
 	s.forget(c)
 	if state == http.StateNew || state == http.StateIdle {
-		s.rests[c] = s.resting.PushBack(&rest{c, time.Now()})
+		s.rests[c] = s.resting.PushBack(&rest{c, time.Now(), state == http.StateNew})
 	}
 	s.mu.Unlock()
 	if state == http.StateClosed || state == http.StateHijacked {
--- a/internal/ingress/slots_test.go
+++ b/internal/ingress/slots_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 )
 
@@ -45,3 +46,40 @@
 		t.Error("a connection was taken after the listener stopped")
 	}
 }
+
+// At the end of a drain a connection that has just come, with its request not yet sent, is not closed under it;
+// one that has been idle after a request is.
+func TestFreshConnectionIsNotClosedAtTheEnd(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	s := newSlots(l, 64)
+	client, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	fresh, err := s.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer fresh.Close()
+	s.state(fresh, http.StateNew)
+	s.closeResting(0)
+	const request = "GET /table-view/1 HTTP/1.1\r\nHost: g\r\n\r\n"
+	if _, err := io.WriteString(client, request); err != nil {
+		t.Fatal(err)
+	}
+	b := make([]byte, len(request)) // all of it: an idle connection with bytes unread is not closed either
+	if _, err := io.ReadFull(fresh, b); err != nil {
+		t.Fatalf("the fresh connection was closed: %v", err)
+	}
+	s.state(fresh, http.StateActive)
+	s.state(fresh, http.StateIdle)
+	s.closeResting(0)
+	if _, err := fresh.Read(b); err == nil {
+		t.Error("an idle connection was left open at the end")
+	}
+}
