At the end of a drain, close a resting connection whose client has gone

Cause: the end of Drain repeats closeResting until no idle connection with something unread is left, and took socket.Quiet for that test. A client that has closed its side leaves an end to be read, which Quiet does not count as quiet: such a connection was never closed, and the loop ran on every 2 ms to the drain's deadline (3.3 s after SIGTERM); Shutdown then had no time left, what was held was shed, and the process ended with whatever was still being read cut off.

Change: socket.Unread says whether bytes wait (an end is none); closeResting closes a connection with nothing unread, so one whose client has gone is closed at once. Eviction keeps Quiet, as before.

--- a/internal/ingress/slots.go
+++ b/internal/ingress/slots.go
@@ -148,7 +148,7 @@
 		if time.Since(r.since) < least {
 			return left // those behind have rested less
 		}
-		if (!r.fresh || time.Since(r.since) >= firstWord) && socket.Quiet(r.conn) {
+		if (!r.fresh || time.Since(r.since) >= firstWord) && !socket.Unread(r.conn) { // nothing, or the client's end
 			s.forget(r.conn)
 			r.conn.Close()
 		} else if !r.fresh {
--- a/internal/ingress/slots_test.go
+++ b/internal/ingress/slots_test.go
@@ -83,3 +83,37 @@
 		t.Error("an idle connection was left open at the end")
 	}
 }
+
+// A connection whose client has closed its side is closed at the end of a drain too: it has nothing to be
+// answered, and waiting for it would hold the drain to its deadline.
+func TestGoneClientIsNotWaitedFor(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	s := newSlots(l, 64)
+	client, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	gone, err := s.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer gone.Close()
+	s.state(gone, http.StateNew)
+	s.state(gone, http.StateActive)
+	s.state(gone, http.StateIdle)
+	client.(*net.TCPConn).CloseWrite()
+	client.Close()
+	for left := -1; left != 0; { // the end arrives in a moment
+		left = s.closeResting(0)
+		if left == 0 && len(s.rests) != 0 {
+			left = 1
+		}
+	}
+	if _, err := gone.Read(make([]byte, 1)); err == nil || err == io.EOF {
+		t.Errorf("the connection of a client that has gone was left open: %v", err)
+	}
+}
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -25,3 +25,23 @@
 	})
 	return err == nil && quiet
 }
+
+// Unread tells whether bytes wait to be read on a connection, without waiting: an end that the other side sent
+// is none, so a connection whose client has gone counts as having nothing unread.
+func Unread(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unread := false
+	raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		unread = e == nil && n > 0
+	})
+	return unread
+}
