Let Quiet and Unread share one look at the socket

Read over: Unread repeated Quiet's whole body, the assertion to syscall.Conn, SyscallConn and the peek with MSG_PEEK|MSG_DONTWAIT, to judge the same byte differently. Both now call peek and judge its result; each gives what it gave before in every case (no descriptor: quiet, not unread; no raw connection or a failed Control: neither).

--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -9,39 +9,37 @@
 // Quiet tells whether a connection is open with nothing to be read on it, without waiting. The runtime does not
 // tell: it notices an end or new bytes only in a read.
 func Quiet(c net.Conn) bool {
-	sc, ok := c.(syscall.Conn)
+	n, ok, e := peek(c)
 	if !ok {
-		return true
+		return n == noSocket
 	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Control(func(fd uintptr) { // Read would wait for a goroutine that reads
-		var b [1]byte
-		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = e == syscall.EAGAIN
-	})
-	return err == nil && quiet
+	return e == syscall.EAGAIN
 }
 
 // Unread tells whether bytes wait to be read on a connection, without waiting: an end that the other side sent
 // is none, so a connection whose client has gone counts as having nothing unread.
 func Unread(c net.Conn) bool {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return false
+	n, ok, e := peek(c)
+	return ok && e == nil && n > 0
+}
+
+const noSocket = -1 // of peek: the connection has no descriptor to look at
+
+// peek looks at the next byte without taking it and without waiting (Read would wait for a goroutine that
+// reads). ok is false where nothing could be looked at; n is then noSocket for a connection without a
+// descriptor.
+func peek(c net.Conn) (n int, ok bool, e error) {
+	sc, isSocket := c.(syscall.Conn)
+	if !isSocket {
+		return noSocket, false, nil
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, false, nil
 	}
-	unread := false
-	raw.Control(func(fd uintptr) {
+	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
-		n, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		unread = e == nil && n > 0
+		n, _, e = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return unread
+	return n, err == nil, e
 }
