--- a/internal/ingress/slots_test.go
+++ b/internal/ingress/slots_test.go
@@ -50,22 +50,7 @@
 // At the end of a drain a connection that has just come, with its request not yet sent, is not closed under it;
 // one that has been idle after a request is.
 func TestFreshConnectionIsNotClosedAtTheEnd(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	s := newSlots(l, 64)
-	client, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer client.Close()
-	fresh, err := s.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer fresh.Close()
+	s, client, fresh := accepted(t)
 	s.state(fresh, http.StateNew)
 	s.closeResting(0)
 	const request = "GET /table-view/1 HTTP/1.1\r\nHost: g\r\n\r\n"
@@ -87,21 +72,7 @@
 // A connection whose client has closed its side is closed at the end of a drain too: it has nothing to be
 // answered, and waiting for it would hold the drain to its deadline.
 func TestGoneClientIsNotWaitedFor(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	s := newSlots(l, 64)
-	client, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	gone, err := s.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer gone.Close()
+	s, client, gone := accepted(t)
 	s.state(gone, http.StateNew)
 	s.state(gone, http.StateActive)
 	s.state(gone, http.StateIdle)
@@ -117,3 +88,23 @@
 		t.Errorf("the connection of a client that has gone was left open: %v", err)
 	}
 }
+
+// accepted is slots over a listener on loopback, a client's connection, and its end as slots handed it out.
+func accepted(t *testing.T) (s *slots, client, server net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	s = newSlots(l, 64)
+	if client, err = net.Dial("tcp", l.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { client.Close() })
+	if server, err = s.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { server.Close() })
+	return s, client, server
+}
