Move the HTTP pieces that all fronts share from ingress to a package of their own

The forward-auth front imported the platform's front for its server, Reject, ReadBody, Proxy and Names. internal/front now holds them beneath both; internal/ingress is the platform's decoding and handler alone.

--- a/cmd/junctionring/serve.go
+++ b/cmd/junctionring/serve.go
@@ -22,6 +22,7 @@
 	"junctionring/internal/core"
 	"junctionring/internal/counter"
 	"junctionring/internal/egress"
+	"junctionring/internal/front"
 	"junctionring/internal/gateway"
 	"junctionring/internal/ingress"
 	"junctionring/internal/management"
@@ -98,7 +99,7 @@
 	}
 	go list.Run(work)
 	table := retune.Start(set.Classes, set.Module.Classes, set.Plans, set.Module.Plans, set.Module.Limits.MaxAttempts)
-	var names atomic.Pointer[ingress.Names]
+	var names atomic.Pointer[front.Names]
 	names.Store(platformNames(table, set))
 	go eachHangup(work, hup, func() {
 		p, err := config.ReadPlatform(path)
@@ -134,7 +135,7 @@
 		log.Info("new settings", "classes", retune.Names(next.Classes), "plans", retune.Names(next.Plans), "attempts", next.Attempts)
 	})
 
-	server := ingress.NewServer(ingress.PlatformLive(names.Load, c, log), ingress.MaxHeader, &figures.Concurrent, log)
+	server := front.NewServer(ingress.PlatformLive(names.Load, c, log), front.MaxHeader, &figures.Concurrent, log)
 	if p.Management != "" {
 		l, err := net.Listen("tcp", p.Management)
 		if err != nil {
@@ -177,12 +178,12 @@
 	if !g.Start(work, ctx) {
 		return nil // told to end before the route table was known
 	}
-	return serve(ctx, g.Core, ingress.NewServer(g.Front(), o.MaxHeader, nil, log), o.Listen, ingressConns(o.Limits.Sockets), o.Drain.Duration, log)
+	return serve(ctx, g.Core, front.NewServer(g.Front(), o.MaxHeader, nil, log), o.Listen, ingressConns(o.Limits.Sockets), o.Drain.Duration, log)
 }
 
 // platformNames are the words that new requests may use under the table.
-func platformNames(t retune.Table, set config.Settings) *ingress.Names {
-	n := &ingress.Names{Classes: retune.Names(t.Classes), Plans: retune.Names(t.Plans), Gateways: max(1, set.Module.Gateways), MaxUnits: set.MaxUnits}
+func platformNames(t retune.Table, set config.Settings) *front.Names {
+	n := &front.Names{Classes: retune.Names(t.Classes), Plans: retune.Names(t.Plans), Gateways: max(1, set.Module.Gateways), MaxUnits: set.MaxUnits}
 	for _, class := range retune.Rules(t.Classes) {
 		n.Longest = append(n.Longest, class.Deadline)
 		n.Repeats = append(n.Repeats, class.Repeat)
@@ -203,7 +204,7 @@
 }
 
 // serve takes connections until ctx ends, then drains.
-func serve(ctx context.Context, c *core.Core, server *ingress.Server, listen string, conns int, drainFor time.Duration, log *slog.Logger) error {
+func serve(ctx context.Context, c *core.Core, server *front.Server, listen string, conns int, drainFor time.Duration, log *slog.Logger) error {
 	l, err := socket.Listen(context.Background(), listen) // shared with the process that replaces this one
 	if err != nil {
 		return err
--- a/internal/forwardauth/forwardauth.go
+++ b/internal/forwardauth/forwardauth.go
@@ -23,7 +23,7 @@
 	"junctionring/internal/config"
 	"junctionring/internal/core"
 	"junctionring/internal/egress"
-	"junctionring/internal/ingress"
+	"junctionring/internal/front"
 )
 
 const (
@@ -56,7 +56,7 @@
 func New(o *config.Operator, c *core.Core, log *slog.Logger) (*Front, error) {
 	f := &Front{
 		core: c, log: log, keys: keys{known: map[string]*keyState{}},
-		proxy: ingress.Proxy(&egress.RoundTripper{Core: c, RetryAfter: egress.WholeSeconds}, log),
+		proxy: front.Proxy(&egress.RoundTripper{Core: c, RetryAfter: egress.WholeSeconds}, log),
 	}
 	var err error
 	f.view, err = f.NewView(o, places(len(o.Classes)), places(len(o.Plans)))
@@ -100,12 +100,12 @@
 	}
 	x, err := f.decode(r, received)
 	if err != nil {
-		ingress.Reject(w, r, err)
+		front.Reject(w, r, err)
 		return
 	}
-	body, err := ingress.ReadBody(w, r, f.o.MaxBody)
+	body, err := front.ReadBody(w, r, f.o.MaxBody)
 	if err != nil {
-		ingress.Reject(w, r, err)
+		front.Reject(w, r, err)
 		return
 	}
 	trusted := f.trusted(r)
@@ -186,12 +186,12 @@
 	origin := f.origin(r, true)
 	u, err := url.ParseRequestURI(origin["X-Forwarded-Uri"])
 	if err != nil {
-		ingress.Reject(w, r, &ingress.Malformed{Status: http.StatusBadRequest, Text: "X-Forwarded-Uri is missing or no path"})
+		front.Reject(w, r, &front.Malformed{Status: http.StatusBadRequest, Text: "X-Forwarded-Uri is missing or no path"})
 		return
 	}
 	x, err := f.decode(&http.Request{Method: origin["X-Forwarded-Method"], URL: u, Header: r.Header}, received)
 	if err != nil {
-		ingress.Reject(w, r, err)
+		front.Reject(w, r, err)
 		return
 	}
 	x.Ask = true
@@ -224,13 +224,13 @@
 	if x.Class, err = f.names.Class(r); err != nil {
 		return x, err
 	}
-	x.Deadline = received.Add(f.o.Classes[x.Class].Deadline.Duration - ingress.Margin)
+	x.Deadline = received.Add(f.o.Classes[x.Class].Deadline.Duration - front.Margin)
 	if text := r.Header.Get("X-Timeout"); text != "" {
-		wait, err := ingress.ParseTimeout(text)
+		wait, err := front.ParseTimeout(text)
 		if err != nil {
 			return x, err
 		}
-		if by := received.Add(wait - ingress.Margin); by.Before(x.Deadline) {
+		if by := received.Add(wait - front.Margin); by.Before(x.Deadline) {
 			x.Deadline = by
 		}
 	}
--- a/internal/forwardauth/forwardauth_test.go
+++ b/internal/forwardauth/forwardauth_test.go
@@ -20,7 +20,7 @@
 	"junctionring/internal/counter"
 	"junctionring/internal/egress"
 	"junctionring/internal/forwardauth"
-	"junctionring/internal/ingress"
+	"junctionring/internal/front"
 	"junctionring/internal/routetable"
 	"junctionring/internal/standin"
 )
@@ -121,7 +121,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	front, err := forwardauth.New(o, c, log)
+	f, err := forwardauth.New(o, c, log)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -133,13 +133,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := ingress.NewServer(front, o.MaxHeader, nil, log)
+	s := front.NewServer(f, o.MaxHeader, nil, log)
 	go s.Serve(l, 64)
 	t.Cleanup(func() {
 		now, stop := context.WithCancel(context.Background())
 		stop()
 		s.Drain(now, 0, 0)
-		front.Close()
+		f.Close()
 		cancel()
 	})
 	return "http://" + l.Addr().String()
--- a/internal/forwardauth/view.go
+++ b/internal/forwardauth/view.go
@@ -8,13 +8,13 @@
 
 	"junctionring/internal/config"
 	"junctionring/internal/egress"
-	"junctionring/internal/ingress"
+	"junctionring/internal/front"
 )
 
 // View is one configuration version as the front sees it. It is not changed once it is made.
 type View struct {
 	o        *config.Operator
-	names    *ingress.Names
+	names    *front.Names
 	classes  []int // the numbers in the core, by their place in the document
 	plans    []int
 	checker  *egress.Peer
@@ -24,7 +24,7 @@
 
 // NewView makes a view of a version. Nothing sees it before Install.
 func (f *Front) NewView(o *config.Operator, classes, plans []int) (*View, error) {
-	v := &View{o: o, names: &ingress.Names{Gateways: o.Gateways, Routes: o.Paths}, classes: classes, plans: plans}
+	v := &View{o: o, names: &front.Names{Gateways: o.Gateways, Routes: o.Paths}, classes: classes, plans: plans}
 	for i, class := range o.Classes {
 		v.names.Classes = append(v.names.Classes, class.Name)
 		v.names.Repeats = append(v.names.Repeats, o.Module.Classes[i].Repeat)
--- a/internal/ingress/decode.go
+++ b/internal/front/message.go
@@ -1,6 +1,4 @@
-// Package ingress is the front for the platform's protocol: it decodes a client's message into a typed
-// exchange, has it carried out, and answers. What is malformed is answered here and never reaches the core.
-package ingress
+package front
 
 import (
 	"cmp"
@@ -22,7 +20,6 @@
 const Margin = 5 * time.Millisecond
 
 const (
-	mostID     = 128  // bytes of an X-Request-ID
 	mostUnits  = 1000 // of one exchange, where nothing is stated
 	mostDigits = 16   // of a number: it fits an int and a float64
 	bodyWait   = time.Second
@@ -38,7 +35,8 @@
 
 func (m *Malformed) Error() string { return m.Text }
 
-func bad(format string, args ...any) error {
+// Bad is a message that cannot be read.
+func Bad(format string, args ...any) error {
 	return &Malformed{http.StatusBadRequest, fmt.Sprintf(format, args...)}
 }
 
@@ -74,12 +72,12 @@
 	if r.Method != want {
 		return 0, &Malformed{http.StatusMethodNotAllowed, first + " takes " + want}
 	}
-	key, err := one(r.Header, "Idempotency-Key")
+	key, err := One(r.Header, "Idempotency-Key")
 	if err != nil {
 		return 0, err
 	}
 	if n.Repeats[class] == control.Keyed && key == "" {
-		return 0, bad("%s needs an Idempotency-Key", first)
+		return 0, Bad("%s needs an Idempotency-Key", first)
 	}
 	return class, nil
 }
@@ -92,11 +90,11 @@
 	case !r.ProtoAtLeast(1, 1):
 		return &Malformed{http.StatusHTTPVersionNotSupported, "HTTP/1.1 is spoken here"}
 	case len(r.TransferEncoding) > 0 && (r.Method != http.MethodPost || len(r.TransferEncoding) != 1 || r.TransferEncoding[0] != "chunked"):
-		return bad("Transfer-Encoding is taken only as chunked, on a POST")
+		return Bad("Transfer-Encoding is taken only as chunked, on a POST")
 	case r.URL.Host != "" || !strings.HasPrefix(r.RequestURI, "/"):
-		return bad("the target must be a path")
+		return Bad("the target must be a path")
 	case r.Method == http.MethodGet && r.ContentLength != 0:
-		return bad("a GET has no body")
+		return Bad("a GET has no body")
 	case r.Method == http.MethodPost && r.Header.Get("Content-Length") == "" && len(r.TransferEncoding) == 0:
 		return &Malformed{http.StatusLengthRequired, "Content-Length is missing"}
 	}
@@ -107,64 +105,16 @@
 // that a Content-Length beside it would have hidden is ever read as a request of its own.
 func Chunked(r *http.Request) bool { return len(r.TransferEncoding) > 0 }
 
-// one returns the value of a header that may stand once at most: of two, nobody knows which one the next
+// One returns the value of a header that may stand once at most: of two, nobody knows which one the next
 // reader would take.
-func one(h http.Header, name string) (string, error) {
+func One(h http.Header, name string) (string, error) {
 	switch values := h[name]; len(values) {
 	case 0:
 		return "", nil
 	case 1:
 		return values[0], nil
 	}
-	return "", bad("%s stands more than once", name)
-}
-
-// Decode reads a client's message, but for its body. received is when it was taken in.
-func (n *Names) Decode(r *http.Request, received time.Time) (x core.Exchange, err error) {
-	if err = Framing(r); err != nil {
-		return x, err
-	}
-	if x.Class, err = n.Class(r); err != nil {
-		return x, err
-	}
-	var values [5]string
-	for i, name := range [...]string{"X-Request-Id", "X-Plan", "Cookie", "X-Timeout", "X-Quota"} {
-		if values[i], err = one(r.Header, name); err != nil {
-			return x, err
-		}
-	}
-	if id := values[0]; id == "" || len(id) > mostID {
-		return x, bad("X-Request-ID is missing or too long")
-	}
-	if x.Plan = slices.Index(n.Plans, values[1]); x.Plan < 0 {
-		return x, bad("no such plan: %.40q", values[1])
-	}
-	accounts := r.CookiesNamed("account")
-	if len(accounts) != 1 {
-		return x, bad("there must be one account cookie")
-	}
-	if x.Customer, err = ParseAccount(accounts[0].Value); err != nil {
-		return x, err
-	}
-	wait, err := ParseTimeout(values[3])
-	if err != nil {
-		return x, err
-	}
-	if x.Class < len(n.Longest) && n.Longest[x.Class] > 0 {
-		wait = min(wait, time.Duration(n.Longest[x.Class]*float64(time.Second)))
-	}
-	x.Deadline = received.Add(wait - Margin)
-	x.Repeat = r.Header.Get("X-Retried") == "1"
-	return x, n.Quota(values[4], &x)
-}
-
-// ParseAccount reads a customer: 16 hex digits, below 2^33.
-func ParseAccount(text string) (uint64, error) {
-	v, err := strconv.ParseUint(text, 16, 64)
-	if err != nil || len(text) != 16 || v >= 1<<33 {
-		return 0, bad("no account: %.40q", text)
-	}
-	return v, nil
+	return "", Bad("%s stands more than once", name)
 }
 
 // ParseTimeout reads a number and its unit, m or u.
@@ -178,7 +128,7 @@
 	}
 	v, err := parseNumber(text[:max(0, len(text)-1)])
 	if unit == 0 || err != nil || !(v > 0 && v*float64(unit) < float64(24*time.Hour)) {
-		return 0, bad("no timeout: %.40q", text)
+		return 0, Bad("no timeout: %.40q", text)
 	}
 	return time.Duration(v * float64(unit)), nil
 }
@@ -199,7 +149,7 @@
 		key, value, _ := strings.Cut(strings.TrimSpace(part), "=")
 		v, err := parseNumber(value)
 		if err != nil || seen[key] {
-			return bad("no quota: %.60q", text)
+			return Bad("no quota: %.60q", text)
 		}
 		seen[key] = true
 		switch key {
@@ -213,12 +163,12 @@
 			continue
 		}
 		if key != "units" && v != math.Trunc(v) {
-			return bad("no quota: %.60q", text)
+			return Bad("no quota: %.60q", text)
 		}
 	}
 	most := cmp.Or(n.MaxUnits, mostUnits)
 	if !(x.Units > 0 && x.Units <= most) || x.Spread < 1 || x.Spread > n.Gateways || x.First < 0 || x.First >= n.Gateways {
-		return bad("quota out of range: %.60q", text)
+		return Bad("quota out of range: %.60q", text)
 	}
 	return nil
 }
@@ -239,7 +189,7 @@
 		return nil, &Malformed{http.StatusRequestEntityTooLarge, "the body is too large"}
 	}
 	if err != nil {
-		return nil, bad("the body is cut short")
+		return nil, Bad("the body is cut short")
 	}
 	return body, nil
 }
--- /dev/null
+++ b/internal/front/server.go
@@ -0,0 +1,151 @@
+// Package front is what all HTTP fronts share beneath them: a server with its slots for connections and its
+// drain, the reading of messages, and the proxy onto the core's RoundTripper.
+package front
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// MaxHeader is what a client's headers may hold on the platform.
+	MaxHeader  = 16 << 10
+	headerWait = 1500 * time.Millisecond // from the accept on: who sends no whole head holds a slot for nothing
+	idleWait   = 2 * time.Minute         // clients that went away without a word must not hold descriptors for ever
+
+	idleLook      = 2 * time.Millisecond   // at the end of a drain, between looks at idle connections
+	evacuateSweep = 100 * time.Millisecond // between closes of resting connections while evacuated
+	evacuateRest  = 250 * time.Millisecond // rested at least: a client that just connected sends at once
+)
+
+// Server is a front's HTTP server with a drain.
+type Server struct {
+	http      *http.Server
+	draining  atomic.Bool
+	closing   atomic.Bool
+	ready     atomic.Bool
+	evacuated atomic.Bool
+	slots     atomic.Pointer[slots]
+	taken     *atomic.Int64 // requests held now; nil: not counted
+}
+
+// NewServer serves h, with the readiness path in front of it. taken, where not nil, counts the requests held.
+func NewServer(h http.Handler, maxHeader int, taken *atomic.Int64, log *slog.Logger) *Server {
+	s := &Server{taken: taken}
+	s.http = &http.Server{
+		MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerWait, IdleTimeout: idleWait,
+		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if s.closing.Load() || s.evacuated.Load() { // clients keep a connection for as long as it stays open
+				w.Header().Set("Connection", "close")
+			}
+			if r.URL.Path == "/health/ready" {
+				if !s.Taking() {
+					w.WriteHeader(http.StatusServiceUnavailable)
+				}
+				return
+			}
+			if s.taken != nil {
+				s.taken.Add(1)
+				defer s.taken.Add(-1)
+			}
+			h.ServeHTTP(w, r)
+		}),
+	}
+	return s
+}
+
+// Taking tells whether clients are welcome: ready, and neither draining nor evacuated.
+func (s *Server) Taking() bool {
+	return s.ready.Load() && !s.draining.Load() && !s.evacuated.Load()
+}
+
+// Evacuate sends clients away while the process runs on: readiness says no at once, each answer closes its
+// connection, and resting connections are closed, now and every evacuateSweep, once nothing unread is on them.
+// Connections that still come are served. It lasts until Rejoin, or ctx ends.
+func (s *Server) Evacuate(ctx context.Context) {
+	if s.evacuated.Swap(true) {
+		return
+	}
+	go func() {
+		t := time.NewTicker(evacuateSweep)
+		defer t.Stop()
+		for s.evacuated.Load() {
+			if l := s.slots.Load(); l != nil {
+				l.closeResting(evacuateRest)
+			}
+			select {
+			case <-t.C:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+}
+
+// Rejoin takes clients again after Evacuate.
+func (s *Server) Rejoin() { s.evacuated.Store(false) }
+
+// Serve takes connections until Drain has ended, at most so many at once.
+func (s *Server) Serve(l net.Listener, most int) error {
+	limited := newSlots(l, most)
+	s.slots.Store(limited)
+	s.http.ConnState = limited.state
+	if err := s.http.Serve(limited); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Ready lets the readiness path answer 200.
+func (s *Server) Ready() { s.ready.Store(true) }
+
+// Drain serves on for a while, since clients keep to the connections that they have: those find no other way
+// in while the gateway is away. Then it closes each connection with its next answer, lest a close cross a
+// request, takes nothing new, and waits until all that is held has its answer, or ctx ends.
+func (s *Server) Drain(ctx context.Context, serve, closing time.Duration) error {
+	s.draining.Store(true)
+	pause(ctx, serve)
+	s.closing.Store(true)
+	pause(ctx, closing)
+	if l := s.slots.Load(); l != nil {
+		// Shutdown closes idle connections, again and again, without a look for a request come in on them:
+		// none may be left to it. Those with a request unread become active in a moment, and their answers
+		// close them.
+		for l.closeResting(0) > 0 && ctx.Err() == nil {
+			pause(ctx, idleLook)
+		}
+		select { // Shutdown would close the listener with connections that wait in it
+		case <-l.stop():
+		case <-ctx.Done():
+		}
+	}
+	return s.http.Shutdown(ctx)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	wait := time.NewTimer(d)
+	defer wait.Stop()
+	select {
+	case <-wait.C:
+	case <-ctx.Done():
+	}
+}
+
+// Proxy is the reverse proxy on a RoundTripper of ours.
+func Proxy(t http.RoundTripper, log *slog.Logger) *httputil.ReverseProxy {
+	return &httputil.ReverseProxy{
+		Rewrite:   func(*httputil.ProxyRequest) {},
+		Transport: t,
+		ErrorLog:  slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+		ErrorHandler: func(w http.ResponseWriter, r *http.Request, err error) {
+			panic(http.ErrAbortHandler) // the client has left: nobody is told anything
+		},
+	}
+}
--- a/internal/ingress/slots.go
+++ b/internal/front/slots.go
@@ -1,4 +1,4 @@
-package ingress
+package front
 
 import (
 	"container/list"
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -1,174 +1,51 @@
+// Package ingress is the front for the platform's protocol: it decodes a client's message into a typed
+// exchange, has it carried out, and answers. What is malformed is answered here and never reaches the core.
 package ingress
 
 import (
-	"context"
-	"errors"
 	"log/slog"
-	"net"
 	"net/http"
-	"net/http/httputil"
+	"slices"
+	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"junctionring/internal/core"
 	"junctionring/internal/egress"
+	"junctionring/internal/front"
 )
 
-const (
-	// MaxHeader is what a client's headers may hold on the platform.
-	MaxHeader  = 16 << 10
-	headerWait = 1500 * time.Millisecond // from the accept on: who sends no whole head holds a slot for nothing
-	idleWait   = 2 * time.Minute         // clients that went away without a word must not hold descriptors for ever
-
-	idleLook      = 2 * time.Millisecond   // at the end of a drain, between looks at idle connections
-	evacuateSweep = 100 * time.Millisecond // between closes of resting connections while evacuated
-	evacuateRest  = 250 * time.Millisecond // rested at least: a client that just connected sends at once
-)
-
-// Server is a front's HTTP server with a drain.
-type Server struct {
-	http      *http.Server
-	draining  atomic.Bool
-	closing   atomic.Bool
-	ready     atomic.Bool
-	evacuated atomic.Bool
-	slots     atomic.Pointer[slots]
-	taken     *atomic.Int64 // requests held now; nil: not counted
-}
-
-// NewServer serves h, with the readiness path in front of it. taken, where not nil, counts the requests held.
-func NewServer(h http.Handler, maxHeader int, taken *atomic.Int64, log *slog.Logger) *Server {
-	s := &Server{taken: taken}
-	s.http = &http.Server{
-		MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerWait, IdleTimeout: idleWait,
-		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if s.closing.Load() || s.evacuated.Load() { // clients keep a connection for as long as it stays open
-				w.Header().Set("Connection", "close")
-			}
-			if r.URL.Path == "/health/ready" {
-				if !s.Taking() {
-					w.WriteHeader(http.StatusServiceUnavailable)
-				}
-				return
-			}
-			if s.taken != nil {
-				s.taken.Add(1)
-				defer s.taken.Add(-1)
-			}
-			h.ServeHTTP(w, r)
-		}),
-	}
-	return s
-}
-
-// Taking tells whether clients are welcome: ready, and neither draining nor evacuated.
-func (s *Server) Taking() bool {
-	return s.ready.Load() && !s.draining.Load() && !s.evacuated.Load()
-}
-
-// Evacuate sends clients away while the process runs on: readiness says no at once, each answer closes its
-// connection, and resting connections are closed, now and every evacuateSweep, once nothing unread is on them.
-// Connections that still come are served. It lasts until Rejoin, or ctx ends.
-func (s *Server) Evacuate(ctx context.Context) {
-	if s.evacuated.Swap(true) {
-		return
-	}
-	go func() {
-		t := time.NewTicker(evacuateSweep)
-		defer t.Stop()
-		for s.evacuated.Load() {
-			if l := s.slots.Load(); l != nil {
-				l.closeResting(evacuateRest)
-			}
-			select {
-			case <-t.C:
-			case <-ctx.Done():
-				return
-			}
-		}
-	}()
-}
-
-// Rejoin takes clients again after Evacuate.
-func (s *Server) Rejoin() { s.evacuated.Store(false) }
-
-// Serve takes connections until Drain has ended, at most so many at once.
-func (s *Server) Serve(l net.Listener, most int) error {
-	limited := newSlots(l, most)
-	s.slots.Store(limited)
-	s.http.ConnState = limited.state
-	if err := s.http.Serve(limited); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
-}
-
-// Ready lets the readiness path answer 200.
-func (s *Server) Ready() { s.ready.Store(true) }
-
-// Drain serves on for a while, since clients keep to the connections that they have: those find no other way
-// in while the gateway is away. Then it closes each connection with its next answer, lest a close cross a
-// request, takes nothing new, and waits until all that is held has its answer, or ctx ends.
-func (s *Server) Drain(ctx context.Context, serve, closing time.Duration) error {
-	s.draining.Store(true)
-	pause(ctx, serve)
-	s.closing.Store(true)
-	pause(ctx, closing)
-	if l := s.slots.Load(); l != nil {
-		// Shutdown closes idle connections, again and again, without a look for a request come in on them:
-		// none may be left to it. Those with a request unread become active in a moment, and their answers
-		// close them.
-		for l.closeResting(0) > 0 && ctx.Err() == nil {
-			pause(ctx, idleLook)
-		}
-		select { // Shutdown would close the listener with connections that wait in it
-		case <-l.stop():
-		case <-ctx.Done():
-		}
-	}
-	return s.http.Shutdown(ctx)
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	wait := time.NewTimer(d)
-	defer wait.Stop()
-	select {
-	case <-wait.C:
-	case <-ctx.Done():
-	}
-}
+const mostID = 128 // bytes of an X-Request-ID
 
 // Platform is the handler of the platform's protocol.
-func Platform(names *Names, c *core.Core, log *slog.Logger) http.Handler {
-	return PlatformLive(func() *Names { return names }, c, log)
+func Platform(names *front.Names, c *core.Core, log *slog.Logger) http.Handler {
+	return PlatformLive(func() *front.Names { return names }, c, log)
 }
 
 // PlatformLive is Platform with names that may change: each request is decoded by those in force as it comes.
-func PlatformLive(in func() *Names, c *core.Core, log *slog.Logger) http.Handler {
-	proxy := Proxy(&egress.RoundTripper{Core: c, RetryAfter: egress.DecimalSeconds}, log)
+func PlatformLive(in func() *front.Names, c *core.Core, log *slog.Logger) http.Handler {
+	proxy := front.Proxy(&egress.RoundTripper{Core: c, RetryAfter: egress.DecimalSeconds}, log)
 	var open sync.Map // ids of the exchanges that are held
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		received := time.Now()
-		if Chunked(r) {
+		if front.Chunked(r) {
 			w.Header().Set("Connection", "close")
 		}
-		x, err := in().Decode(r, received)
+		x, err := Decode(in(), r, received)
 		if err != nil {
-			Reject(w, r, err)
+			front.Reject(w, r, err)
 			return
 		}
-		body, err := ReadBody(w, r, egress.MaxBody)
+		body, err := front.ReadBody(w, r, egress.MaxBody)
 		if err != nil {
-			Reject(w, r, err)
+			front.Reject(w, r, err)
 			return
 		}
 		// Ids are fresh on every request: one that is open is another client's, and two attempts with it would
 		// be two copies of that one.
 		id := r.Header.Get("X-Request-ID")
 		if _, taken := open.LoadOrStore(id, nil); taken {
-			Reject(w, r, &Malformed{http.StatusConflict, "this X-Request-ID is in use"})
+			front.Reject(w, r, &front.Malformed{Status: http.StatusConflict, Text: "this X-Request-ID is in use"})
 			return
 		}
 		defer open.Delete(id)
@@ -176,14 +53,50 @@
 	})
 }
 
-// Proxy is the reverse proxy on a RoundTripper of ours.
-func Proxy(t http.RoundTripper, log *slog.Logger) *httputil.ReverseProxy {
-	return &httputil.ReverseProxy{
-		Rewrite:   func(*httputil.ProxyRequest) {},
-		Transport: t,
-		ErrorLog:  slog.NewLogLogger(log.Handler(), slog.LevelDebug),
-		ErrorHandler: func(w http.ResponseWriter, r *http.Request, err error) {
-			panic(http.ErrAbortHandler) // the client has left: nobody is told anything
-		},
+// Decode reads a client's message, but for its body. received is when it was taken in.
+func Decode(n *front.Names, r *http.Request, received time.Time) (x core.Exchange, err error) {
+	if err = front.Framing(r); err != nil {
+		return x, err
+	}
+	if x.Class, err = n.Class(r); err != nil {
+		return x, err
+	}
+	var values [5]string
+	for i, name := range [...]string{"X-Request-Id", "X-Plan", "Cookie", "X-Timeout", "X-Quota"} {
+		if values[i], err = front.One(r.Header, name); err != nil {
+			return x, err
+		}
+	}
+	if id := values[0]; id == "" || len(id) > mostID {
+		return x, front.Bad("X-Request-ID is missing or too long")
+	}
+	if x.Plan = slices.Index(n.Plans, values[1]); x.Plan < 0 {
+		return x, front.Bad("no such plan: %.40q", values[1])
+	}
+	accounts := r.CookiesNamed("account")
+	if len(accounts) != 1 {
+		return x, front.Bad("there must be one account cookie")
+	}
+	if x.Customer, err = ParseAccount(accounts[0].Value); err != nil {
+		return x, err
+	}
+	wait, err := front.ParseTimeout(values[3])
+	if err != nil {
+		return x, err
+	}
+	if x.Class < len(n.Longest) && n.Longest[x.Class] > 0 {
+		wait = min(wait, time.Duration(n.Longest[x.Class]*float64(time.Second)))
+	}
+	x.Deadline = received.Add(wait - front.Margin)
+	x.Repeat = r.Header.Get("X-Retried") == "1"
+	return x, n.Quota(values[4], &x)
+}
+
+// ParseAccount reads a customer: 16 hex digits, below 2^33.
+func ParseAccount(text string) (uint64, error) {
+	v, err := strconv.ParseUint(text, 16, 64)
+	if err != nil || len(text) != 16 || v >= 1<<33 {
+		return 0, front.Bad("no account: %.40q", text)
 	}
+	return v, nil
 }
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -16,6 +16,7 @@
 	"junctionring/control"
 	"junctionring/internal/core"
 	"junctionring/internal/egress"
+	"junctionring/internal/front"
 	"junctionring/internal/ingress"
 	"junctionring/internal/telemetry"
 )
@@ -97,13 +98,13 @@
 }
 
 // startServer is start with so many slots for clients.
-func startServer(t *testing.T, most int, fleet *egress.Fleet, peers ...*peer) (string, *core.Core, *ingress.Server) {
+func startServer(t *testing.T, most int, fleet *egress.Fleet, peers ...*peer) (string, *core.Core, *front.Server) {
 	t.Helper()
 	return startCounted(t, most, fleet, nil, peers...)
 }
 
 // startCounted is startServer with figures; nil: none.
-func startCounted(t *testing.T, most int, fleet *egress.Fleet, figures *telemetry.Figures, peers ...*peer) (string, *core.Core, *ingress.Server) {
+func startCounted(t *testing.T, most int, fleet *egress.Fleet, figures *telemetry.Figures, peers ...*peer) (string, *core.Core, *front.Server) {
 	t.Helper()
 	log := slog.New(slog.DiscardHandler)
 	c, err := core.New(control.Settings{
@@ -128,9 +129,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	go c.Run(ctx)
 	c.Routes(table(control.Ready, peers...))
-	names := &ingress.Names{Classes: []string{"table-view", "move-submit"}, Plans: []string{"club"},
+	names := &front.Names{Classes: []string{"table-view", "move-submit"}, Plans: []string{"club"},
 		Repeats: []control.Repeat{control.Safe, control.Keyed}, Gateways: 1, MaxUnits: 6}
-	s := ingress.NewServer(ingress.Platform(names, c, log), ingress.MaxHeader, taken, log)
+	s := front.NewServer(ingress.Platform(names, c, log), front.MaxHeader, taken, log)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -210,7 +211,7 @@
 		r.Header.Get("Idempotency-Key") != "k1" || r.Header.Get("X-Request-ID") != "9b1f03aa5c7e2d41" {
 		t.Errorf("the target got %s %s %q %v", r.Method, r.URL, r.body, r.Header)
 	}
-	if left, err := ingress.ParseTimeout(r.Header.Get("X-Timeout")); err != nil || left >= 3*time.Second {
+	if left, err := front.ParseTimeout(r.Header.Get("X-Timeout")); err != nil || left >= 3*time.Second {
 		t.Errorf("the time left is said to be %v (%v)", left, err)
 	}
 	p.answer(r, ok)
@@ -589,13 +590,13 @@
 	for _, text := range []string{"units=2,spread=1,first=0", "units=NaN", "units=1e9,spread=0x2,first=-0", "spread=1..2", "units=.,,="} {
 		f.Add(text)
 	}
-	names := &ingress.Names{Gateways: 4, MaxUnits: 6}
+	names := &front.Names{Gateways: 4, MaxUnits: 6}
 	f.Fuzz(func(t *testing.T, text string) {
 		var x core.Exchange
 		if names.Quota(text, &x) == nil && !(x.Units > 0 && x.Units <= 6 && x.Spread >= 1 && x.Spread <= 4 && x.First >= 0 && x.First < 4) {
 			t.Errorf("%q was read as %+v", text, x)
 		}
-		if d, err := ingress.ParseTimeout(text); err == nil && (d < 0 || d > 24*time.Hour) {
+		if d, err := front.ParseTimeout(text); err == nil && (d < 0 || d > 24*time.Hour) {
 			t.Errorf("%q was read as %v", text, d)
 		}
 	})
