Hand the listener and resting connections to the process that replaces this one

The lines at fault: slots.closeResting and evict in internal/front closed from the outside after a look at the socket. Ruled out by earlier tries: the listener's queue, the shed at 3.3 s, half-closed clients.

--- a/cmd/junctionring/serve.go
+++ b/cmd/junctionring/serve.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"math"
@@ -24,6 +25,7 @@
 	"junctionring/internal/egress"
 	"junctionring/internal/front"
 	"junctionring/internal/gateway"
+	"junctionring/internal/handover"
 	"junctionring/internal/ingress"
 	"junctionring/internal/management"
 	"junctionring/internal/retune"
@@ -136,8 +138,9 @@
 	})
 
 	server := front.NewServer(ingress.PlatformLive(names.Load, c, log), front.MaxHeader, &figures.Concurrent, log)
+	doors := openDoors(log, p.Listen, p.Management)
 	if p.Management != "" {
-		l, err := net.Listen("tcp", p.Management)
+		l, err := doors.listen(p.Management)
 		if err != nil {
 			return fmt.Errorf("management: %w", err)
 		}
@@ -151,7 +154,7 @@
 		go m.Serve(l)
 		log.Info("management", "listen", l.Addr().String())
 	}
-	return serve(ctx, c, server, p.Listen, ingressConns(p.Sockets), drainFor, log)
+	return serve(ctx, work, c, server, doors, ingressConns(p.Sockets), drainFor, log)
 }
 
 func serveOperator(ctx, work context.Context, hup <-chan os.Signal, path string, log *slog.Logger) error {
@@ -165,8 +168,9 @@
 		return err
 	}
 	defer g.Close()
+	doors := openDoors(log, o.Listen, o.Operations.Listen)
 	if o.Operations.Listen != "" {
-		l, err := net.Listen("tcp", o.Operations.Listen)
+		l, err := doors.listen(o.Operations.Listen)
 		if err != nil {
 			return err
 		}
@@ -178,7 +182,7 @@
 	if !g.Start(work, ctx) {
 		return nil // told to end before the route table was known
 	}
-	return serve(ctx, g.Core, front.NewServer(g.Front(), o.MaxHeader, nil, log), o.Listen, ingressConns(o.Limits.Sockets), o.Drain.Duration, log)
+	return serve(ctx, work, g.Core, front.NewServer(g.Front(), o.MaxHeader, nil, log), doors, ingressConns(o.Limits.Sockets), o.Drain.Duration, log)
 }
 
 // platformNames are the words that new requests may use under the table.
@@ -203,9 +207,45 @@
 	}
 }
 
-// serve takes connections until ctx ends, then drains.
-func serve(ctx context.Context, c *core.Core, server *front.Server, listen string, conns int, drainFor time.Duration, log *slog.Logger) error {
-	l, err := socket.Listen(context.Background(), listen) // shared with the process that replaces this one
+// doors are the addresses that a process serves, the clients' first.
+type doors struct {
+	addresses []string
+	heir      *handover.Heir // nil: this process replaces nobody
+	open      map[string]net.Listener
+	log       *slog.Logger
+}
+
+// openDoors asks the process that serves these addresses, if there is one, for their sockets.
+func openDoors(log *slog.Logger, addresses ...string) *doors {
+	d := &doors{addresses: addresses, open: map[string]net.Listener{}, log: log}
+	heir, err := handover.Ask(os.TempDir(), log, addresses...)
+	switch {
+	case err == nil:
+		d.heir = heir
+		log.Info("handover: this process replaces another")
+	case !errors.Is(err, os.ErrNotExist):
+		log.Warn("handover: none from the process before; the addresses are opened anew", "err", err)
+	}
+	return d
+}
+
+// listen is the socket of an address: the old process's, or a new one that it may share (SO_REUSEPORT).
+func (d *doors) listen(address string) (l net.Listener, err error) {
+	if d.heir != nil {
+		l = d.heir.Listener(address)
+	}
+	if l == nil {
+		if l, err = socket.Listen(context.Background(), address); err != nil {
+			return nil, err
+		}
+	}
+	d.open[address] = l
+	return l, nil
+}
+
+// serve takes connections until ctx ends, then hands them to a successor, or drains.
+func serve(ctx, work context.Context, c *core.Core, server *front.Server, d *doors, conns int, drainFor time.Duration, log *slog.Logger) error {
+	l, err := d.listen(d.addresses[0])
 	if err != nil {
 		return err
 	}
@@ -213,6 +253,15 @@
 	go func() { failed <- server.Serve(l, conns) }()
 	c.Settle()
 	server.Ready()
+	if d.heir != nil {
+		go func() {
+			if err := d.heir.Run(work, server.Adopt); err != nil {
+				log.Warn("handover: broken off", "err", err)
+			}
+		}()
+	}
+	elder := handover.NewElder(os.TempDir(), d.addresses[0], d.open, log)
+	go elder.Run(work)
 	log.Info("serving", "listen", l.Addr().String())
 	select {
 	case err := <-failed:
@@ -222,7 +271,21 @@
 	log.Info("draining")
 	drain, done := context.WithTimeout(context.Background(), drainFor)
 	defer done()
-	if err := server.Drain(drain, min(servesOn, drainFor*3/4), min(closesFor, drainFor/8)); err != nil {
+	goesOn := min(servesOn, drainFor*3/4)
+	begun, alone, lost := elder.Told()
+	wait, waited := context.WithTimeout(drain, goesOn) // a successor that asked, and does not serve yet
+	defer waited()
+	select {
+	case <-begun:
+		if err = server.HandOver(drain, elder.Give, lost); err == nil {
+			log.Info("handover: done")
+			return nil
+		}
+		log.Warn("handover: not all could be handed over", "err", err)
+	case <-alone:
+	case <-wait.Done():
+	}
+	if err := server.Drain(drain, time.Until(deadline(wait)), min(closesFor, drainFor/8)); err != nil {
 		log.Warn("not all held exchanges ended in time: the rest is shed", "err", err)
 		c.Shed()
 		last, done := context.WithTimeout(context.Background(), lastWords)
@@ -232,6 +295,11 @@
 	return nil
 }
 
+func deadline(ctx context.Context) time.Time {
+	d, _ := ctx.Deadline()
+	return d
+}
+
 // ingressConns is how many of the descriptors may be connections of clients.
 func ingressConns(sockets int) int { return max(16, sockets*9/20) }
 
--- /dev/null
+++ b/internal/front/conn.go
@@ -0,0 +1,117 @@
+package front
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+// conn is a client's connection under net/http. It knows whether net/http has been given anything of a request,
+// and can be taken back from it while it has not: a close from the outside may always cross a request that is
+// already in net/http's buffer, and that request would be lost.
+type conn struct {
+	*net.TCPConn
+	parted func(*net.TCPConn) // told once a connection has been taken back; it owns it then
+
+	mu       sync.Mutex
+	phase    phase
+	ahead    bool // a byte behind the present request was taken
+	leaving  bool
+	deadline time.Time // net/http's own, for reads
+}
+
+type phase int
+
+const (
+	busy     phase = iota // a request is under way, or being read
+	settling              // none is; net/http is about to set the time that it will wait for one
+	resting               // it waits in Read, and has nothing
+	gone                  // taken back
+)
+
+var past = time.Unix(1, 0)
+
+// rests is called when net/http says that a connection is new or idle.
+func (c *conn) rests() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != gone && !c.ahead {
+		c.phase = settling
+	}
+	c.ahead = false
+}
+
+// leave has the connection taken back as soon as it rests.
+func (c *conn) leave() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaving = true
+	if c.phase == resting {
+		c.TCPConn.SetReadDeadline(past) // Read looks at this before it takes anything
+	}
+}
+
+// stay undoes leave, where it is not too late.
+func (c *conn) stay() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaving = false
+	if c.phase == resting {
+		c.TCPConn.SetReadDeadline(c.deadline)
+	}
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	c.mu.Lock()
+	switch {
+	case c.phase == resting && n == 0 && c.leaving && errors.Is(err, os.ErrDeadlineExceeded):
+		c.phase = gone
+		c.mu.Unlock()
+		c.parted(c.TCPConn)
+		return 0, io.EOF // net/http takes the client for gone, and says nothing to it
+	case c.phase == resting:
+		c.phase = busy // or at its end
+		if c.leaving {
+			c.TCPConn.SetReadDeadline(c.deadline)
+		}
+	case n == 1 && len(b) == 1: // net/http looks for the client's end while its request is under way
+		c.ahead = true
+	}
+	c.mu.Unlock()
+	return n, err
+}
+
+// SetReadDeadline implements net.Conn. net/http sets the time to wait for a request when it begins to wait, and
+// another once it has the request's first bytes.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	switch c.phase {
+	case settling:
+		c.phase = resting
+		if c.leaving {
+			t = past
+		}
+	case resting:
+		c.phase = busy
+	case gone:
+		return nil
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == gone {
+		return nil
+	}
+	return c.TCPConn.Close()
+}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -31,6 +31,7 @@
 	closing   atomic.Bool
 	ready     atomic.Bool
 	evacuated atomic.Bool
+	handing   atomic.Bool // a successor serves at this address
 	slots     atomic.Pointer[slots]
 	taken     *atomic.Int64 // requests held now; nil: not counted
 }
@@ -46,7 +47,7 @@
 				w.Header().Set("Connection", "close")
 			}
 			if r.URL.Path == "/health/ready" {
-				if !s.Taking() {
+				if !s.Taking() && !s.handing.Load() {
 					w.WriteHeader(http.StatusServiceUnavailable)
 				}
 				return
@@ -95,8 +96,9 @@
 // Serve takes connections until Drain has ended, at most so many at once.
 func (s *Server) Serve(l net.Listener, most int) error {
 	limited := newSlots(l, most)
-	s.slots.Store(limited)
 	s.http.ConnState = limited.state
+	s.slots.Store(limited)
+	go s.http.Serve(arrivals{limited})
 	if err := s.http.Serve(limited); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
@@ -116,8 +118,7 @@
 	pause(ctx, closing)
 	if l := s.slots.Load(); l != nil {
 		// Shutdown closes idle connections, again and again, without a look for a request come in on them:
-		// none may be left to it. Those with a request unread become active in a moment, and their answers
-		// close them.
+		// none may be left to it. Those with a request unread are served on, and their answers close them.
 		for l.closeResting(0) > 0 && ctx.Err() == nil {
 			pause(ctx, idleLook)
 		}
@@ -129,6 +130,35 @@
 	return s.http.Shutdown(ctx)
 }
 
+// HandOver gives every client's connection to a successor, each as soon as no request is under way on it, and
+// accepts no more: the successor holds the listening socket too. give returns false for a connection that the
+// successor did not take, which is served on here. It returns nil when none is left; when lost is closed,
+// everything is as before, but for readiness: Drain goes on from there.
+func (s *Server) HandOver(ctx context.Context, give func(*net.TCPConn) bool, lost <-chan struct{}) error {
+	s.handing.Store(true) // who asks at this address is told of the successor
+	s.draining.Store(true)
+	l := s.slots.Load()
+	l.leave(give)
+	if l.empty(lost, ctx.Done()) {
+		return s.http.Shutdown(ctx)
+	}
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	l.stay()
+	s.handing.Store(false)
+	return errLost
+}
+
+var errLost = errors.New("the successor is lost")
+
+// Adopt serves a connection that a process before this one held. It returns false, and the connection is the
+// caller's, when nobody serves here any more.
+func (s *Server) Adopt(c *net.TCPConn) bool {
+	l := s.slots.Load()
+	return l != nil && l.arrive(c)
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	wait := time.NewTimer(d)
 	defer wait.Stop()
--- /dev/null
+++ b/internal/handover/elder.go
@@ -0,0 +1,303 @@
+package handover
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"syscall"
+	"time"
+
+	"junctionring/succession"
+)
+
+const (
+	claimEvery = 200 * time.Millisecond // between looks whether this process can be found at last
+	takeWait   = 400 * time.Millisecond // for a successor to acknowledge a connection
+	mailbox    = 256
+)
+
+// Elder is the old process's side of a handover: it can be found from the start, and is asked by its successor.
+// One goroutine runs it, and waits on nobody but its mailbox.
+type Elder struct {
+	path    string
+	address string
+	lent    map[string]net.Listener
+	log     *slog.Logger
+	mail    chan any
+	ended   chan struct{}
+
+	machine *succession.Machine
+	last    int // heirs and connections are numbered
+	links   map[succession.Heir]link
+	wants   map[succession.Heir][]string // the addresses that it asked for
+	waiting map[succession.Conn]*passing
+	out     int // passed and acknowledged
+	begun   chan struct{}
+	lost    chan struct{}
+	alone   chan struct{}
+}
+
+// passing is a connection on its way to the successor.
+type passing struct {
+	conn  *net.TCPConn
+	taken chan bool // of one place
+	late  *time.Timer
+}
+
+type (
+	came  struct{ link link }
+	heard struct {
+		heir    succession.Heir
+		message message
+		err     error
+	}
+	tell struct{}
+	give struct{ *passing }
+	late struct {
+		heir succession.Heir
+		conn succession.Conn
+	}
+)
+
+// NewElder makes the old side of a process that serves the listeners, by their addresses as its successor will
+// write them; that of the first address names the place where it is found.
+func NewElder(dir, address string, lent map[string]net.Listener, log *slog.Logger) *Elder {
+	return &Elder{
+		path: Path(dir, address), address: address, lent: lent, log: log, mail: make(chan any, mailbox), ended: make(chan struct{}),
+		machine: succession.New(), links: map[succession.Heir]link{}, wants: map[succession.Heir][]string{}, waiting: map[succession.Conn]*passing{},
+		begun: make(chan struct{}), lost: make(chan struct{}), alone: make(chan struct{}),
+	}
+}
+
+// Run can be found, and answers successors, until ctx ends. Where no socket can be made (a folder that is full, a
+// platform without them), this process is replaced without a handover; it says so once.
+func (e *Elder) Run(ctx context.Context) {
+	defer close(e.ended)
+	go e.listen(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			for _, l := range e.links {
+				l.Close()
+			}
+			return
+		case m := <-e.mail:
+			e.handle(ctx, m)
+		}
+	}
+}
+
+// listen claims the path, at once or when the process that is found there has ended, and takes successors.
+func (e *Elder) listen(ctx context.Context) {
+	in, err := claim(e.path)
+	for said := false; err != nil; in, err = claim(e.path) {
+		if !errors.Is(err, errHeld) && !said {
+			said = true
+			e.log.Warn("handover: no successor will find this process", "err", err)
+		}
+		wait := time.NewTimer(claimEvery)
+		select {
+		case <-wait.C:
+		case <-ctx.Done():
+			wait.Stop()
+			return
+		}
+	}
+	defer in.Close()
+	stop := context.AfterFunc(ctx, func() { in.Close() })
+	defer stop()
+	for {
+		c, err := in.AcceptUnix()
+		if err != nil {
+			return
+		}
+		e.post(came{link{c}})
+	}
+}
+
+func (e *Elder) post(m any) bool {
+	select {
+	case e.mail <- m:
+		return true
+	case <-e.ended:
+		return false
+	}
+}
+
+// Told says that this process is to end. begun is closed once the successor serves and connections go to it, alone
+// once it is known that there is none; lost when one that there was is gone.
+func (e *Elder) Told() (begun, alone, lost <-chan struct{}) {
+	e.post(tell{})
+	return e.begun, e.alone, e.lost
+}
+
+// Give passes a connection to the successor, and returns false if that has not taken it: then it is still the
+// caller's, and nobody else has read from it.
+func (e *Elder) Give(c *net.TCPConn) bool {
+	p := &passing{conn: c, taken: make(chan bool, 1)}
+	if !e.post(give{p}) {
+		return false
+	}
+	select {
+	case ok := <-p.taken:
+		return ok
+	case <-e.ended:
+		return false
+	}
+}
+
+func (e *Elder) handle(ctx context.Context, m any) {
+	switch m := m.(type) {
+	case came:
+		if err := m.link.peer(); err != nil {
+			e.log.Warn("handover: a caller is not let in", "err", err)
+			m.link.Close()
+			return
+		}
+		e.last++
+		heir := succession.Heir(e.last)
+		e.links[heir] = m.link
+		go func() {
+			for {
+				msg, err := m.link.receive()
+				if !e.post(heard{heir, msg, err}) {
+					msg.close()
+				}
+				if err != nil {
+					return
+				}
+			}
+		}()
+	case heard:
+		e.heard(m)
+	case tell:
+		e.log.Info("handover: told to end", "state", e.machine.State())
+		e.do(succession.Told{})
+	case give:
+		e.last++
+		id := succession.Conn(e.last)
+		e.waiting[id] = m.passing
+		e.do(succession.Rested{Conn: id})
+	case late:
+		if e.waiting[m.conn] != nil {
+			e.log.Warn("handover: the successor is silent", "conn", m.conn)
+			e.cut(m.heir)
+		}
+	}
+}
+
+// heard takes in what a successor says.
+func (e *Elder) heard(m heard) {
+	defer m.message.close()
+	l, known := e.links[m.heir]
+	if !known {
+		return
+	}
+	if m.err != nil {
+		l.Close()
+		delete(e.links, m.heir)
+		delete(e.wants, m.heir)
+		e.do(succession.Lost{Heir: m.heir})
+		return
+	}
+	conn := succession.Conn(m.message.Conn)
+	switch m.message.Kind {
+	case ask:
+		e.wants[m.heir] = m.message.Listen
+		e.do(succession.Asked{Heir: m.heir})
+	case ready:
+		e.do(succession.Ready{Heir: m.heir})
+	case took:
+		e.do(succession.Took{Heir: m.heir, Conn: conn})
+	case decline:
+		e.do(succession.Declined{Heir: m.heir, Conn: conn})
+	default:
+		e.cut(m.heir)
+	}
+}
+
+// cut ends a successor's part. It can acknowledge nothing more from here on; what it has acknowledged is still
+// read, up to the end, and only then is it lost: no connection has two readers.
+func (e *Elder) cut(heir succession.Heir) {
+	if l, ok := e.links[heir]; ok {
+		l.CloseRead()
+	}
+}
+
+// do has the machine decide, and carries it out.
+func (e *Elder) do(event any) {
+	for _, a := range e.machine.Handle(event, nil) {
+		switch a := a.(type) {
+		case succession.Lend:
+			if err := e.lend(a.Heir); err != nil {
+				e.log.Warn("handover: the listening sockets cannot be lent", "err", err)
+				e.cut(a.Heir)
+			}
+		case succession.TurnAway:
+			e.log.Info("handover: a process is turned away", "why", a.Why)
+			e.links[a.Heir].send(message{Kind: refuse, Why: a.Why})
+		case succession.Begin:
+			e.log.Info("handover: begins")
+			close(e.begun)
+		case succession.Resume:
+			e.log.Warn("handover: the successor is lost; this process drains")
+			close(e.lost)
+		case succession.Drain:
+			close(e.alone)
+		case succession.Pass:
+			e.pass(a)
+		case succession.Release:
+			e.out++
+			e.settle(a.Conn, true)
+		case succession.Keep:
+			e.settle(a.Conn, false)
+		}
+	}
+}
+
+// lend gives a successor the listening sockets of the addresses that it asked for and that are served here.
+func (e *Elder) lend(heir succession.Heir) error {
+	m := message{Kind: lend}
+	var send func(addresses []string, fds []int) error
+	send = func(addresses []string, fds []int) error { // each descriptor is held while the next is looked up
+		if len(addresses) == 0 {
+			return e.links[heir].send(m, fds...)
+		}
+		c, ok := e.lent[addresses[0]].(syscall.Conn)
+		if !ok {
+			return send(addresses[1:], fds)
+		}
+		m.Listen = append(m.Listen, addresses[0])
+		return control(c, func(fd int) error { return send(addresses[1:], append(fds, fd)) })
+	}
+	wants := e.wants[heir]
+	return send(wants[:min(len(wants), mostFDs)], nil)
+}
+
+// pass sends a connection's descriptor. It stays open here until it is acknowledged.
+func (e *Elder) pass(a succession.Pass) {
+	p := e.waiting[a.Conn]
+	err := control(p.conn, func(fd int) error {
+		return e.links[a.Heir].send(message{Kind: pass, Conn: int(a.Conn)}, fd)
+	})
+	if err != nil {
+		e.cut(a.Heir)
+	}
+	p.late = time.AfterFunc(takeWait, func() { e.post(late{a.Heir, a.Conn}) })
+}
+
+func (e *Elder) settle(c succession.Conn, taken bool) {
+	p := e.waiting[c]
+	if p == nil {
+		return
+	}
+	delete(e.waiting, c)
+	if p.late != nil {
+		p.late.Stop()
+	}
+	p.taken <- taken
+}
+
+// Handed is how many connections a successor took. It may be called once Run has ended.
+func (e *Elder) Handed() int { return e.out }
--- /dev/null
+++ b/succession/succession.go
@@ -0,0 +1,171 @@
+// Package succession decides how a process hands its listening sockets and its clients' connections to the one
+// that replaces it: who may succeed, when connections pass, and whose each of them is. It does no I/O and has no
+// clock; what silence means, and when, its caller says with Lost.
+package succession
+
+// State is how far the old process has come.
+type State int
+
+// The states of the old process.
+const (
+	Alone    State = iota // it serves, and nobody is to follow
+	Paired                // a successor holds the listening sockets too, and does not serve yet
+	Both                  // both accept and serve
+	Handing               // told to end: each connection at rest passes to the successor
+	Draining              // told to end with no successor: it serves on, and closes with its answers
+)
+
+// Heir is a process that asked to succeed, numbered by the caller from 1.
+type Heir int
+
+// Conn is a connection, numbered by the caller.
+type Conn int
+
+// Events.
+type (
+	// Asked: a process wants to succeed.
+	Asked struct{ Heir Heir }
+	// Ready: it serves.
+	Ready struct{ Heir Heir }
+	// Lost: it ended, fell silent, or spoke what cannot be read. What it still acknowledged came before.
+	Lost struct{ Heir Heir }
+	// Told: this process is to end.
+	Told struct{}
+	// Rested: a connection has nothing of a request read from it, and nobody reads it here any more.
+	Rested struct{ Conn Conn }
+	// Took: the successor has a connection, and has not read from it yet.
+	Took struct {
+		Heir Heir
+		Conn Conn
+	}
+	// Declined: the successor does not want it, or could not be given it.
+	Declined struct {
+		Heir Heir
+		Conn Conn
+	}
+)
+
+// Actions.
+type (
+	// Lend gives the listening sockets to a process.
+	Lend struct{ Heir Heir }
+	// TurnAway tells a process that it does not succeed.
+	TurnAway struct {
+		Heir Heir
+		Why  string
+	}
+	// Begin: accept no more, and report each connection that rests. The listening sockets stay open.
+	Begin struct{}
+	// Resume: accept again, and drain as one that nobody follows.
+	Resume struct{}
+	// Pass gives a connection's descriptor to the successor; this process keeps its own, and reads nothing.
+	Pass struct {
+		Heir Heir
+		Conn Conn
+	}
+	// Release closes this process's descriptor of a connection that is the successor's.
+	Release struct{ Conn Conn }
+	// Keep serves a connection on, here.
+	Keep struct{ Conn Conn }
+	// Drain: nobody follows.
+	Drain struct{}
+)
+
+// Machine is the old process's side.
+type Machine struct {
+	state  State
+	told   bool
+	heir   Heir // 0: none
+	passed map[Conn]struct{}
+}
+
+// New is a process that serves alone.
+func New() *Machine { return &Machine{passed: map[Conn]struct{}{}} }
+
+// State tells how far it has come.
+func (m *Machine) State() State { return m.state }
+
+// Passed counts the connections whose descriptor both processes hold.
+func (m *Machine) Passed() int { return len(m.passed) }
+
+// Handle takes one event in, and appends what follows from it.
+func (m *Machine) Handle(event any, do []any) []any {
+	switch e := event.(type) {
+	case Asked:
+		switch {
+		case m.heir != 0:
+			return append(do, TurnAway{e.Heir, "another process succeeds already"})
+		case m.told:
+			return append(do, TurnAway{e.Heir, "this process is ending"})
+		}
+		m.heir, m.state = e.Heir, Paired
+		return append(do, Lend{e.Heir})
+	case Ready:
+		if e.Heir == m.heir && m.state == Paired {
+			m.state = Both
+			return m.begin(do)
+		}
+	case Told:
+		if m.told {
+			return do
+		}
+		m.told = true
+		if m.heir == 0 {
+			m.state = Draining
+			return append(do, Drain{})
+		}
+		return m.begin(do)
+	case Rested:
+		if m.state != Handing {
+			return append(do, Keep{e.Conn})
+		}
+		m.passed[e.Conn] = struct{}{}
+		return append(do, Pass{m.heir, e.Conn})
+	case Took:
+		if m.mine(e.Heir, e.Conn) {
+			return append(do, Release{e.Conn})
+		}
+	case Declined:
+		if m.mine(e.Heir, e.Conn) {
+			return append(do, Keep{e.Conn})
+		}
+	case Lost:
+		if e.Heir == 0 || e.Heir != m.heir {
+			return do
+		}
+		for c := range m.passed { // never acknowledged, so never read by it
+			do = append(do, Keep{c})
+		}
+		clear(m.passed)
+		m.heir = 0
+		was := m.state
+		m.state = Alone
+		if m.told {
+			m.state = Draining
+			if was == Handing {
+				return append(do, Resume{})
+			}
+			return append(do, Drain{})
+		}
+	}
+	return do
+}
+
+// begin starts the handing over once this process is to end and the other serves.
+func (m *Machine) begin(do []any) []any {
+	if m.told && m.state == Both {
+		m.state = Handing
+		do = append(do, Begin{})
+	}
+	return do
+}
+
+// mine tells whether a connection was passed to the successor and not settled yet, and settles it.
+func (m *Machine) mine(h Heir, c Conn) bool {
+	_, ok := m.passed[c]
+	if h != m.heir || !ok {
+		return false
+	}
+	delete(m.passed, c)
+	return true
+}
