Test the handover's failures, and look for a client's end without taking its next byte

A client that asks again at once never came to rest: net/http's background read took the first byte of its next request while the answer was being finished (conn.Read, ahead). The wrapper now peeks for the end instead (socket.Ended), so a connection rests between any two answers. A connection that a successor declines is not offered again.

--- a/cmd/junctionring/inservice_test.go
+++ b/cmd/junctionring/inservice_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -37,8 +38,13 @@
 
 // A second process starts beside the first on the same client address, with a management address of its own;
 // both say they are ready, the figures start at 0, and the old one ends in good order on SIGTERM while the new
-// one serves on.
+// one serves on: also on the connections that clients had, where both see the same TMPDIR.
 func TestReplacedUnderTheSameAddress(t *testing.T) {
+	t.Run("handed over", func(t *testing.T) { replaced(t, true) })
+	t.Run("side by side", func(t *testing.T) { replaced(t, false) })
+}
+
+func replaced(t *testing.T, handedOver bool) {
 	discovery, _ := watched(t)
 	counts, _ := dialled(t)
 	listen := free(t)
@@ -48,14 +54,34 @@
 		return write(t, "config-"+strings.ReplaceAll(management, ":", "-")+".json", text)
 	}
 	oldM, newM := free(t), free(t)
-	old, at := start(t, "--config", config(oldM))
+	dir := t.TempDir()
+	old, at := startIn(t, dir, "--config", config(oldM))
 	if at != listen {
 		t.Fatalf("serves on %s, not %s", at, listen)
 	}
 	if status, _ := get(t, "GET", "http://"+oldM+"/api/ready"); status != 200 {
 		t.Fatalf("the first process is not ready: %d", status)
 	}
-	replacement, _ := start(t, "--config", config(newM))
+	if !handedOver {
+		dir = t.TempDir()
+	}
+	client, err := net.Dial("tcp", listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	client.SetDeadline(time.Now().Add(20 * time.Second))
+	in := bufio.NewReader(client)
+	ask := func() (int, error) {
+		io.WriteString(client, "GET /health/ready HTTP/1.1\r\nHost: g\r\n\r\n")
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			return 0, err
+		}
+		return resp.StatusCode, nil
+	}
+	ask()
+	replacement, _ := startIn(t, dir, "--config", config(newM))
 	if status, _ := get(t, "GET", "http://"+newM+"/api/ready"); status != 200 {
 		t.Fatalf("the second process is not ready: %d", status)
 	}
@@ -67,6 +93,9 @@
 	}
 	old.Process.Signal(syscall.SIGTERM)
 	exits(t, old)
+	if status, err := ask(); handedOver && status != 200 {
+		t.Errorf("on the connection that was there before, the replacement answers %d, %v", status, err)
+	}
 	if status, _ := get(t, "GET", "http://"+listen+"/health/ready"); status != 200 {
 		t.Errorf("the replacement answers %d once the old one has gone", status)
 	}
--- a/cmd/junctionring/program_test.go
+++ b/cmd/junctionring/program_test.go
@@ -38,9 +38,15 @@
 
 // start runs the program until it says where it serves.
 func start(t *testing.T, args ...string) (*exec.Cmd, string) {
+	t.Helper()
+	return startIn(t, t.TempDir(), args...)
+}
+
+// startIn is start in a TMPDIR that is shared.
+func startIn(t *testing.T, dir string, args ...string) (*exec.Cmd, string) {
 	t.Helper()
 	cmd := exec.Command(program, append([]string{"serve"}, args...)...)
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "TMPDIR=" + t.TempDir(), // nothing of a platform's but
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "TMPDIR=" + dir, // nothing of a platform's but
 		"EDGE_DISCOVERY=" + os.Getenv("EDGE_DISCOVERY")}
 	log, err := cmd.StderrPipe()
 	if err != nil {
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -7,6 +7,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"junctionring/internal/socket"
 )
 
 // conn is a client's connection under net/http. It knows whether net/http has been given anything of a request,
@@ -18,7 +20,6 @@
 
 	mu       sync.Mutex
 	phase    phase
-	ahead    bool // a byte behind the present request was taken
 	leaving  bool
 	deadline time.Time // net/http's own, for reads
 }
@@ -38,10 +39,9 @@
 func (c *conn) rests() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase != gone && !c.ahead {
+	if c.phase != gone {
 		c.phase = settling
 	}
-	c.ahead = false
 }
 
 // leave has the connection taken back as soon as it rests.
@@ -64,8 +64,13 @@
 	}
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. net/http reads a single byte only to see whether the client leaves while its request is
+// under way. What it would get is the next request's: that is left where it is, or a client that is quick would
+// never be found at rest.
 func (c *conn) Read(b []byte) (int, error) {
+	if len(b) == 1 {
+		return 0, socket.Ended(c.TCPConn)
+	}
 	n, err := c.TCPConn.Read(b)
 	c.mu.Lock()
 	switch {
@@ -79,8 +84,6 @@
 		if c.leaving {
 			c.TCPConn.SetReadDeadline(c.deadline)
 		}
-	case n == 1 && len(b) == 1: // net/http looks for the client's end while its request is under way
-		c.ahead = true
 	}
 	c.mu.Unlock()
 	return n, err
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -156,7 +156,7 @@
 // caller's, when nobody serves here any more.
 func (s *Server) Adopt(c *net.TCPConn) bool {
 	l := s.slots.Load()
-	return l != nil && l.arrive(c)
+	return l != nil && l.arrive(c, false)
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/internal/front/slots.go
+++ b/internal/front/slots.go
@@ -36,8 +36,8 @@
 	stopping atomic.Bool
 	stopped  chan struct{} // closed once the listener is, after the last connection waiting in it was taken
 
-	arriving chan *net.TCPConn // from another process, or taken back and to be served on
-	closed   chan struct{}     // when no more arrive
+	arriving chan arrival  // from another process, or taken back and to be served on
+	closed   chan struct{} // when no more arrive
 	once     sync.Once
 
 	mu      sync.Mutex
@@ -59,7 +59,7 @@
 
 func newSlots(l net.Listener, most int) *slots {
 	return &slots{Listener: l, most: most, freed: make(chan struct{}, 1), stopped: make(chan struct{}),
-		arriving: make(chan *net.TCPConn), closed: make(chan struct{}), changed: make(chan struct{}),
+		arriving: make(chan arrival), closed: make(chan struct{}), changed: make(chan struct{}),
 		resting: list.New(), rests: map[net.Conn]*list.Element{}, conns: map[*conn]struct{}{}}
 }
 
@@ -83,7 +83,7 @@
 		}
 		c, err := s.Listener.Accept()
 		if err == nil {
-			return s.wrap(c), nil
+			return s.wrap(c, false), nil
 		}
 		s.release()
 		e, ok := err.(net.Error)
@@ -110,8 +110,8 @@
 	}
 }
 
-// wrap follows a connection whose slot is taken.
-func (s *slots) wrap(nc net.Conn) net.Conn {
+// wrap follows a connection whose slot is taken. One that the successor did not take is not offered again.
+func (s *slots) wrap(nc net.Conn, kept bool) net.Conn {
 	tcp, ok := nc.(*net.TCPConn)
 	if !ok {
 		return nc
@@ -120,7 +120,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
-	c.leaving = s.give != nil
+	c.leaving = s.give != nil && !kept
 	return c
 }
 
@@ -130,9 +130,9 @@
 // Accept implements net.Listener.
 func (a arrivals) Accept() (net.Conn, error) {
 	select {
-	case c := <-a.arriving:
+	case n := <-a.arriving:
 		a.takeOne() // a descriptor is held for it already
-		return a.wrap(c), nil
+		return a.wrap(n.conn, n.kept), nil
 	case <-a.closed:
 		return nil, errStopped
 	}
@@ -144,10 +144,15 @@
 	return nil
 }
 
+type arrival struct {
+	conn *net.TCPConn
+	kept bool // the successor did not take it
+}
+
 // arrive has a connection served. False: nobody serves any more.
-func (s *slots) arrive(c *net.TCPConn) bool {
+func (s *slots) arrive(c *net.TCPConn, kept bool) bool {
 	select {
-	case s.arriving <- c:
+	case s.arriving <- arrival{c, kept}:
 		return true
 	case <-s.closed:
 		return false
@@ -170,7 +175,7 @@
 		}
 		if kept {
 			c.SetReadDeadline(time.Time{})
-			kept = s.arrive(c)
+			kept = s.arrive(c, give != nil)
 		}
 		if !kept {
 			c.Close()
@@ -368,3 +373,10 @@
 		s.release()
 	}
 }
+
+// count is how many connections are followed now.
+func (s *slots) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
--- a/internal/front/slots_test.go
+++ b/internal/front/slots_test.go
@@ -151,3 +151,125 @@
 		t.Errorf("a connection's first request was answered %q", got)
 	}
 }
+
+// busyClients ask again and again, each on one connection, until stop is closed; a request without its answer, or a
+// connection that ends, is an error. They report how many answers each server gave.
+func busyClients(t *testing.T, address string, n int, stop <-chan struct{}) (wait func() map[string]int) {
+	t.Helper()
+	counts := make(chan map[string]int, n)
+	for range n {
+		c := dialed(t, address)
+		go func() {
+			got := map[string]int{}
+			defer func() { counts <- got }()
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if _, err := io.WriteString(c, request); err != nil {
+					t.Errorf("a request could not be sent: %v", err)
+					return
+				}
+				resp, err := http.ReadResponse(c.in, nil)
+				if err != nil {
+					t.Errorf("a request got no answer: %v", err)
+					return
+				}
+				b, _ := io.ReadAll(resp.Body)
+				if resp.Close || resp.StatusCode != 200 {
+					t.Errorf("answered %d, close %v", resp.StatusCode, resp.Close)
+				}
+				got[string(b)]++
+			}
+		}()
+	}
+	return func() map[string]int {
+		all := map[string]int{}
+		for range n {
+			for name, k := range <-counts {
+				all[name] += k
+			}
+		}
+		return all
+	}
+}
+
+// adopts gives a server a descriptor of its own, as another process gets one.
+func adopts(s *Server, c *net.TCPConn) bool {
+	f, err := c.File()
+	if err != nil {
+		return false
+	}
+	defer f.Close()
+	dup, err := net.FileConn(f)
+	return err == nil && s.Adopt(dup.(*net.TCPConn))
+}
+
+// Under load every connection goes to the successor between two requests, with none lost and none closed, also one
+// whose request ends late; the first server ends with nothing left. The successor answers on them.
+func TestHandOverUnderLoad(t *testing.T) {
+	s, address := served(t, "old")
+	next, _ := served(t, "new")
+	stop := make(chan struct{})
+	wait := busyClients(t, address, 24, stop)
+	idle := dialed(t, address)
+	idle.ask(t, request)
+	slow := dialed(t, address)
+	io.WriteString(slow, "GET /slow HTTP/1.1\r\nHost: g\r\n\r\n")
+	for s.slots.Load().count() < 26 { // here the queue is not the successor's too
+		runtime.Gosched()
+	}
+	over := make(chan error, 1)
+	go func() { over <- s.HandOver(t.Context(), func(c *net.TCPConn) bool { return adopts(next, c) }, nil) }()
+	for next.slots.Load().count() < 25 && !t.Failed() {
+		runtime.Gosched()
+	}
+	if got := idle.ask(t, request); got != "new" {
+		t.Errorf("a connection at rest was answered by the %s server", got)
+	}
+	slow.Close()
+	if err := <-over; err != nil {
+		t.Fatal(err)
+	}
+	close(stop)
+	if got := wait(); got["new"] == 0 {
+		t.Errorf("answers by server: %v", got)
+	}
+}
+
+// A successor that takes some connections and is then lost: what it did not take is served on here, new connections
+// are accepted again, and the drain goes on.
+func TestHandOverIsBrokenOff(t *testing.T) {
+	s, address := served(t, "old")
+	clients := make([]*client, 6)
+	for i := range clients {
+		clients[i] = dialed(t, address)
+		clients[i].ask(t, request)
+	}
+	lost := make(chan struct{})
+	tried := make(chan struct{}, 64)
+	over := make(chan error, 1)
+	go func() {
+		over <- s.HandOver(t.Context(), func(*net.TCPConn) bool { tried <- struct{}{}; return false }, lost)
+	}()
+	for range clients {
+		<-tried
+	}
+	if s.Taking() {
+		t.Error("handing over, and clients are welcome")
+	}
+	close(lost)
+	if err := <-over; err == nil {
+		t.Fatal("it counts as done")
+	}
+	for _, c := range append(clients, dialed(t, address)) {
+		if got := c.ask(t, request); got != "old" {
+			t.Errorf("answered by %q", got)
+		}
+	}
+	if s.Taking() {
+		t.Error("it was told to end, and clients are welcome")
+	}
+}
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -2,6 +2,7 @@
 package socket
 
 import (
+	"io"
 	"net"
 	"syscall"
 )
@@ -43,3 +44,28 @@
 	})
 	return n, err == nil, e
 }
+
+// Ended waits until the other side has ended a connection, or its read deadline, and returns what a read would have
+// said. Bytes that come meanwhile are left unread, and hide an end that follows them.
+func Ended(c syscall.Conn) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	end := error(io.EOF)
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case e == syscall.EAGAIN || e == syscall.EINTR || e == nil && n > 0:
+			return false // until more comes, or the deadline
+		case e != nil:
+			end = e
+		}
+		return true
+	})
+	if err != nil {
+		return err
+	}
+	return end
+}
