Stream bodies and answers over 64 KiB both ways, up to 32 MB

Now a long answer goes on with its first bytes (egress.Stream, back-pressure by the sockets, a cut one ends in an error and counts as failed), and a long body goes to its target as it comes (egress.Upload). Its time runs from its last byte; control is told by Arrived, so that a slow body does not look like work out too long (control.depart); once a part was sent on nothing is sent again. Heads may take 2.5 s, bodies come at 16 kB/s at least with 2 s of silence at most. Not taken: holding bodies within a budget and deciding when they are whole, as 50 at a time of a megabyte each pass a 64 MB limit.

Tests: each framing both ways, cuts, a reader that stops, clients that stop, targets that leave.

--- a/control/control.go
+++ b/control/control.go
@@ -143,6 +143,13 @@
 		g.members(e)
 	case Request:
 		g.request(e)
+	case Arrived:
+		if r := g.requests[e.ID]; r != nil && r.arriving {
+			r.arriving, r.deadline = false, g.now+r.wait
+			if a := r.attempts[len(r.attempts)-1]; !a.ended {
+				g.depart(r, a)
+			}
+		}
 	case Started:
 		if r := g.requests[e.ID]; r != nil {
 			r.streaming = true
@@ -560,7 +567,9 @@
 		g.do(Refuse{ID: e.ID, RetryAfter: g.hint(0)})
 		return
 	}
-	g.requests[r.id] = r
+	if g.requests[r.id] = r; e.Arriving {
+		r.arriving, r.wait, r.deadline = true, e.TimeLeft, math.Inf(1)
+	}
 	g.take(c, units)
 	g.send(r, s)
 }
@@ -668,22 +677,32 @@
 	timeout := 0.0
 	// Danger: while servers are pressed, a second attempt doubles the work of the first.
 	again := class.Repeat != Unsafe && !class.Stream && len(r.attempts)+1 < g.set.Limits.MaxAttempts
-	if p.press < crowdFew && again {
+	if p.press < crowdFew && again && !r.arriving {
 		timeout = max(tryAim*class.Aim, tryTypical*p.classes[r.class].typical)
 		if g.now+timeout > r.deadline-p.classes[r.class].typical {
 			timeout = 0
 		}
 	}
-	a, cs := &attempt{server: s, sent: g.now}, &p.classes[r.class]
-	r.attempts, cs.open = append(r.attempts, a), append(cs.open, a)
+	a := &attempt{server: s, sent: g.now}
+	r.attempts = append(r.attempts, a)
 	r.out++
 	r.customer.open++
-	s.sent(sentAt{r.id, g.now, p.classes[r.class].typical})
+	if !r.arriving {
+		g.depart(r, a)
+	}
 	p.sendRate = p.sendRate*math.Exp(-(g.now-p.sentAt)/rateMemory) + 1/rateMemory
 	p.sentAt = g.now
 	g.do(Send{ID: r.id, Server: s.id, Timeout: timeout})
 }
 
+// depart books an attempt that a server is about to have whole. Danger: slow bodies. Booked from their
+// first byte they would look like work out too long.
+func (g *Gateway) depart(r *request, a *attempt) {
+	cs := &a.server.pool.classes[r.class]
+	a.sent, a.whole, cs.open = g.now, true, append(cs.open, a)
+	a.server.sent(sentAt{r.id, g.now, cs.typical})
+}
+
 func (g *Gateway) outcome(e Outcome) {
 	r := g.requests[e.ID]
 	if r == nil || e.Attempt < 0 || e.Attempt >= len(r.attempts) || r.attempts[e.Attempt].ended {
@@ -930,7 +949,9 @@
 
 func (g *Gateway) judge(r *request, a *attempt, e Outcome) {
 	s, p := a.server, a.server.pool
-	s.returned(r.id, a.sent)
+	if a.whole {
+		s.returned(r.id, a.sent)
+	}
 	s.slow = 1 + (s.slow-1)*math.Exp(-(g.now-s.heard)/forgetSlow)
 	s.heard = g.now
 	class, cs := &g.set.Classes[r.class], &p.classes[r.class]
--- a/control/state.go
+++ b/control/state.go
@@ -131,9 +131,11 @@
 	customer *customer
 	units    float64
 	deadline Seconds
+	wait     Seconds // from Arrived on
 	attempts []*attempt
 	out      int
 
+	arriving  bool
 	closed    bool // final answer given, or client gone
 	streaming bool
 	mayRan    bool    // some attempt may have run
@@ -146,6 +148,7 @@
 	server *server
 	sent   Seconds
 	ended  bool
+	whole  bool // it is at the server, or on its way
 }
 
 // server is what is known of one server; control.go, part 4.
--- a/control/types.go
+++ b/control/types.go
@@ -180,6 +180,7 @@
 		Plan     int
 		Customer uint64
 		TimeLeft Seconds
+		Arriving bool // it is still coming in: its time runs from Arrived, and no server works on it before
 		Units    float64
 		Spread   int // number of gateways this customer's requests may come through
 		First    int // number of the first of them
@@ -188,6 +189,9 @@
 		Ask      bool // only the verdict is wanted: it is answered by Admit or Refuse, and nothing is sent
 	}
 
+	// Arrived tells that a request's last byte has come in, and gone on where it was sent.
+	Arrived struct{ ID uint64 }
+
 	// Started tells that a streamed answer has begun.
 	Started struct {
 		ID      uint64
@@ -350,6 +354,7 @@
 func (Members) event()  {}
 func (Request) event()  {}
 func (Started) event()  {}
+func (Arrived) event()  {}
 func (Outcome) event()  {}
 func (Gone) event()     {}
 func (Timer) event()    {}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -26,6 +26,13 @@
 	Bound         bool      // its key may have run at the site At, and is known nowhere else
 	At            int
 	Payload       any // what egress sends on; the core never looks inside
+
+	// Arriving: its body is still coming in, and is sent on as it comes. Wait is how long the client waits from the
+	// last byte on; Deadline is when the body is given up. Spent tells that a part was sent on that cannot be
+	// sent again.
+	Arriving bool
+	Wait     time.Duration
+	Spent    func() bool
 }
 
 // Kind tells how an exchange ended.
@@ -57,6 +64,11 @@
 	Target  string
 	Payload any
 	Report  func(Outcome) // exactly once; may block, so never from the core's goroutine
+
+	// Of a message that is still coming in: Whole is called when its last byte went out, and its answer is waited
+	// for as long as Wait from then on. Whole may block as Report may.
+	Whole func()
+	Wait  time.Duration
 }
 
 // Outcome is how an attempt ended.
@@ -107,6 +119,7 @@
 type (
 	opened  struct{ h *held }
 	left    struct{ h *held }
+	whole   struct{ h *held }
 	expired struct{ h *held }
 	ended   struct {
 		h       *held
@@ -203,6 +216,21 @@
 	}
 }
 
+// Streamer is a reply that may have more to come.
+type Streamer interface {
+	Streaming() bool
+	Close() error // nobody reads it
+}
+
+// Streamed counts a streamed answer at its end.
+func (c *Core) Streamed(class int, whole bool) {
+	k := Served
+	if !whole {
+		k = Failed
+	}
+	c.tally(class, k)
+}
+
 // At tells the core of sites. It must be called before Run.
 func (c *Core) At(r *sites.Router) { c.sites = r }
 
@@ -294,18 +322,22 @@
 		if h.final {
 			continue
 		}
-		a := Answer{Kind: Refused, RetryAfter: busyPause}
-		class := c.classes[h.Class]
-		again := class.Repeat == control.Safe || class.Repeat == control.Keyed && class.Group == control.GroupAll
-		if !again && (h.mayRan || h.out > 0) { // a refusal would say that trying again is harmless
-			a = Answer{Kind: Failed}
-		}
-		c.end(h, a)
+		c.end(h, c.curtail(h))
 		c.feed(control.Gone{ID: h.id})
 		c.forget(h)
 	}
 }
 
+// curtail is the answer of an exchange that ends here for a reason of its own.
+func (c *Core) curtail(h *held) Answer {
+	class := c.classes[h.Class]
+	again := class.Repeat == control.Safe || class.Repeat == control.Keyed && class.Group == control.GroupAll
+	if !again && (h.mayRan || h.out > 0) { // a refusal would say that trying again is harmless
+		return Answer{Kind: Failed}
+	}
+	return Answer{Kind: Refused, RetryAfter: busyPause}
+}
+
 func (c *Core) post(m any) {
 	select {
 	case c.mailbox <- m:
@@ -359,6 +391,12 @@
 		c.end(m.h, Answer{Kind: Left})
 		c.feed(control.Gone{ID: m.h.id})
 		c.forget(m.h)
+	case whole:
+		if h := m.h; h.Arriving && !h.final {
+			h.Arriving, h.Deadline = false, time.Now().Add(h.Wait)
+			h.guard.Reset(h.Wait + overdue)
+			c.feed(control.Arrived{ID: h.id})
+		}
 	case expired:
 		if !m.h.final { // guards against an attempt that hangs: the client is never left without an answer
 			c.log.Warn("exchange overdue", "id", m.h.id)
@@ -414,9 +452,12 @@
 	c.held[h.id] = h
 	h.guard = time.AfterFunc(rest+overdue, func() { c.post(expired{h}) })
 	h.came = time.Now()
+	if h.Arriving {
+		rest = h.Wait
+	}
 	c.feed(control.Request{
-		Reach: c.route(h, rest),
-		ID:    h.id, Class: h.Class, Plan: h.Plan, Customer: h.Customer, TimeLeft: rest.Seconds(),
+		Arriving: h.Arriving, Reach: c.route(h, rest),
+		ID: h.id, Class: h.Class, Plan: h.Plan, Customer: h.Customer, TimeLeft: rest.Seconds(),
 		Units: h.Units, Spread: h.Spread, First: h.First, Repeat: h.Repeat, Ask: h.Ask,
 	})
 	c.forget(h)
@@ -428,7 +469,9 @@
 		return
 	}
 	h.final = true
-	c.tally(h.Class, a.Kind)
+	if s, ok := a.Reply.(Streamer); !ok || !s.Streaming() { // else it is counted when it has ended: Streamed
+		c.tally(h.Class, a.Kind)
+	}
 	a.MayHaveRun, a.RanAt = h.mayRan || h.out > 0, h.ranAt
 	h.answer <- a
 	if h.guard != nil {
@@ -461,8 +504,14 @@
 			reach = c.route(e.h, time.Until(e.h.Deadline))
 		}
 	}
-	if e.Status == control.OK {
+	switch s, streams := e.Reply.(Streamer); {
+	case e.Status == control.OK && !e.h.final:
 		c.end(e.h, Answer{Kind: Served, Reply: e.Reply})
+	case streams:
+		s.Close()
+	}
+	if !e.h.final && e.h.Spent != nil && e.h.Spent() { // there is nothing left to send to another
+		c.end(e.h, c.curtail(e.h))
 	}
 	c.feed(control.Outcome{
 		ID: e.h.id, Server: e.target, Attempt: e.attempt, Status: e.Status,
@@ -534,7 +583,13 @@
 			deadline = t
 		}
 	}
-	ctx, cancel := context.WithDeadline(c.ctx, deadline)
+	var ctx context.Context
+	var cancel context.CancelFunc
+	if h.Arriving {
+		ctx, cancel = context.WithCancel(c.ctx) // its time begins with its last byte
+	} else {
+		ctx, cancel = context.WithDeadline(c.ctx, deadline)
+	}
 	n, sent := len(h.cancels), time.Now()
 	h.cancels = append(h.cancels, cancel)
 	h.out++
@@ -549,6 +604,7 @@
 	if !c.egress.Start(Attempt{
 		Ctx: ctx, Target: a.Server, Payload: h.Payload,
 		Report: func(o Outcome) { c.post(done(o)) },
+		Whole:  func() { c.post(whole{h}) }, Wait: h.Wait,
 	}) {
 		c.later = append(c.later, done(Outcome{Status: control.Full}))
 	}
--- a/internal/egress/conn.go
+++ b/internal/egress/conn.go
@@ -2,8 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
-	"errors"
 	"io"
 	"math"
 	"net"
@@ -18,13 +18,10 @@
 	"junctionring/internal/socket"
 )
 
-// MaxBody is the most that a body may hold, either way.
+// MaxBody is the most that a body may hold that is taken in whole, either way.
 const MaxBody = 64 << 10
 
-const (
-	mostHead  = 16 << 10 // bytes of an answer's head, with all 1xx answers in front
-	mostChunk = 4        // a chunked body may take so many times its size
-)
+const mostHead = 16 << 10 // bytes of an answer's head, with all 1xx answers in front
 
 // Request is an exchange's message to its egress target, encoded once; only the time that is left is
 // written anew for each attempt.
@@ -32,13 +29,16 @@
 	Method string
 	Head   []byte // request line and headers, without X-Timeout and the empty line
 	Body   []byte
+	Rest   *Upload // what follows Body as it comes in; nil: nothing
 }
 
-// Reply is a peer's whole answer.
+// Reply is a peer's answer: whole, or with a body that is still to come.
 type Reply struct {
 	Status int
 	Header http.Header
 	Body   []byte
+	Long   *Stream // instead of Body
+	Length int64   // of Long; -1: not known
 }
 
 // conn is one connection to a target; one attempt at a time travels on it. It does not send anything by
@@ -72,19 +72,38 @@
 }
 
 // roundTrip writes the request and reads the whole answer. The connection may be used again if reuse.
-func (c *conn) roundTrip(ctx context.Context, r *Request, fields []string) (o core.Outcome, reuse bool) {
+//
+// Of a message that is still coming in, whole is called when it has gone out, and the answer is waited for as long
+// as wait from then on.
+func (c *conn) roundTrip(ctx context.Context, r *Request, fields []string, whole func(), wait time.Duration) (o core.Outcome, reuse bool) {
 	stop := context.AfterFunc(ctx, c.giveUp)
-	defer stop()
+	defer func() { stop() }()
 	b := make([]byte, 0, len(r.Head)+len(r.Body)+64)
 	b = append(b, r.Head...)
+	left := wait
 	if deadline, ok := ctx.Deadline(); ok {
+		left = time.Until(deadline)
+	}
+	if left > 0 {
 		b = append(b, "X-Timeout: "...)
-		b = strconv.AppendInt(b, max(1, time.Until(deadline).Milliseconds()), 10)
+		b = strconv.AppendInt(b, max(1, left.Milliseconds()), 10)
 		b = append(b, "m\r\n"...)
 	}
 	b = append(b, "\r\n"...)
-	b = append(b, r.Body...)
-	if n, err := c.Write(b); err != nil && n < len(b) {
+	if r.Rest != nil {
+		status, ok := c.writeLong(ctx, b, r)
+		if !ok {
+			return core.Outcome{Status: status}, false
+		}
+		if !stop() {
+			return core.Outcome{Status: control.Cancelled, Written: true}, false
+		}
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, wait)
+		defer cancel()
+		stop = context.AfterFunc(ctx, c.giveUp)
+		whole()
+	} else if n, err := c.Write(append(b, r.Body...)); err != nil && n < len(b)+len(r.Body) {
 		if ctx.Err() == context.Canceled {
 			return core.Outcome{Status: control.Cancelled}, false
 		}
@@ -99,6 +118,9 @@
 		o.Waited = first.Sub(written)
 	}
 	o.Written = true
+	if reply, ok := o.Reply.(*Reply); ok && reply.Long != nil && !stop() { // given up as it began
+		return core.Outcome{Status: control.Reset, Written: true}, false
+	}
 	if o.Status == control.Reset && ctx.Err() != nil { // closed by us
 		o.Status = control.Timeout
 		if ctx.Err() == context.Canceled {
@@ -108,7 +130,7 @@
 	return o, reuse && stop()
 }
 
-// read takes the whole answer in before anything of it is passed on: a cut or spoilt one is a reset, and may
+// read takes the whole answer in, if it is not a long one, before anything of it is passed on: a cut or spoilt one is a reset, and may
 // be repeated where the class permits it, instead of reaching the client as half an answer. Nothing that lies
 // behind the answer is read as the next one: the connection is then not used again.
 func (c *conn) read(method string, fields []string) (o core.Outcome, reuse bool) {
@@ -121,12 +143,12 @@
 	if err != nil {
 		return reset, false
 	}
-	body, err := c.readBody(resp)
+	reply, err := c.readBody(resp)
 	if err != nil {
 		return reset, false
 	}
 	o.Load = decodeLoad(resp.Header.Get("X-Server-Load"), fields)
-	o.Reply = &Reply{Status: resp.StatusCode, Header: resp.Header, Body: body}
+	o.Reply = reply
 	switch {
 	case resp.StatusCode == http.StatusOK:
 		o.Status = control.OK
@@ -139,26 +161,37 @@
 	return o, !resp.Close && c.in.Buffered() == 0
 }
 
-var errNoEnd = errors.New("the answer is too long, or nothing says where it ends")
-
-func (c *conn) readBody(resp *http.Response) ([]byte, error) {
+// readBody takes a body in whole, but for a long one of a good answer: that is passed on as it comes, with its first
+// bytes at once. One whose length is not said is taken for long when it is.
+func (c *conn) readBody(resp *http.Response) (*Reply, error) {
+	r := &Reply{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength}
+	long := resp.StatusCode == http.StatusOK
 	switch n := resp.ContentLength; {
+	case n > MaxLong, n > MaxBody && !long:
+		return nil, errTooLong
 	case n > MaxBody:
-		return nil, errNoEnd
+		c.budget.N += n
+		r.Long = c.long(resp, resp.Body, n)
+		return r, nil
 	case n >= 0:
 		c.budget.N += n
-		body := make([]byte, n)
-		_, err := io.ReadFull(resp.Body, body)
-		return body, err
-	case len(resp.TransferEncoding) == 0 && resp.ProtoAtLeast(1, 1) && resp.Header.Get("Connection") != "close":
-		return nil, errNoEnd // the end of the connection would end it, but it is to stay open
+		r.Body = make([]byte, n)
+		_, err := io.ReadFull(resp.Body, r.Body)
+		return r, err
 	}
-	c.budget.N += mostChunk * MaxBody
+	c.budget.N += mostFrames * MaxLong
 	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxBody+1))
-	if err == nil && len(body) > MaxBody {
-		err = errNoEnd
+	switch {
+	case err != nil:
+		return nil, err
+	case len(body) <= MaxBody:
+		r.Body = body
+	case !long:
+		return nil, errTooLong
+	default:
+		r.Long = c.long(resp, io.MultiReader(bytes.NewReader(body), resp.Body), MaxLong)
 	}
-	return body, err
+	return r, nil
 }
 
 // loadNames tells how the settings' names of a load report's fields stand in the report itself.
--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -119,9 +119,12 @@
 		if len(e.site.LoadFields) > 0 {
 			path = "/stats"
 		}
-		o := e.exchange(ctx, &Request{Method: http.MethodGet, Head: []byte("GET " + path + " HTTP/1.1\r\nHost: target\r\n")})
-		if reply, ok := o.Reply.(*Reply); ok && len(o.Load) == 0 {
-			o.Load = decodeLoad(string(reply.Body), e.site.LoadFields)
+		o := e.exchange(ctx, &Request{Method: http.MethodGet, Head: []byte("GET " + path + " HTTP/1.1\r\nHost: target\r\n")}, nil, 0)
+		if reply, ok := o.Reply.(*Reply); ok {
+			reply.Close()
+			if len(o.Load) == 0 {
+				o.Load = decodeLoad(string(reply.Body), e.site.LoadFields)
+			}
 		}
 		report(o.Status, o.Load)
 	}()
@@ -141,13 +144,17 @@
 type carried struct {
 	exchange *core.Exchange
 	body     []byte
+	rest     *Upload
 	ended    func(core.Answer)
 }
 
 // WithExchange returns a request that carries its exchange through httputil.ReverseProxy to the RoundTripper.
-// ended is told the final answer before the client is; it may be nil.
-func WithExchange(r *http.Request, x *core.Exchange, body []byte, ended func(core.Answer)) *http.Request {
-	return r.WithContext(context.WithValue(r.Context(), exchangeKey{}, &carried{x, body, ended}))
+// rest is what of its body follows; ended is told the final answer before the client is; both may be nil.
+func WithExchange(r *http.Request, x *core.Exchange, body []byte, rest *Upload, ended func(core.Answer)) *http.Request {
+	if rest != nil {
+		x.Arriving, x.Spent = true, rest.Spent
+	}
+	return r.WithContext(context.WithValue(r.Context(), exchangeKey{}, &carried{x, body, rest, ended}))
 }
 
 // RoundTripper has the core decide and carry out the exchange that a request holds.
@@ -159,7 +166,7 @@
 // RoundTrip implements http.RoundTripper.
 func (t *RoundTripper) RoundTrip(r *http.Request) (*http.Response, error) {
 	c := r.Context().Value(exchangeKey{}).(*carried)
-	c.exchange.Payload = Encode(r.Method, r.URL.RequestURI(), r.Host, r.Header, c.body)
+	c.exchange.Payload = Encode(r.Method, r.URL.RequestURI(), r.Host, r.Header, c.body, c.rest)
 	a := t.Core.Do(r.Context(), *c.exchange)
 	if c.ended != nil {
 		c.ended(a)
@@ -169,6 +176,13 @@
 	case core.Served:
 		reply := a.Reply.(*Reply)
 		resp.StatusCode, resp.Header = http.StatusOK, reply.Header.Clone()
+		if reply.Long != nil {
+			if resp.ContentLength = reply.Length; reply.Length >= 0 {
+				resp.Header.Set("Content-Length", strconv.FormatInt(reply.Length, 10))
+			}
+			resp.Body = pass(r.Context(), reply.Long, t.Core, c.exchange.Class)
+			return resp, nil
+		}
 		resp.ContentLength = int64(len(reply.Body))
 		resp.Header.Set("Content-Length", strconv.Itoa(len(reply.Body)))
 		resp.Body = io.NopCloser(bytes.NewReader(reply.Body))
@@ -191,18 +205,24 @@
 }
 
 // Encode writes a message once, for all attempts.
-func Encode(method, uri, host string, h http.Header, body []byte) *Request {
+func Encode(method, uri, host string, h http.Header, body []byte, rest *Upload) *Request {
 	var b bytes.Buffer
 	b.WriteString(method + " " + uri + " HTTP/1.1\r\nHost: " + host + "\r\n")
 	h = h.Clone()
 	h.Del("X-Timeout")
 	h.Del("Expect") // answered here: the body has come in whole
 	h.Del("Content-Length")
-	if len(body) > 0 || method == http.MethodPost {
+	h.Del("Transfer-Encoding")
+	switch {
+	case rest != nil && rest.Length < 0:
+		h.Set("Transfer-Encoding", "chunked")
+	case rest != nil:
+		h.Set("Content-Length", strconv.FormatInt(rest.Length, 10))
+	case len(body) > 0 || method == http.MethodPost:
 		h.Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	h.Write(&b) // into memory: it does not fail
-	return &Request{Method: method, Head: b.Bytes(), Body: body}
+	return &Request{Method: method, Head: b.Bytes(), Body: body, Rest: rest}
 }
 
 // DecimalSeconds words a wait as the platform's clients read it.
--- /dev/null
+++ b/internal/egress/long.go
@@ -0,0 +1,191 @@
+package egress
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"junctionring/control"
+	"junctionring/internal/core"
+)
+
+// MaxLong is the most that a body may hold that is streamed.
+const MaxLong = 32 << 20
+
+const (
+	pieceSize  = 32 << 10
+	pieceWait  = 10 * time.Second // a target that neither takes nor gives anything
+	mostFrames = 8                // a chunked body may take so many times its size
+)
+
+var pieces = sync.Pool{New: func() any { return new([pieceSize]byte) }}
+
+// Upload is the part of a message's body that is still to come in when the message is first sent on. It is read
+// once: what was read of it is not kept, so that no body is ever held whole.
+type Upload struct {
+	Length int64                     // of the whole body, with what came first; -1: not known
+	Next   func([]byte) (int, error) // the next piece
+	spent  atomic.Bool
+	done   atomic.Bool
+}
+
+// Spent tells whether some of it was taken: the message cannot be sent again.
+func (u *Upload) Spent() bool { return u.spent.Load() }
+
+// Done tells whether all of it has come in.
+func (u *Upload) Done() bool { return u.done.Load() }
+
+// writeLong writes a message whose body is still coming in. A client that stops, or sends less or more than it
+// said, ends the attempt before its last byte: the target has got nothing that it would run.
+func (c *conn) writeLong(ctx context.Context, head []byte, r *Request) (control.Status, bool) {
+	failed := func(s control.Status) (control.Status, bool) {
+		if ctx.Err() == context.Canceled {
+			s = control.Cancelled
+		}
+		return s, false
+	}
+	chunked := r.Rest.Length < 0
+	write := func(b []byte) error {
+		c.SetWriteDeadline(time.Now().Add(pieceWait))
+		if !chunked {
+			_, err := c.Write(b)
+			return err
+		}
+		framed := append(strconv.AppendInt(make([]byte, 0, len(b)+24), int64(len(b)), 16), "\r\n"...)
+		_, err := c.Write(append(append(framed, b...), "\r\n"...))
+		return err
+	}
+	c.SetWriteDeadline(time.Now().Add(pieceWait))
+	if _, err := c.Write(head); err != nil {
+		return failed(control.ConnectFailed)
+	}
+	if err := write(r.Body); err != nil {
+		return failed(control.ConnectFailed)
+	}
+	piece := pieces.Get().(*[pieceSize]byte)
+	defer pieces.Put(piece)
+	for sent := int64(len(r.Body)); ; {
+		n, err := r.Rest.Next(piece[:])
+		if n > 0 {
+			r.Rest.spent.Store(true)
+			if sent += int64(n); sent > MaxLong {
+				return failed(control.Cancelled)
+			}
+			if err := write(piece[:n]); err != nil {
+				return failed(control.ConnectFailed)
+			}
+		}
+		if err == io.EOF && (chunked || sent == r.Rest.Length) {
+			r.Rest.spent.Store(true)
+			r.Rest.done.Store(true)
+			break
+		}
+		if err != nil {
+			r.Rest.spent.Store(true)
+			return failed(control.Cancelled)
+		}
+	}
+	if chunked {
+		if _, err := io.WriteString(c, "0\r\n\r\n"); err != nil {
+			return failed(control.ConnectFailed)
+		}
+	}
+	c.SetWriteDeadline(time.Time{})
+	return 0, true
+}
+
+// Stream is the body of a long answer, passed on as it comes. Reading it to its end, or Close, ends the attempt's
+// connection with the target, or frees it.
+type Stream struct {
+	c      *conn
+	body   io.Reader
+	left   int64 // that may still come
+	reuse  func() bool
+	finish func(reuse bool) // set by the target; once
+
+	mu   sync.Mutex
+	over bool
+}
+
+var errTooLong = errors.New("the answer is too long")
+
+// Read implements io.Reader. What is cut by the target ends in an error, so that the client can tell.
+func (s *Stream) Read(b []byte) (int, error) {
+	s.c.SetReadDeadline(time.Now().Add(pieceWait))
+	n, err := s.body.Read(b)
+	if s.left -= int64(n); s.left < 0 {
+		n, err = 0, errTooLong
+	}
+	switch {
+	case err == io.EOF:
+		s.c.SetReadDeadline(time.Time{})
+		s.end(s.reuse())
+	case err != nil:
+		s.end(false)
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (s *Stream) Close() error {
+	s.end(false)
+	return nil
+}
+
+func (s *Stream) end(reuse bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.over {
+		s.over = true
+		s.finish(reuse)
+	}
+}
+
+// Streaming implements core.Streamer.
+func (r *Reply) Streaming() bool { return r.Long != nil }
+
+// Close implements core.Streamer.
+func (r *Reply) Close() error {
+	if r.Long != nil {
+		return r.Long.Close()
+	}
+	return nil
+}
+
+// passed is a streamed body on its way to the client: its end is counted, and a client that leaves ends it.
+type passed struct {
+	*Stream
+	stop  func() bool
+	ended func(whole bool)
+	once  sync.Once
+}
+
+func pass(ctx context.Context, s *Stream, c *core.Core, class int) *passed {
+	p := &passed{Stream: s, ended: func(whole bool) { c.Streamed(class, whole) }}
+	p.stop = context.AfterFunc(ctx, func() { s.Close() })
+	return p
+}
+
+func (p *passed) Read(b []byte) (int, error) {
+	n, err := p.Stream.Read(b)
+	if err != nil {
+		p.once.Do(func() { p.ended(err == io.EOF) })
+	}
+	return n, err
+}
+
+func (p *passed) Close() error {
+	p.stop()
+	p.once.Do(func() { p.ended(false) })
+	return p.Stream.Close()
+}
+
+// long makes a stream of an answer that is too long to be taken in whole, or nil: it cannot be one.
+func (c *conn) long(resp *http.Response, body io.Reader, left int64) *Stream {
+	return &Stream{c: c, body: body, left: left, reuse: func() bool { return !resp.Close && c.in.Buffered() == 0 }}
+}
--- a/internal/egress/target.go
+++ b/internal/egress/target.go
@@ -241,10 +241,10 @@
 
 // attempt carries one attempt out, in its own goroutine.
 func (t *target) attempt(a core.Attempt) {
-	a.Report(t.exchange(a.Ctx, a.Payload.(*Request)))
+	a.Report(t.exchange(a.Ctx, a.Payload.(*Request), a.Whole, a.Wait))
 }
 
-func (t *target) exchange(ctx context.Context, r *Request) core.Outcome {
+func (t *target) exchange(ctx context.Context, r *Request, whole func(), wait time.Duration) core.Outcome {
 	l := &lease{got: make(chan *conn, 1)}
 	if !t.post(l) {
 		return core.Outcome{Status: control.ConnectFailed}
@@ -265,10 +265,22 @@
 		return core.Outcome{Status: control.ConnectFailed}
 	}
 	sent := time.Now()
-	o, reuse := c.roundTrip(ctx, r, t.site.LoadFields)
+	o, reuse := c.roundTrip(ctx, r, t.site.LoadFields, whole, wait)
+	free := func(reuse bool) {
+		if reuse {
+			c.used = time.Now()
+			t.post(back{c})
+			return
+		}
+		c.Close()
+		t.post(ended{})
+	}
+	if reply, ok := o.Reply.(*Reply); ok && reply.Long != nil {
+		reply.Long.finish = free // the connection is in use until then
+		return o
+	}
 	if reuse {
-		c.used = time.Now()
-		t.post(back{c})
+		free(true)
 		return o
 	}
 	c.Close()
--- a/internal/forwardauth/check.go
+++ b/internal/forwardauth/check.go
@@ -99,5 +99,5 @@
 	for name, value := range origin {
 		q.Set(name, value)
 	}
-	return egress.Encode(http.MethodGet, f.checkURL.RequestURI(), f.checkURL.Host, q, nil)
+	return egress.Encode(http.MethodGet, f.checkURL.RequestURI(), f.checkURL.Host, q, nil, nil)
 }
--- a/internal/forwardauth/forwardauth.go
+++ b/internal/forwardauth/forwardauth.go
@@ -103,7 +103,7 @@
 		front.Reject(w, r, err)
 		return
 	}
-	body, err := front.ReadBody(w, r, f.o.MaxBody)
+	body, _, err := front.ReadBody(w, r, f.o.MaxBody, 0)
 	if err != nil {
 		front.Reject(w, r, err)
 		return
@@ -143,7 +143,7 @@
 	class, name := f.o.Module.Classes[x.Class], f.names.Classes[x.Class]
 	x.Class = f.classes[x.Class]
 	if class.Repeat != control.Keyed {
-		f.proxy.ServeHTTP(w, egress.WithExchange(r, &x, body, nil))
+		f.proxy.ServeHTTP(w, egress.WithExchange(r, &x, body, nil, nil))
 		return
 	}
 	id := name + "\x00" + r.Header.Get(f.o.Identity.Account) + "\x00" + r.Header.Get("Idempotency-Key")
@@ -174,7 +174,7 @@
 	}
 	end := core.Answer{Kind: core.Left} // unless the core is reached: nothing can have run
 	defer func() { f.keys.end(id, time.Now(), end, v == repeat) }()
-	f.proxy.ServeHTTP(w, egress.WithExchange(r, &x, body, func(a core.Answer) { end = a }))
+	f.proxy.ServeHTTP(w, egress.WithExchange(r, &x, body, nil, func(a core.Answer) { end = a }))
 }
 
 // asked answers a proxy that asks whether a request may pass. It is the proxy that sends the request on.
--- a/internal/forwardauth/keys.go
+++ b/internal/forwardauth/keys.go
@@ -107,7 +107,7 @@
 	}
 	if a.Kind == core.Served {
 		s.served = true
-		if reply := a.Reply.(*egress.Reply); len(reply.Body) <= replyMost {
+		if reply := a.Reply.(*egress.Reply); reply.Long == nil && len(reply.Body) <= replyMost {
 			s.reply = reply
 		}
 		return
--- a/internal/front/message.go
+++ b/internal/front/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -9,6 +10,8 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"junctionring/control"
@@ -20,9 +23,10 @@
 const Margin = 5 * time.Millisecond
 
 const (
-	mostUnits  = 1000 // of one exchange, where nothing is stated
-	mostDigits = 16   // of a number: it fits an int and a float64
-	bodyWait   = time.Second
+	mostUnits  = 1000            // of one exchange, where nothing is stated
+	mostDigits = 16              // of a number: it fits an int and a float64
+	bodyWait   = 2 * time.Second // a client is silent so long at most, within its body
+	bodyPace   = 16 << 10        // bytes a second
 	lingerFor  = 300 * time.Millisecond
 	lingerMost = 256 << 10
 )
@@ -173,25 +177,77 @@
 	return nil
 }
 
-// ReadBody takes a whole body in, up to the limit. A client that stops in the middle does not hold its slot.
-func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
-	if r.ContentLength > limit {
-		return nil, &Malformed{http.StatusRequestEntityTooLarge, "the body is too large"}
+// Body is a message's body as it comes in, at the client's pace: it may be slow, and may not stop.
+type Body struct {
+	r       *http.Request
+	control *http.ResponseController
+	begun   time.Time
+	n       int64
+
+	mu   sync.Mutex // held while it is read
+	over atomic.Bool
+}
+
+// NewBody begins to read a request's body.
+func NewBody(w http.ResponseWriter, r *http.Request) *Body {
+	return &Body{r: r, control: http.NewResponseController(w), begun: time.Now()}
+}
+
+// Read implements io.Reader. A client that sends nothing for bodyWait, or less than bodyPace all in all, has
+// stopped.
+func (b *Body) Read(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.over.Load() {
+		return 0, errLeft
+	}
+	b.control.SetReadDeadline(time.Now().Add(bodyWait)) // where it is not supported, a client may be slow
+	n, err := b.r.Body.Read(p)
+	if b.n += int64(n); err == nil && time.Since(b.begun) > bodyWait+time.Duration(float64(b.n)/bodyPace*float64(time.Second)) {
+		err = errSlow
+	}
+	return n, err
+}
+
+// Close ends the reading: no Read is under way when it returns, and none will read on.
+func (b *Body) Close() {
+	b.over.Store(true)
+	b.control.SetReadDeadline(time.Unix(1, 0))
+	b.mu.Lock()
+	b.mu.Unlock()
+}
+
+var (
+	errLeft = errors.New("nobody reads the body any more")
+	errSlow = errors.New("the body comes too slowly")
+)
+
+// ReadBody takes a body in, whole where it is no longer than the limit. Of a longer one, where at most long may come,
+// it returns the beginning, and rest reads on; long 0: it must be whole.
+func ReadBody(w http.ResponseWriter, r *http.Request, limit, long int64) (body []byte, rest *Body, err error) {
+	if r.ContentLength > max(limit, long) {
+		return nil, nil, &Malformed{http.StatusRequestEntityTooLarge, "the body is too large"}
 	}
 	if r.ContentLength == 0 {
-		return nil, nil
+		return nil, nil, nil
 	}
-	control := http.NewResponseController(w)
-	control.SetReadDeadline(time.Now().Add(bodyWait)) // where it is not supported, a client may be slow
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	control.SetReadDeadline(time.Time{})
-	if int64(len(body)) > limit {
-		return nil, &Malformed{http.StatusRequestEntityTooLarge, "the body is too large"}
+	b := NewBody(w, r)
+	if r.ContentLength > limit {
+		body = make([]byte, limit)
+		_, err = io.ReadFull(b, body)
+		rest = b
+	} else if body, err = io.ReadAll(io.LimitReader(b, limit+1)); int64(len(body)) > limit {
+		if rest = b; long == 0 {
+			return nil, nil, &Malformed{http.StatusRequestEntityTooLarge, "the body is too large"}
+		}
 	}
 	if err != nil {
-		return nil, Bad("the body is cut short")
+		return nil, nil, Bad("the body is cut short")
+	}
+	if rest == nil {
+		b.control.SetReadDeadline(time.Time{})
 	}
-	return body, nil
+	return body, rest, nil
 }
 
 // Reject answers what is malformed, at once, and closes: a client that sends such things gets no slot to keep.
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httputil"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -16,7 +17,7 @@
 const (
 	// MaxHeader is what a client's headers may hold on the platform.
 	MaxHeader  = 16 << 10
-	headerWait = 1500 * time.Millisecond // from the accept on: who sends no whole head holds a slot for nothing
+	headerWait = 2500 * time.Millisecond // from the accept on: who sends no whole head holds a slot for nothing
 	idleWait   = 2 * time.Minute         // clients that went away without a word must not hold descriptors for ever
 
 	idleLook      = 2 * time.Millisecond   // at the end of a drain, between looks at idle connections
@@ -171,11 +172,21 @@
 // Proxy is the reverse proxy on a RoundTripper of ours.
 func Proxy(t http.RoundTripper, log *slog.Logger) *httputil.ReverseProxy {
 	return &httputil.ReverseProxy{
-		Rewrite:   func(*httputil.ProxyRequest) {},
-		Transport: t,
-		ErrorLog:  slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+		Rewrite:       func(*httputil.ProxyRequest) {},
+		FlushInterval: -1, // what comes of a long answer goes on at once
+		BufferPool:    pieces{},
+		Transport:     t,
+		ErrorLog:      slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 		ErrorHandler: func(w http.ResponseWriter, r *http.Request, err error) {
 			panic(http.ErrAbortHandler) // the client has left: nobody is told anything
 		},
 	}
 }
+
+// pieces are the buffers through which answers pass.
+type pieces struct{}
+
+var spare = sync.Pool{New: func() any { return new([32 << 10]byte) }}
+
+func (pieces) Get() []byte  { return spare.Get().(*[32 << 10]byte)[:] }
+func (pieces) Put(b []byte) { spare.Put((*[32 << 10]byte)(b)) }
--- /dev/null
+++ b/internal/ingress/long_test.go
@@ -0,0 +1,274 @@
+package ingress_test
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"junctionring/internal/telemetry"
+)
+
+// text is a body of so many bytes in which no two places look alike.
+func text(n int) string {
+	var b strings.Builder
+	for i := 0; b.Len() < n; i++ {
+		fmt.Fprintf(&b, "%d,", i)
+	}
+	return b.String()[:n]
+}
+
+// chunks frames a body in pieces of a size, with what chunked bodies may hold besides.
+func chunks(body string, size int) string {
+	var b strings.Builder
+	for ; body != ""; body = body[min(size, len(body)):] {
+		piece := body[:min(size, len(body))]
+		fmt.Fprintf(&b, "%x;note=1\r\n%s\r\n", len(piece), piece)
+	}
+	return b.String() + "0\r\nX-Trailer: 1\r\n\r\n"
+}
+
+// A long answer passes on as it comes, whatever frames it: its beginning reaches the client while the rest is not
+// sent yet, and all of it arrives unchanged. One with a stated end leaves both connections for the next request.
+func TestLongAnswers(t *testing.T) {
+	body := text(3 << 20)
+	for name, c := range map[string]struct {
+		head, framed string
+		kept         bool
+	}{
+		"length":         {fmt.Sprintf("Content-Length: %d\r\n", len(body)), body, true},
+		"chunked":        {"Transfer-Encoding: chunked\r\nTrailer: X-Trailer\r\n", chunks(body, 1000), true},
+		"until the end":  {"Connection: close\r\n", body, false},
+		"no word of end": {"", body, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPeer(t)
+			address, _ := start(t, fleet(), p)
+			client := dial(t, address)
+			io.WriteString(client, view)
+			r := <-p.got
+			first := len(c.framed) / 2
+			go io.WriteString(r.conn, "HTTP/1.1 200 OK\r\n"+c.head+"\r\n"+c.framed[:first])
+			resp, err := http.ReadResponse(client.in, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got := make([]byte, 1<<20)
+			if _, err := io.ReadFull(resp.Body, got); err != nil {
+				t.Fatalf("the beginning is held back: %v", err)
+			}
+			go func() {
+				io.WriteString(r.conn, c.framed[first:])
+				if !c.kept {
+					r.conn.Close()
+				}
+			}()
+			rest, err := io.ReadAll(resp.Body)
+			if string(got)+string(rest) != body || err != nil {
+				t.Fatalf("got %d of %d bytes, or others; %v", len(got)+len(rest), len(body), err)
+			}
+			if !c.kept {
+				return
+			}
+			go p.read(r.conn, r.in)
+			io.WriteString(client, view)
+			if again := <-p.got; again.conn != r.conn {
+				t.Error("the connection to the target is not used again")
+			} else {
+				p.answer(again, ok)
+			}
+			if resp, body := client.read(t); resp.StatusCode != 200 || body != "here" {
+				t.Errorf("the next request was answered %d %q", resp.StatusCode, body)
+			}
+		})
+	}
+}
+
+// A long answer that the target cuts, spoils or makes too long looks cut to the client, counts as failed, and is not
+// asked for again.
+func TestLongAnswerIsCut(t *testing.T) {
+	half := text(1 << 20)
+	for name, answer := range map[string]string{
+		"length":  "Content-Length: 2097152\r\n\r\n" + half,
+		"chunked": "Transfer-Encoding: chunked\r\n\r\n" + strings.TrimSuffix(chunks(half, 5000), "0\r\nX-Trailer: 1\r\n\r\n"),
+		"spoilt":  "Transfer-Encoding: chunked\r\n\r\n" + strings.Replace(chunks(half, 5000), "0\r\nX", "zz\r\nX", 1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPeer(t)
+			figures := telemetry.New("svc")
+			address, _, _ := startCounted(t, 64, fleet(), figures, p)
+			client := dial(t, address)
+			io.WriteString(client, view)
+			r := <-p.got
+			go func() {
+				io.WriteString(r.conn, "HTTP/1.1 200 OK\r\n"+answer)
+				r.conn.Close()
+			}()
+			resp, err := http.ReadResponse(client.in, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if n, err := io.Copy(io.Discard, resp.Body); err == nil {
+				t.Errorf("%d bytes look like a whole answer", n)
+			}
+			if n := figures.Class(0); n.Error.Load() != 1 || n.Success.Load() != 0 {
+				t.Errorf("counted: %d served, %d failed", n.Success.Load(), n.Error.Load())
+			}
+			if len(p.got) != 0 {
+				t.Error("it was asked for again")
+			}
+		})
+	}
+}
+
+// A client that does not read holds its target back, and nothing is kept for it here beyond what sockets hold; when
+// it leaves, the target's connection ends.
+func TestLongAnswerWaitsForItsReader(t *testing.T) {
+	p := newPeer(t)
+	address, _ := start(t, fleet(), p)
+	client := dial(t, address)
+	client.Conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+	io.WriteString(client, view)
+	r := <-p.got
+	const all = 32 << 20
+	wrote := make(chan int, 1)
+	go func() {
+		io.WriteString(r.conn, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", all))
+		n := 0
+		for piece := make([]byte, 64<<10); ; {
+			r.conn.SetWriteDeadline(time.Now().Add(time.Second)) // until nothing goes on
+			k, err := r.conn.Write(piece)
+			if n += k; err != nil {
+				wrote <- n
+				return
+			}
+		}
+	}()
+	if n := <-wrote; n >= all/2 {
+		t.Errorf("%d bytes of %d were taken for a client that reads nothing", n, all)
+	}
+	client.Close()
+	r.closed(t)
+}
+
+// A long body passes on as it comes, with its length or in chunks, and with its time running from its last byte.
+func TestLongBodies(t *testing.T) {
+	body := text(3 << 20)
+	for name, c := range map[string]struct {
+		head, framed string
+		length       int64
+	}{
+		"length":   {fmt.Sprintf("Content-Length: %d", len(body)), body, int64(len(body))},
+		"expected": {fmt.Sprintf("Expect: 100-continue\r\nContent-Length: %d", len(body)), body, int64(len(body))},
+		"chunked":  {"Transfer-Encoding: chunked", chunks(body, 700), -1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPeer(t)
+			address, _ := start(t, fleet(), p)
+			client := dial(t, address)
+			io.WriteString(client, strings.Replace(strings.TrimSuffix(move, "e2e4"), "Content-Length: 4", c.head, 1))
+			io.WriteString(client, c.framed[:len(c.framed)/2])
+			<-p.open // it is sent on before the rest has come
+			io.WriteString(client, c.framed[len(c.framed)/2:])
+			r := <-p.got
+			if r.body != body || r.ContentLength != c.length || r.Header.Get("X-Timeout") != "2995m" || r.Header.Get("Expect") != "" {
+				t.Errorf("the target got %d bytes (length %d), %v", len(r.body), r.ContentLength, r.Header)
+			}
+			p.answer(r, ok)
+			resp, body := client.read(t)
+			for resp.StatusCode == http.StatusContinue {
+				resp, body = client.read(t)
+			}
+			if resp.StatusCode != 200 || body != "here" {
+				t.Errorf("answered %d %q", resp.StatusCode, body)
+			}
+		})
+	}
+}
+
+// What becomes of a long body that does not get through: the client is told, no target gets a last byte, and nothing
+// is sent twice. A target that cannot be reached is none of that: nothing was taken from the client yet.
+func TestLongBodyFails(t *testing.T) {
+	head := strings.Replace(strings.TrimSuffix(move, "e2e4"), "Content-Length: 4", "Content-Length: 3145728", 1)
+	body := text(3 << 20)
+	for name, c := range map[string]struct {
+		client func(c *client)     // after the first megabyte
+		target func(conn net.Conn) // on the connection
+	}{
+		"the client stops":      {func(c *client) {}, nil},
+		"the client ends":       {func(c *client) { c.Conn.(*net.TCPConn).CloseWrite() }, nil},
+		"the target leaves":     {func(c *client) { io.WriteString(c, body[1<<20:]) }, func(conn net.Conn) { conn.Close() }},
+		"the target turns away": {func(c *client) { io.WriteString(c, body[1<<20:]) }, func(conn net.Conn) { io.WriteString(conn, full); conn.Close() }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			address, _ := start(t, fleet(), &peer{Listener: l})
+			opened := make(chan net.Conn, 16)
+			go func() {
+				for {
+					conn, err := l.Accept()
+					if err != nil {
+						return
+					}
+					opened <- conn
+				}
+			}()
+			client := dial(t, address)
+			io.WriteString(client, head+body[:1<<20])
+			conn := <-opened
+			var got bytes.Buffer
+			read := make(chan struct{})
+			go func() {
+				defer close(read)
+				if c.target != nil {
+					io.CopyN(&got, conn, 100<<10)
+					c.target(conn)
+					return
+				}
+				io.Copy(&got, conn)
+			}()
+			go c.client(client)
+			if resp, err := http.ReadResponse(client.in, nil); err == nil && resp.StatusCode == 200 {
+				t.Error("answered as though it had run")
+			} else if e, ok := errors.AsType[net.Error](err); ok && e.Timeout() {
+				t.Error("never answered")
+			}
+			<-read
+			if got.Len() >= len(body) || len(opened) != 0 {
+				t.Errorf("the target got %d bytes, and %d more connections", got.Len(), len(opened))
+			}
+		})
+	}
+	t.Run("nobody there", func(t *testing.T) {
+		gone, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		gone.Close()
+		p := newPeer(t)
+		address, _ := start(t, fleet(), &peer{Listener: gone}, p)
+		for range 4 { // each may be sent to the one that is not there first
+			client := dial(t, address)
+			io.WriteString(client, head+body)
+			r := <-p.got
+			if r.body != body {
+				t.Errorf("the target that is there got %d bytes", len(r.body))
+			}
+			p.answer(r, ok)
+			if resp, _ := client.read(t); resp.StatusCode != 200 {
+				t.Errorf("answered %d", resp.StatusCode)
+			}
+		}
+	})
+}
+
+const full = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
