Pass on slow answers whose length is not said, without holding back part of a chunk

Now what has begun and not ended after 250 ms is passed on (gathered), and chunks are read only as far as bytes are there (paced). A head that says nothing of an end is still taken whole: a spoilt one may never end. Ruled out: answers ended by a close, whose Connection header http.ReadResponse removes (saysClose looks before).

--- a/internal/egress/conn.go
+++ b/internal/egress/conn.go
@@ -8,6 +8,7 @@
 	"math"
 	"net"
 	"net/http"
+	"regexp"
 	"strconv"
 	"time"
 
@@ -130,20 +131,22 @@
 	return o, reuse && stop()
 }
 
-// read takes the whole answer in, if it is not a long one, before anything of it is passed on: a cut or spoilt one is a reset, and may
-// be repeated where the class permits it, instead of reaching the client as half an answer. Nothing that lies
-// behind the answer is read as the next one: the connection is then not used again.
+// read takes the whole answer in, if it is not a long one, before anything of it is passed on: a cut or spoilt one
+// is a reset, and may be repeated where the class permits it, instead of reaching the client as half an answer.
+// Nothing that lies behind the answer is read as the next one: the connection is then not used again.
 func (c *conn) read(method string, fields []string) (o core.Outcome, reuse bool) {
 	reset := core.Outcome{Status: control.Reset}
 	c.budget.N = mostHead
+	closes := c.saysClose()
 	resp, err := http.ReadResponse(c.in, &http.Request{Method: method})
 	for err == nil && resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
+		closes = c.saysClose()
 		resp, err = http.ReadResponse(c.in, &http.Request{Method: method}) // 1xx: the answer is still to come
 	}
 	if err != nil {
 		return reset, false
 	}
-	reply, err := c.readBody(resp)
+	reply, err := c.readBody(resp, closes)
 	if err != nil {
 		return reset, false
 	}
@@ -158,12 +161,30 @@
 	default:
 		o.Status = control.Error
 	}
-	return o, !resp.Close && c.in.Buffered() == 0
+	return o, reply.Long == nil && !resp.Close && c.in.Buffered() == 0 // of a long one its stream says so
 }
 
+// saysClose tells whether the next answer's head says that its connection closes. http.ReadResponse takes that word
+// out, and says the same of an answer that nothing ends.
+func (c *conn) saysClose() bool {
+	for n := 1; n <= c.in.Size(); {
+		if _, err := c.in.Peek(n); err != nil {
+			return false
+		}
+		b, _ := c.in.Peek(c.in.Buffered())
+		if end := bytes.Index(b, []byte("\r\n\r\n")); end >= 0 {
+			return closeHeader.Match(b[:end+2])
+		}
+		n = len(b) + 1
+	}
+	return false
+}
+
+var closeHeader = regexp.MustCompile(`(?i)\r\nconnection:[^\r]*\bclose\b[^\r]*\r\n`)
+
 // readBody takes a body in whole, but for a long one of a good answer: that is passed on as it comes, with its first
-// bytes at once. One whose length is not said is taken for long when it is.
-func (c *conn) readBody(resp *http.Response) (*Reply, error) {
+// bytes at once. One whose length is not said is taken for long when it is, or when it is slow to come.
+func (c *conn) readBody(resp *http.Response, closes bool) (*Reply, error) {
 	r := &Reply{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength}
 	long := resp.StatusCode == http.StatusOK
 	switch n := resp.ContentLength; {
@@ -180,16 +201,22 @@
 		return r, err
 	}
 	c.budget.N += mostFrames * MaxLong
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxBody+1))
+	body := io.Reader(resp.Body)
+	if len(resp.TransferEncoding) > 0 {
+		body = paced{c.in, body}
+	}
+	g := gather(body)
+	// Danger: a spoilt head. One that nothing ends may never end.
+	whole, ended, err := g.wait(long && (closes || len(resp.TransferEncoding) > 0))
 	switch {
 	case err != nil:
 		return nil, err
-	case len(body) <= MaxBody:
-		r.Body = body
+	case ended:
+		r.Body = whole
 	case !long:
 		return nil, errTooLong
 	default:
-		r.Long = c.long(resp, io.MultiReader(bytes.NewReader(body), resp.Body), MaxLong)
+		r.Long = c.long(resp, g, MaxLong)
 	}
 	return r, nil
 }
--- a/internal/egress/long.go
+++ b/internal/egress/long.go
@@ -1,6 +1,7 @@
 package egress
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -21,6 +22,8 @@
 	pieceSize  = 32 << 10
 	pieceWait  = 10 * time.Second // a target that neither takes nor gives anything
 	mostFrames = 8                // a chunked body may take so many times its size
+	gatherFor  = 250 * time.Millisecond
+	pacedLeast = 64 // bytes buffered, in which a chunk's frame may be all there is
 )
 
 var pieces = sync.Pool{New: func() any { return new([pieceSize]byte) }}
@@ -146,6 +149,124 @@
 	}
 }
 
+// gathered is the beginning of a body whose length is not said, up to MaxBody, read in while it is not known yet
+// whether it is taken whole or passed on; then it is the whole body's reader.
+type gathered struct {
+	rest  io.Reader
+	first chan struct{} // something of it is
+	done  chan struct{} // the beginning is in
+
+	mu   sync.Mutex
+	more *sync.Cond
+	buf  []byte
+	full bool // it is in, and buf has got all there was, up to err
+	err  error
+}
+
+func gather(body io.Reader) *gathered {
+	g := &gathered{rest: body, first: make(chan struct{}), done: make(chan struct{})}
+	g.more = sync.NewCond(&g.mu)
+	go g.run()
+	return g
+}
+
+func (g *gathered) run() {
+	defer close(g.done)
+	piece := pieces.Get().(*[pieceSize]byte)
+	defer pieces.Put(piece)
+	for n, all := 0, 0; ; {
+		var err error
+		n, err = g.rest.Read(piece[:min(pieceSize, MaxBody+1-all)])
+		all += n
+		if n > 0 && all == n {
+			close(g.first)
+		}
+		g.mu.Lock()
+		g.buf = append(g.buf, piece[:n]...)
+		g.full, g.err = err != nil || all > MaxBody, err
+		full := g.full
+		g.more.Broadcast()
+		g.mu.Unlock()
+		if full {
+			return
+		}
+	}
+}
+
+// wait returns the body if it ends within MaxBody: in a hurry also soon after its first bytes. One that has not ended
+// is to be read.
+func (g *gathered) wait(hurry bool) (body []byte, ended bool, err error) {
+	select {
+	case <-g.done:
+	case <-g.first:
+		var late <-chan time.Time
+		if hurry {
+			t := time.NewTimer(gatherFor)
+			defer t.Stop()
+			late = t.C
+		}
+		select {
+		case <-g.done:
+		case <-late:
+			return nil, false, nil
+		}
+	}
+	switch {
+	case g.err == io.EOF:
+		return g.buf, true, nil
+	case g.err != nil:
+		return nil, true, g.err
+	}
+	return nil, false, nil
+}
+
+// Read implements io.Reader.
+func (g *gathered) Read(b []byte) (int, error) {
+	g.mu.Lock()
+	for len(g.buf) == 0 && !g.full {
+		g.more.Wait()
+	}
+	if len(g.buf) > 0 {
+		n := copy(b, g.buf)
+		if g.buf = g.buf[n:]; len(g.buf) == 0 {
+			g.buf = nil // a stream may last long
+		}
+		g.mu.Unlock()
+		return n, nil
+	}
+	err := g.err
+	g.mu.Unlock()
+	if err != nil {
+		return 0, err
+	}
+	return g.rest.Read(b)
+}
+
+// paced reads a chunked body without waiting for more than has come. net/http's reader of chunks waits until what it
+// is to fill is full, or the chunk at its end: a slow one would be held back.
+type paced struct {
+	in   *bufio.Reader // below body
+	body io.Reader
+}
+
+// Read implements io.Reader. Of what is buffered an eighth is surely body, however small the chunks are.
+func (p paced) Read(b []byte) (n int, err error) {
+	for n < len(b) && err == nil {
+		if p.in.Buffered() == 0 {
+			if n > 0 {
+				return n, nil
+			}
+			p.in.Peek(1)
+		}
+		var k int
+		k, err = p.body.Read(b[n:min(len(b), n+max(1, p.in.Buffered()/8))])
+		if n += k; p.in.Buffered() < pacedLeast {
+			break
+		}
+	}
+	return n, err
+}
+
 // Streaming implements core.Streamer.
 func (r *Reply) Streaming() bool { return r.Long != nil }
 
--- a/internal/front/message.go
+++ b/internal/front/message.go
@@ -27,6 +27,7 @@
 	mostDigits = 16              // of a number: it fits an int and a float64
 	bodyWait   = 2 * time.Second // a client is silent so long at most, within its body
 	bodyPace   = 16 << 10        // bytes a second
+	firstPart  = 4 << 10         // of a body that is known to be long
 	lingerFor  = 300 * time.Millisecond
 	lingerMost = 256 << 10
 )
@@ -233,7 +234,7 @@
 	}
 	b := NewBody(w, r)
 	if r.ContentLength > limit {
-		body = make([]byte, limit)
+		body = make([]byte, min(limit, firstPart)) // it is kept while the rest goes by
 		_, err = io.ReadFull(b, body)
 		rest = b
 	} else if body, err = io.ReadAll(io.LimitReader(b, limit+1)); int64(len(body)) > limit {
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -42,7 +42,7 @@
 	in   *bufio.Reader
 }
 
-func newPeer(t *testing.T) *peer {
+func newPeer(t testing.TB) *peer {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -91,20 +91,20 @@
 }
 
 // start runs core, egress and front round the peers and returns the front's address.
-func start(t *testing.T, fleet *egress.Fleet, peers ...*peer) (string, *core.Core) {
+func start(t testing.TB, fleet *egress.Fleet, peers ...*peer) (string, *core.Core) {
 	t.Helper()
 	address, c, _ := startServer(t, 64, fleet, peers...)
 	return address, c
 }
 
 // startServer is start with so many slots for clients.
-func startServer(t *testing.T, most int, fleet *egress.Fleet, peers ...*peer) (string, *core.Core, *front.Server) {
+func startServer(t testing.TB, most int, fleet *egress.Fleet, peers ...*peer) (string, *core.Core, *front.Server) {
 	t.Helper()
 	return startCounted(t, most, fleet, nil, peers...)
 }
 
 // startCounted is startServer with figures; nil: none.
-func startCounted(t *testing.T, most int, fleet *egress.Fleet, figures *telemetry.Figures, peers ...*peer) (string, *core.Core, *front.Server) {
+func startCounted(t testing.TB, most int, fleet *egress.Fleet, figures *telemetry.Figures, peers ...*peer) (string, *core.Core, *front.Server) {
 	t.Helper()
 	log := slog.New(slog.DiscardHandler)
 	c, err := core.New(control.Settings{
@@ -164,7 +164,7 @@
 	in *bufio.Reader
 }
 
-func dial(t *testing.T, address string) *client {
+func dial(t testing.TB, address string) *client {
 	t.Helper()
 	c, err := net.Dial("tcp", address)
 	if err != nil {
@@ -181,7 +181,7 @@
 const view = "GET /table-view/3?seat=2 HTTP/1.1\r\n" + headers + "\r\n"
 const move = "POST /move-submit/3 HTTP/1.1\r\n" + headers + "Idempotency-Key: k1\r\nContent-Length: 4\r\n\r\ne2e4"
 
-func (c *client) read(t *testing.T) (*http.Response, string) {
+func (c *client) read(t testing.TB) (*http.Response, string) {
 	t.Helper()
 	resp, err := http.ReadResponse(c.in, nil)
 	if err != nil {
--- a/internal/ingress/long_test.go
+++ b/internal/ingress/long_test.go
@@ -272,3 +272,25 @@
 }
 
 const full = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
+
+// A short answer whose length is not said is not held back either while it is slow to come.
+func TestSlowAnswerIsPassedOn(t *testing.T) {
+	p := newPeer(t)
+	address, _ := start(t, fleet(), p)
+	client := dial(t, address)
+	io.WriteString(client, view)
+	r := <-p.got
+	io.WriteString(r.conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhe")
+	resp, err := http.ReadResponse(client.in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	begun := make([]byte, 2)
+	if _, err := io.ReadFull(resp.Body, begun); err != nil || string(begun) != "he" {
+		t.Fatalf("got %q, %v", begun, err)
+	}
+	io.WriteString(r.conn, "re\r\n0\r\n\r\n")
+	if rest, err := io.ReadAll(resp.Body); string(rest) != "re" || err != nil {
+		t.Errorf("then got %q, %v", rest, err)
+	}
+}
