--- a/control/trouble_test.go
+++ b/control/trouble_test.go
@@ -439,3 +439,46 @@
 		t.Errorf("%.2f refused eight seconds after answers are quick again", refused)
 	}
 }
+
+// Requests whose bodies are slow to come in are no work at a server until their last byte: others are let in beside
+// them as though they were not there. Once they are whole they count, and their time is judged from then on.
+func TestArrivingIsNoWork(t *testing.T) {
+	letIn := func(whole bool) (n int) {
+		r := newRig(t, settings(), control.Member{Server: "a"})
+		var slow []control.Send
+		for i := range 40 {
+			r.id++
+			acts := r.do(control.Request{ID: r.id, Class: 3, Plan: 0, Customer: uint64(100 + i), TimeLeft: 3, Units: 1, Spread: 2, Arriving: true})
+			sent := pick[control.Send](acts)
+			if len(sent) == 0 && whole {
+				continue // a crowd already
+			}
+			if len(sent) != 1 || sent[0].Timeout != 0 {
+				t.Fatalf("slow request %d: %v", i, acts)
+			}
+			if slow = append(slow, sent...); whole {
+				r.do(control.Arrived{ID: r.id})
+			}
+			r.now += 0.1
+		}
+		for i := range 40 {
+			n += len(pick[control.Send](r.served(0, 0, uint64(200+i))))
+			r.now += 0.05
+		}
+		if !whole { // ten seconds after the first byte, a moment after the last: in time
+			r.now += 10
+			r.do(control.Arrived{ID: slow[0].ID})
+			r.now += 0.1
+			if acts := r.do(control.Outcome{ID: slow[0].ID, Server: "a", Status: control.ConnectFailed, Elapsed: 0.1}); len(pick[control.Refuse](acts))+len(pick[control.Send](acts)) != 1 {
+				t.Errorf("a request within its time was not sent again nor refused: %v", acts)
+			}
+		}
+		return n
+	}
+	if n := letIn(false); n != 40 {
+		t.Errorf("beside bodies that are coming in %d of 40 were let in", n)
+	}
+	if n := letIn(true); n == 40 {
+		t.Error("40 attempts out for seconds at one server are no crowd: the other half proves nothing")
+	}
+}
