Add to the counter what is used and not told yet before a process ends

A process that is replaced or restarted took its unflushed units with it (serve returned with customers whose delta was not 0), and the gateways that stay gave them out again. control.Ending makes what is left due at once, at the usual pace of calls; core.Finish waits 0.15 s at most. Read on the way: a call under a closed window adds nothing first (callFor), so two calls may be needed, and a failed one puts its amount back (counted); both are in the test.

--- a/cmd/junctionring/serve.go
+++ b/cmd/junctionring/serve.go
@@ -38,6 +38,7 @@
 	servesOn    = 2500 * time.Millisecond // after SIGTERM: connections keep coming, and open ones are used
 	closesFor   = 400 * time.Millisecond  // after that: each answer closes its connection
 	drainFor    = 3300 * time.Millisecond // SIGKILL comes 3.7 s after SIGTERM at the earliest
+	lastUnits   = 150 * time.Millisecond  // for the counter to take what is not added yet
 	lastWords   = 200 * time.Millisecond  // for the answers of what is shed at the end of a drain
 	memoryShare = 0.7                     // of the limit: the runtime's own, the sockets' buffers and files count too
 )
@@ -269,6 +270,7 @@
 	case <-ctx.Done():
 	}
 	log.Info("draining")
+	defer finish(c, log)
 	drain, done := context.WithTimeout(context.Background(), drainFor)
 	defer done()
 	goesOn := min(servesOn, drainFor*3/4)
@@ -295,6 +297,15 @@
 	return nil
 }
 
+// finish adds to the counter what this process has used, before it ends.
+func finish(c *core.Core, log *slog.Logger) {
+	last, done := context.WithTimeout(context.Background(), lastUnits)
+	defer done()
+	if err := c.Finish(last); err != nil {
+		log.Warn("quota", "err", err)
+	}
+}
+
 func deadline(ctx context.Context) time.Time {
 	d, _ := ctx.Deadline()
 	return d
--- a/control/control.go
+++ b/control/control.go
@@ -167,6 +167,12 @@
 		}
 	case Reconfigured:
 		g.reconfigure(e)
+	case Ending:
+		// Danger: a planned end. What is not added yet could be spent a second time at the gateways that stay.
+		g.ending = true
+		for _, c := range g.waiting {
+			g.want(c)
+		}
 	case Restored:
 		g.pool(e.Site).forgive()
 	case Counted:
@@ -344,11 +350,11 @@
 		wait = max(wait, readPause/c.plan.Rate) // only a read: nobody else waits for it
 	}
 	wait = min(slowFlush, wait*(1+g.set.Counter.Price/pricedCall))
-	if c.first && c.part < c.plan.Burst/2 {
+	if c.first && c.part < c.plan.Burst/2 || g.ending && c.delta != 0 {
 		wait = 0
 	}
 	due := c.seen + wait
-	if c.first {
+	if c.first || g.ending {
 		due = g.now + wait
 	}
 	if !c.queued {
@@ -399,6 +405,16 @@
 	g.waiting = kept
 }
 
+// Unadded counts the customers with units that the counter may not hold yet.
+func (g *Gateway) Unadded() (n int) {
+	for _, c := range g.customers {
+		if g.set.Counter.Allowed && c.plan.Rate > 0 && (c.delta != 0 || c.flying != 0) {
+			n++
+		}
+	}
+	return n
+}
+
 func (g *Gateway) callFor(c *customer) {
 	length := c.plan.window(shortWindow)
 	current := int64(math.Floor(g.now / length))
--- a/control/state.go
+++ b/control/state.go
@@ -19,6 +19,7 @@
 	out    []Action
 	opened Seconds // when this life began
 	begun  bool
+	ending bool
 
 	customers           map[uint64]*customer
 	order               []*customer        // the same, in order of arrival: maps have none
--- a/control/trouble_test.go
+++ b/control/trouble_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"reflect"
 	"testing"
 
@@ -482,3 +483,44 @@
 		t.Error("40 attempts out for seconds at one server are no crowd: the other half proves nothing")
 	}
 }
+
+// A gateway that is about to end adds all it has used: in calls of the usual pace, also what an answer that was lost
+// gives back, and says when nothing is left.
+func TestEndingAddsWhatIsLeft(t *testing.T) {
+	s := settings()
+
+	r := newRig(t, s, control.Member{Server: "a"})
+	totals, out := map[uint64]float64{}, []control.Count{}
+	take := func(acts []control.Action) { out = append(out, pick[control.Count](acts)...) }
+	for i := range 30 {
+		take(r.served(0, 0, uint64(300+i)))
+	}
+	if r.g.Unadded() == 0 {
+		t.Fatal("all is added already: nothing to show")
+	}
+	take(r.do(control.Ending{}))
+	failed := false
+	for range 2000 {
+		r.now += 0.01
+		if len(out) == 0 {
+			take(r.do(control.Timer{}))
+			continue
+		}
+		c := out[0]
+		out = out[1:]
+		if c.Amount > 0 && !failed { // once: not added, and to be added later
+			failed = true
+			take(r.do(control.Counted{Name: c.Name, Status: control.ConnectFailed}))
+			continue
+		}
+		totals[c.Name] += c.Amount
+		take(r.do(control.Counted{Name: c.Name, Status: control.OK, Total: totals[c.Name], Elapsed: 0.001}))
+	}
+	sum := 0.0
+	for _, n := range totals {
+		sum += n
+	}
+	if r.g.Unadded() != 0 || math.Abs(sum-30) > 1e-6 || !failed {
+		t.Errorf("of 30 units %v were added, %d customers have some left", sum, r.g.Unadded())
+	}
+}
--- a/control/types.go
+++ b/control/types.go
@@ -237,6 +237,9 @@
 		Attempts int // MaxAttempts from now on; 0: as it was
 	}
 
+	// Ending tells that this gateway is about to end: what it has not added to the counter yet is to be added soon.
+	Ending struct{}
+
 	// Restored tells that the way to a site is there again: what failed meanwhile was not its servers' doing.
 	Restored struct{ Site int }
 
@@ -360,6 +363,7 @@
 func (Timer) event()    {}
 func (Probed) event()   {}
 func (Restored) event() {}
+func (Ending) event()   {}
 
 func (Reconfigured) event() {}
 func (PeerMessage) event()  {}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -141,6 +141,7 @@
 	}
 	flush   struct{ done chan struct{} }
 	shedAll struct{}
+	ending  struct{ added chan struct{} }
 )
 
 // held is an exchange in the table.
@@ -180,6 +181,7 @@
 	later   []any // messages to itself, which must not wait on its own mailbox
 	actions []control.Action
 	figures *telemetry.Figures // nil: not counted
+	adding  []chan struct{}    // closed once the counter holds every unit
 }
 
 // New makes the actor of a gateway.
@@ -317,6 +319,32 @@
 	c.Settle()
 }
 
+// Finish has what was used and not added to the counter yet added now, and waits for that until ctx ends: units that
+// nobody hears of could be spent a second time.
+func (c *Core) Finish(ctx context.Context) error {
+	m := ending{make(chan struct{})}
+	c.post(m)
+	select {
+	case <-m.added:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("not all units were added to the counter: %w", ctx.Err())
+	case <-c.done:
+		return nil
+	}
+}
+
+// added answers those that wait in Finish.
+func (c *Core) added() {
+	if len(c.adding) == 0 || c.gateway.Unadded() > 0 {
+		return
+	}
+	for _, done := range c.adding {
+		close(done)
+	}
+	c.adding = nil
+}
+
 func (c *Core) shed() {
 	for _, h := range c.held {
 		if h.final {
@@ -380,6 +408,7 @@
 			c.later = c.later[1:]
 			c.handle(next)
 		}
+		c.added()
 	}
 }
 
@@ -432,6 +461,9 @@
 		m.got <- c.sites.Report()
 	case flush:
 		close(m.done)
+	case ending:
+		c.adding = append(c.adding, m.added)
+		c.feed(control.Ending{})
 	case shedAll:
 		c.shed()
 	case control.Event:
