Stream long bodies over forward authentication too, and bound a body's end by its key's window

max_body was at most 65536 there (config.operator). front.Carry and front.Arrived now serve both fronts. Read on the way: the attempt of a body that was coming in had no deadline of its own (core.send), so a keyed repeat could have become whole after the window in which table servers drop it; it now ends with the exchange's deadline, which the key's window bounds. A body beyond its limit in chunks ends in 413, or cut before its last byte.

--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -266,7 +266,7 @@
 	address("listen", o.Listen)
 	require(o.Gateways >= 1 && o.Ordinal >= 0 && o.Ordinal < o.Gateways,
 		"ordinal %d of %d gateways is out of range", o.Ordinal, o.Gateways)
-	require(o.MaxBody > 0 && o.MaxBody <= 64<<10, "max_body must be from 1 to 65536")
+	require(o.MaxBody > 0 && o.MaxBody <= 32<<20, "max_body must be from 1 to 33554432")
 	require(o.MaxHeader >= 1<<10, "max_header must be at least 1024")
 	require(o.MaxAttempts >= 1, "max_attempts must be at least 1")
 	require(o.Drain.Duration > 0, "drain must be above 0")
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -610,18 +610,12 @@
 		return
 	}
 	deadline := h.Deadline
-	if a.Timeout > 0 {
+	if a.Timeout > 0 && !h.Arriving { // the time of one that arrives begins with its last byte
 		if t := time.Now().Add(duration(a.Timeout)); t.Before(deadline) {
 			deadline = t
 		}
 	}
-	var ctx context.Context
-	var cancel context.CancelFunc
-	if h.Arriving {
-		ctx, cancel = context.WithCancel(c.ctx) // its time begins with its last byte
-	} else {
-		ctx, cancel = context.WithDeadline(c.ctx, deadline)
-	}
+	ctx, cancel := context.WithDeadline(c.ctx, deadline)
 	n, sent := len(h.cancels), time.Now()
 	h.cancels = append(h.cancels, cancel)
 	h.out++
--- a/internal/egress/conn.go
+++ b/internal/egress/conn.go
@@ -82,7 +82,7 @@
 	b := make([]byte, 0, len(r.Head)+len(r.Body)+64)
 	b = append(b, r.Head...)
 	left := wait
-	if deadline, ok := ctx.Deadline(); ok {
+	if deadline, ok := ctx.Deadline(); ok && (r.Rest == nil || time.Until(deadline) < wait) {
 		left = time.Until(deadline)
 	}
 	if left > 0 {
--- a/internal/forwardauth/forwardauth.go
+++ b/internal/forwardauth/forwardauth.go
@@ -103,11 +103,12 @@
 		front.Reject(w, r, err)
 		return
 	}
-	body, _, err := front.ReadBody(w, r, f.o.MaxBody, 0)
+	body, rest, err := front.ReadBody(w, r, min(f.o.MaxBody, egress.MaxBody), f.o.MaxBody)
 	if err != nil {
 		front.Reject(w, r, err)
 		return
 	}
+	front.Arrived(&x, received, rest)
 	trusted := f.trusted(r)
 	origin := f.origin(r, trusted)
 	// What is checked is what is sent on: no header may say that it is something else.
@@ -135,15 +136,15 @@
 	if r.Header.Get("X-Request-ID") == "" {
 		r.Header.Set("X-Request-ID", freshID())
 	}
-	f.carry(w, r, x, body)
+	f.carry(w, r, x, body, rest)
 }
 
 // carry has an exchange carried out, a keyed one under the guard of its key.
-func (f visit) carry(w http.ResponseWriter, r *http.Request, x core.Exchange, body []byte) {
+func (f visit) carry(w http.ResponseWriter, r *http.Request, x core.Exchange, body []byte, rest *front.Body) {
 	class, name := f.o.Module.Classes[x.Class], f.names.Classes[x.Class]
 	x.Class = f.classes[x.Class]
 	if class.Repeat != control.Keyed {
-		f.proxy.ServeHTTP(w, egress.WithExchange(r, &x, body, nil, nil))
+		front.Carry(f.proxy, w, r, &x, body, rest, nil)
 		return
 	}
 	id := name + "\x00" + r.Header.Get(f.o.Identity.Account) + "\x00" + r.Header.Get("Idempotency-Key")
@@ -174,7 +175,7 @@
 	}
 	end := core.Answer{Kind: core.Left} // unless the core is reached: nothing can have run
 	defer func() { f.keys.end(id, time.Now(), end, v == repeat) }()
-	f.proxy.ServeHTTP(w, egress.WithExchange(r, &x, body, nil, func(a core.Answer) { end = a }))
+	front.Carry(f.proxy, w, r, &x, body, rest, func(a core.Answer) { end = a })
 }
 
 // asked answers a proxy that asks whether a request may pass. It is the proxy that sends the request on.
--- a/internal/forwardauth/forwardauth_test.go
+++ b/internal/forwardauth/forwardauth_test.go
@@ -37,6 +37,10 @@
 func newTables(t *testing.T) *tables {
 	s := &tables{runs: map[string]int{}}
 	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body) // a request begins once its last byte has arrived
+		if err != nil {
+			return
+		}
 		s.mu.Lock()
 		s.runs[r.Header.Get("Idempotency-Key")]++
 		s.seen = append(s.seen, r.Header.Clone())
@@ -45,7 +49,7 @@
 		if hold != nil {
 			<-hold
 		}
-		io.Copy(w, r.Body)
+		w.Write(body)
 	}))
 	t.Cleanup(s.Close)
 	return s
@@ -508,3 +512,50 @@
 		t.Fatal(err)
 	}
 }
+
+// A long move passes on as it comes and its long answer too, checked and under its key like a short one; one beyond
+// max_body gets 413, with its length and in chunks, and no table server runs it.
+func TestLongBodyIsPassedOn(t *testing.T) {
+	table, store := newTables(t), newStore(t)
+	check := newChecker(t, allow)
+	url := gateway(t, check.URL, store.Addr(), table, "gateways = 2", "gateways = 2\nmax_body = 4194304")
+	body := bytes.Repeat([]byte("e2e4"), 1<<19)
+	post := func(key string, body io.Reader) int {
+		r, err := http.NewRequest("POST", url+"/move-submit/7", body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Header.Set("Idempotency-Key", key)
+		resp, err := http.DefaultClient.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		if got, err := io.ReadAll(resp.Body); resp.StatusCode == 200 && (err != nil || !bytes.Equal(got, bytes.Repeat([]byte("e2e4"), 1<<19))) {
+			t.Errorf("answered with %d bytes, or others; %v", len(got), err)
+		}
+		return resp.StatusCode
+	}
+	chunked := func(b []byte) io.Reader { return struct{ io.Reader }{bytes.NewReader(b)} }
+	for _, c := range []struct {
+		key    string
+		body   io.Reader
+		status int
+		runs   int
+	}{
+		{"k1", bytes.NewReader(body), 200, 1},
+		{"k1", bytes.NewReader(body), 409, 1}, // it has run, and its answer is not kept
+		{"k2", chunked(body), 200, 1},
+		{"k3", bytes.NewReader(make([]byte, 5<<20)), 413, 0},
+	} {
+		if status := post(c.key, c.body); status != c.status || table.ran(c.key) != c.runs {
+			t.Errorf("%s: answered %d, ran %d times; want %d, %d", c.key, status, table.ran(c.key), c.status, c.runs)
+		}
+	}
+	if status := post("k4", chunked(make([]byte, 5<<20))); status < 400 || table.ran("k4") != 0 {
+		t.Errorf("too long in chunks: answered %d, ran %d times", status, table.ran("k4"))
+	}
+	if n := len(check.asked); n > 4 {
+		t.Errorf("the checker was asked %d times", n)
+	}
+}
--- a/internal/front/message.go
+++ b/internal/front/message.go
@@ -16,6 +16,7 @@
 
 	"junctionring/control"
 	"junctionring/internal/core"
+	"junctionring/internal/egress"
 	"junctionring/internal/routes"
 )
 
@@ -28,6 +29,7 @@
 	bodyWait   = 2 * time.Second // a client is silent so long at most, within its body
 	bodyPace   = 16 << 10        // bytes a second
 	firstPart  = 4 << 10         // of a body that is known to be long
+	longest    = 30 * time.Minute
 	lingerFor  = 300 * time.Millisecond
 	lingerMost = 256 << 10
 )
@@ -183,16 +185,16 @@
 	r       *http.Request
 	control *http.ResponseController
 	begun   time.Time
-	n       int64
+	most, n int64
 
 	mu   sync.Mutex // held while it is read
 	eof  bool
 	over atomic.Bool
 }
 
-// NewBody begins to read a request's body.
-func NewBody(w http.ResponseWriter, r *http.Request) *Body {
-	return &Body{r: r, control: http.NewResponseController(w), begun: time.Now()}
+// NewBody begins to read a request's body, of at most so many bytes.
+func NewBody(w http.ResponseWriter, r *http.Request, most int64) *Body {
+	return &Body{r: r, control: http.NewResponseController(w), begun: time.Now(), most: most}
 }
 
 // Read implements io.Reader. A client that sends nothing for bodyWait, or less than bodyPace all in all, has
@@ -206,7 +208,10 @@
 	b.control.SetReadDeadline(time.Now().Add(bodyWait)) // where it is not supported, a client may be slow
 	n, err := b.r.Body.Read(p)
 	b.eof = err == io.EOF
-	if b.n += int64(n); err == nil && time.Since(b.begun) > bodyWait+time.Duration(float64(b.n)/bodyPace*float64(time.Second)) {
+	if b.n += int64(n); b.n > b.most {
+		return 0, errLong
+	}
+	if err == nil && time.Since(b.begun) > bodyWait+time.Duration(float64(b.n)/bodyPace*float64(time.Second)) {
 		err = errSlow
 	}
 	return n, err
@@ -229,11 +234,12 @@
 
 var (
 	errLeft = errors.New("nobody reads the body any more")
+	errLong = errors.New("the body is too large")
 	errSlow = errors.New("the body comes too slowly")
 )
 
 // ReadBody takes a body in, whole where it is no longer than the limit. Of a longer one, where at most long may come,
-// it returns the beginning, and rest reads on; long 0: it must be whole.
+// it returns the beginning, and rest reads on.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit, long int64) (body []byte, rest *Body, err error) {
 	if r.ContentLength > max(limit, long) {
 		return nil, nil, &Malformed{http.StatusRequestEntityTooLarge, "the body is too large"}
@@ -241,15 +247,17 @@
 	if r.ContentLength == 0 {
 		return nil, nil, nil
 	}
-	b := NewBody(w, r)
+	most := max(limit, long)
+	b := NewBody(w, r, most)
 	if r.ContentLength > limit {
 		body = make([]byte, min(limit, firstPart)) // it is kept while the rest goes by
 		_, err = io.ReadFull(b, body)
 		rest = b
 	} else if body, err = io.ReadAll(io.LimitReader(b, limit+1)); int64(len(body)) > limit {
-		if rest = b; long == 0 {
-			return nil, nil, &Malformed{http.StatusRequestEntityTooLarge, "the body is too large"}
-		}
+		rest = b
+	}
+	if errors.Is(err, errLong) {
+		return nil, nil, &Malformed{http.StatusRequestEntityTooLarge, "the body is too large"}
 	}
 	if err != nil {
 		return nil, nil, Bad("the body is cut short")
@@ -260,6 +268,35 @@
 	return body, rest, nil
 }
 
+// Arrived gives an exchange its time, once its body is in or begins to be passed on: it runs from its last byte.
+func Arrived(x *core.Exchange, received time.Time, rest *Body) {
+	now := time.Now()
+	x.Wait = x.Deadline.Sub(received)
+	if x.Deadline = now.Add(x.Wait); rest != nil {
+		x.Deadline = now.Add(longest) // for its body to come in
+	}
+}
+
+// Carry has an exchange carried out by a proxy onto the core, its body as it comes in. An answer does not wait for
+// the rest of a body that nobody wants. ended may be nil.
+func Carry(proxy http.Handler, w http.ResponseWriter, r *http.Request, x *core.Exchange, body []byte, rest *Body, ended func(core.Answer)) {
+	if rest == nil {
+		proxy.ServeHTTP(w, egress.WithExchange(r, x, body, nil, ended))
+		return
+	}
+	defer rest.Close()
+	rest.control.EnableFullDuplex()
+	upload := &egress.Upload{Length: r.ContentLength, Next: rest.Read}
+	proxy.ServeHTTP(w, egress.WithExchange(r, x, body, upload, func(a core.Answer) {
+		if !upload.Done() {
+			w.Header().Set("Connection", "close")
+		}
+		if ended != nil {
+			ended(a)
+		}
+	}))
+}
+
 // Reject answers what is malformed, at once, and closes: a client that sends such things gets no slot to keep.
 // net/http would first wait for a body that was not read. What is still on its way is read off for a moment,
 // since closing on unread bytes resets the connection and may take the answer with it.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -15,10 +15,7 @@
 	"junctionring/internal/front"
 )
 
-const (
-	mostID  = 128              // bytes of an X-Request-ID
-	longest = 30 * time.Minute // for a body to come in: its pace has bounds of its own
-)
+const mostID = 128 // bytes of an X-Request-ID
 
 // Platform is the handler of the platform's protocol.
 func Platform(names *front.Names, c *core.Core, log *slog.Logger) http.Handler {
@@ -52,20 +49,8 @@
 			return
 		}
 		defer open.Delete(id)
-		x.Wait = x.Deadline.Sub(received) // its time runs from its last byte
-		if x.Deadline = time.Now().Add(x.Wait); rest == nil {
-			proxy.ServeHTTP(w, egress.WithExchange(r, &x, body, nil, nil))
-			return
-		}
-		defer rest.Close()
-		http.NewResponseController(w).EnableFullDuplex() // an answer need not wait for a body that nobody wants
-		x.Deadline = received.Add(longest)
-		upload := &egress.Upload{Length: r.ContentLength, Next: rest.Read}
-		proxy.ServeHTTP(w, egress.WithExchange(r, &x, body, upload, func(core.Answer) {
-			if !upload.Done() {
-				w.Header().Set("Connection", "close")
-			}
-		}))
+		front.Arrived(&x, received, rest)
+		front.Carry(proxy, w, r, &x, body, rest, nil)
 	})
 }
 
