--- a/internal/front/slots.go
+++ b/internal/front/slots.go
@@ -217,15 +217,8 @@
 	}
 }
 
-// empty waits until no connection is left. False: until ended is closed.
-func (s *slots) empty(ended ...<-chan struct{}) bool {
-	var one, two <-chan struct{}
-	if len(ended) > 0 {
-		one = ended[0]
-	}
-	if len(ended) > 1 {
-		two = ended[1]
-	}
+// empty waits until no connection is left. False: until lost or done is closed.
+func (s *slots) empty(lost, done <-chan struct{}) bool {
 	for {
 		s.mu.Lock()
 		left, changed := len(s.conns)+s.parting, s.changed
@@ -235,9 +228,9 @@
 		}
 		select {
 		case <-changed:
-		case <-one:
+		case <-lost:
 			return false
-		case <-two:
+		case <-done:
 			return false
 		}
 	}
--- a/internal/handover/elder.go
+++ b/internal/handover/elder.go
@@ -33,7 +33,6 @@
 	links   map[succession.Heir]link
 	wants   map[succession.Heir][]string // the addresses that it asked for
 	waiting map[succession.Conn]*passing
-	out     int // passed and acknowledged
 	begun   chan struct{}
 	lost    chan struct{}
 	alone   chan struct{}
@@ -253,7 +252,6 @@
 		case succession.Pass:
 			e.pass(a)
 		case succession.Release:
-			e.out++
 			e.settle(a.Conn, true)
 		case succession.Keep:
 			e.settle(a.Conn, false)
@@ -303,6 +301,3 @@
 	}
 	p.taken <- taken
 }
-
-// Handed is how many connections a successor took. It may be called once Run has ended.
-func (e *Elder) Handed() int { return e.out }
--- a/succession/succession.go
+++ b/succession/succession.go
@@ -85,9 +85,6 @@
 // State tells how far it has come.
 func (m *Machine) State() State { return m.state }
 
-// Passed counts the connections whose descriptor both processes hold.
-func (m *Machine) Passed() int { return len(m.passed) }
-
 // Handle takes one event in, and appends what follows from it.
 func (m *Machine) Handle(event any, do []any) []any {
 	switch e := event.(type) {
