Let both directions of a long body share one pool of buffers

Read over: internal/front kept a second pool of 32 KiB buffers beside egress's own, for the reverse proxy. egress.Pieces now serves both.

--- a/internal/egress/long.go
+++ b/internal/egress/long.go
@@ -26,8 +26,17 @@
 	pacedLeast = 64 // bytes buffered, in which a chunk's frame may be all there is
 )
 
+// Pieces are the buffers through which bodies pass, both ways (httputil.BufferPool).
+type Pieces struct{}
+
 var pieces = sync.Pool{New: func() any { return new([pieceSize]byte) }}
 
+// Get implements httputil.BufferPool.
+func (Pieces) Get() []byte { return pieces.Get().(*[pieceSize]byte)[:] }
+
+// Put implements httputil.BufferPool.
+func (Pieces) Put(b []byte) { pieces.Put((*[pieceSize]byte)(b)) }
+
 // Upload is the part of a message's body that is still to come in when the message is first sent on. It is read
 // once: what was read of it is not kept, so that no body is ever held whole.
 type Upload struct {
@@ -70,10 +79,10 @@
 	if err := write(r.Body); err != nil {
 		return failed(control.ConnectFailed)
 	}
-	piece := pieces.Get().(*[pieceSize]byte)
-	defer pieces.Put(piece)
+	piece := Pieces{}.Get()
+	defer Pieces{}.Put(piece)
 	for sent := int64(len(r.Body)); ; {
-		n, err := r.Rest.Next(piece[:])
+		n, err := r.Rest.Next(piece)
 		if n > 0 {
 			r.Rest.spent.Store(true)
 			if sent += int64(n); sent > MaxLong {
@@ -172,8 +181,8 @@
 
 func (g *gathered) run() {
 	defer close(g.done)
-	piece := pieces.Get().(*[pieceSize]byte)
-	defer pieces.Put(piece)
+	piece := Pieces{}.Get()
+	defer Pieces{}.Put(piece)
 	for n, all := 0, 0; ; {
 		var err error
 		n, err = g.rest.Read(piece[:min(pieceSize, MaxBody+1-all)])
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -9,9 +9,10 @@
 	"net"
 	"net/http"
 	"net/http/httputil"
-	"sync"
 	"sync/atomic"
 	"time"
+
+	"junctionring/internal/egress"
 )
 
 const (
@@ -177,7 +178,7 @@
 	return &httputil.ReverseProxy{
 		Rewrite:       func(*httputil.ProxyRequest) {},
 		FlushInterval: -1, // what comes of a long answer goes on at once
-		BufferPool:    pieces{},
+		BufferPool:    egress.Pieces{},
 		Transport:     t,
 		ErrorLog:      slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 		ErrorHandler: func(w http.ResponseWriter, r *http.Request, err error) {
@@ -185,11 +186,3 @@
 		},
 	}
 }
-
-// pieces are the buffers through which answers pass.
-type pieces struct{}
-
-var spare = sync.Pool{New: func() any { return new([32 << 10]byte) }}
-
-func (pieces) Get() []byte  { return spare.Get().(*[32 << 10]byte)[:] }
-func (pieces) Put(b []byte) { spare.Put((*[32 << 10]byte)(b)) }
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -200,6 +200,14 @@
 	return c.read(t)
 }
 
+// served reads an answer that must be the target's ok.
+func (c *client) served(t testing.TB) {
+	t.Helper()
+	if resp, body := c.read(t); resp.StatusCode != 200 || body != "here" {
+		t.Errorf("answered %d %q", resp.StatusCode, body)
+	}
+}
+
 // What a target answers reaches the client unchanged; what passes on is the client's, with the time left.
 func TestServesUnchanged(t *testing.T) {
 	p := newPeer(t)
@@ -626,9 +634,7 @@
 			r.conn.SetWriteDeadline(time.Now().Add(10 * time.Second))
 			io.WriteString(r.conn, spoilt) // and the connection stays open
 			p.answer(<-p.got, ok)
-			if resp, body := c.read(t); resp.StatusCode != 200 || body != "here" {
-				t.Errorf("answered %d %q", resp.StatusCode, body)
-			}
+			c.served(t)
 			r.closed(t)
 		})
 	}
--- a/internal/ingress/long_test.go
+++ b/internal/ingress/long_test.go
@@ -83,9 +83,7 @@
 			} else {
 				p.answer(again, ok)
 			}
-			if resp, body := client.read(t); resp.StatusCode != 200 || body != "here" {
-				t.Errorf("the next request was answered %d %q", resp.StatusCode, body)
-			}
+			client.served(t)
 		})
 	}
 }
