Keep leases and membership in a replicated group of coordinators

Found on the way: a joiner that knew nobody's address could not answer the leader (Join now names them); a holder's revoked lease was given back before its command had stopped (it now says so itself).

--- /dev/null
+++ b/internal/coordinator/config.go
@@ -0,0 +1,110 @@
+package coordinator
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/BurntSushi/toml"
+
+	"junctionring/internal/config"
+	"junctionring/lease"
+)
+
+// Config is a coordinator's file.
+type Config struct {
+	Name    string          `toml:"name"`
+	Listen  string          `toml:"listen"`
+	Data    string          `toml:"data"`
+	Life    config.Duration `toml:"longest_life"` // that a session may ask for
+	Drift   float64         `toml:"drift"`        // of any clock's rate, at the most
+	Entries uint64          `toml:"snapshot_entries"`
+	Bounds  struct {
+		Sessions int `toml:"sessions"`
+		Leases   int `toml:"leases"`
+		Waiters  int `toml:"waiters"`
+		Asks     int `toml:"asks"` // taken in and not answered
+	} `toml:"bounds"`
+	Peers []struct {
+		Name    string `toml:"name"`
+		Address string `toml:"address"`
+	} `toml:"coordinator"`
+}
+
+// LoadConfig reads and checks a coordinator's file. The error names each key that is wrong.
+func LoadConfig(path string) (*Config, error) {
+	c := &Config{Name: "coordinator-1", Drift: 0.01, Entries: 10_000}
+	c.Life.Duration = 10 * time.Second
+	c.Bounds.Sessions, c.Bounds.Leases, c.Bounds.Waiters, c.Bounds.Asks = 10_000, 10_000, 1_000, 4_096
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	meta, err := toml.Decode(string(text), c)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	var faults []error
+	for _, key := range meta.Undecoded() {
+		faults = append(faults, fmt.Errorf("unknown key %s", key))
+	}
+	if faults = append(faults, c.check()...); len(faults) > 0 {
+		return nil, fmt.Errorf("%s: %w", path, errors.Join(faults...))
+	}
+	if !filepath.IsAbs(c.Data) {
+		c.Data = filepath.Join(filepath.Dir(path), c.Data)
+	}
+	return c, nil
+}
+
+func (c *Config) check() (faults []error) {
+	require := func(ok bool, format string, args ...any) {
+		if !ok {
+			faults = append(faults, fmt.Errorf(format, args...))
+		}
+	}
+	address := func(what, a string) {
+		host, port, err := net.SplitHostPort(a)
+		require(err == nil && host != "" && port != "", "%s: %q is no host:port", what, a)
+	}
+	address("listen", c.Listen)
+	require(c.Data != "", "data: the folder of the log must be named")
+	require(c.Name != "" && !strings.ContainsAny(c.Name, " /"), "name: %q is no name", c.Name)
+	require(c.Life.Duration >= time.Second && c.Life.Duration <= 10*time.Minute, "longest_life: %v is not from 1s to 10m", c.Life.Duration)
+	require(c.Drift >= 0 && c.Drift <= 0.2, "drift: %g is not from 0 to 0.2", c.Drift)
+	require(c.Entries >= 100, "snapshot_entries: %d is below 100", c.Entries)
+	for key, n := range map[string]int{"sessions": c.Bounds.Sessions, "leases": c.Bounds.Leases, "waiters": c.Bounds.Waiters, "asks": c.Bounds.Asks} {
+		require(n >= 1, "bounds: %s must be at least 1", key)
+	}
+	n := len(c.Peers)
+	require(n <= 5 && (n == 0 || n%2 == 1), "coordinator: %d are listed; a group has 1, 3 or 5", n)
+	names, addresses, own := map[string]bool{}, map[string]bool{}, n == 0
+	for i, p := range c.Peers {
+		require(p.Name != "" && !names[p.Name], "coordinator %d: the name %q is empty or listed twice", i+1, p.Name)
+		address(fmt.Sprintf("coordinator %d: address", i+1), p.Address)
+		require(!addresses[p.Address], "coordinator %d: the address %q is listed twice", i+1, p.Address)
+		names[p.Name], addresses[p.Address] = true, true
+		own = own || p.Name == c.Name
+	}
+	require(own, "coordinator: none of those listed has the name %q", c.Name)
+	return faults
+}
+
+// founders are the coordinators that a group begins with, numbered from 1.
+func (c *Config) founders() (all []Peer) {
+	if len(c.Peers) == 0 {
+		return []Peer{{ID: 1, Name: c.Name, Address: c.Listen}}
+	}
+	for i, p := range c.Peers {
+		all = append(all, Peer{ID: uint64(i + 1), Name: p.Name, Address: p.Address})
+	}
+	return all
+}
+
+func (c *Config) bounds() lease.Bounds {
+	return lease.Bounds{Sessions: c.Bounds.Sessions, Leases: c.Bounds.Leases, Waiters: c.Bounds.Waiters}
+}
--- /dev/null
+++ b/internal/coordinator/disk.go
@@ -0,0 +1,225 @@
+package coordinator
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"go.etcd.io/etcd/client/pkg/v3/fileutil"
+	"go.etcd.io/etcd/server/v3/etcdserver/api/snap"
+	"go.etcd.io/etcd/server/v3/storage/wal"
+	"go.etcd.io/etcd/server/v3/storage/wal/walpb"
+	"go.etcd.io/raft/v3"
+	"go.etcd.io/raft/v3/raftpb"
+	"go.uber.org/zap"
+
+	"junctionring/internal/snapshot"
+)
+
+// Identity says which coordinator a data folder belongs to. A folder that was lost is lost with its identity, so that
+// an empty one can never speak for the coordinator that voted before.
+type Identity struct {
+	Group       string
+	ID          uint64
+	Name        string
+	Incarnation uint64 // drawn when the folder was made
+	Joins       bool   // added to a group that ran already
+	First       []Peer // whom a joiner answers to until its log names them
+}
+
+const (
+	segmentSize   = 8 << 20 // bytes of one file of the log
+	keptSnapshots = 3
+	keptEntries   = 2_000 // behind a snapshot, for those a little late
+)
+
+// disk is the durable part of a coordinator: log, snapshots, identity. After an error nothing may be said to anybody
+// any more: the process ends.
+type disk struct {
+	dir   string
+	wal   *wal.WAL
+	snaps *snap.Snapshotter
+	mem   *raft.MemoryStorage
+	taken uint64 // index of the newest snapshot
+	torn  bool   // an end that was not written whole was cut
+}
+
+func identityPath(dir string) string { return filepath.Join(dir, "identity") }
+
+func readIdentity(dir string) (id Identity, err error) {
+	v, err := snapshot.Load(identityPath(dir))
+	if err != nil {
+		return id, err
+	}
+	return id, json.Unmarshal(v.Content, &id)
+}
+
+func writeIdentity(dir string, id Identity) error {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return err
+	}
+	text, err := json.Marshal(id)
+	if err != nil {
+		return err
+	}
+	return snapshot.Save(identityPath(dir), snapshot.Version{Number: 1, Content: text})
+}
+
+// openDisk reads what a data folder holds. fresh: there is no log yet. A torn end is cut: what was not written whole
+// was never answered. Anything else that does not fit its checksum is an error: that disk is lost.
+func openDisk(dir string) (d *disk, snapshot *raftpb.Snapshot, fresh bool, err error) {
+	wal.SegmentSizeBytes = segmentSize
+	d = &disk{dir: dir, mem: raft.NewMemoryStorage()}
+	if err := os.MkdirAll(d.snapDir(), 0o700); err != nil {
+		return nil, nil, false, err
+	}
+	log := zap.NewNop()
+	d.snaps = snap.New(log, d.snapDir())
+	if !wal.Exist(d.walDir()) {
+		d.wal, err = wal.Create(log, d.walDir(), nil)
+		return d, nil, true, err
+	}
+	var entries []*raftpb.Entry
+	var hard *raftpb.HardState
+	for repaired := false; ; repaired = true {
+		known, err := wal.ValidSnapshotEntries(log, d.walDir())
+		if err == nil {
+			snapshot, err = d.snaps.LoadNewestAvailable(known)
+			if errors.Is(err, snap.ErrNoSnapshot) {
+				snapshot, err = nil, nil
+			}
+		}
+		if err == nil {
+			var at walpb.Snapshot
+			if snapshot != nil {
+				at.Index, at.Term = new(snapshot.GetMetadata().GetIndex()), new(snapshot.GetMetadata().GetTerm())
+			}
+			if d.wal, err = wal.Open(log, d.walDir(), &at); err == nil {
+				_, hard, entries, err = d.wal.ReadAll()
+			}
+		}
+		if err == nil {
+			break
+		}
+		if d.wal != nil {
+			d.wal.Close()
+		}
+		d.torn = true
+		if repaired || !errors.Is(err, io.ErrUnexpectedEOF) || !wal.Repair(log, d.walDir()) {
+			return nil, nil, false, fmt.Errorf("data folder %s: the log can't be read: %w; if nothing better is at hand, treat this disk as lost", dir, err)
+		}
+	}
+	if snapshot != nil {
+		if err := d.mem.ApplySnapshot(snapshot); err != nil {
+			return nil, nil, false, err
+		}
+		d.taken = snapshot.GetMetadata().GetIndex()
+	}
+	if hard != nil {
+		if err := d.mem.SetHardState(hard); err != nil {
+			return nil, nil, false, err
+		}
+	}
+	return d, snapshot, hard == nil && len(entries) == 0 && snapshot == nil, d.mem.Append(entries)
+}
+
+func (d *disk) walDir() string  { return filepath.Join(d.dir, "log") }
+func (d *disk) snapDir() string { return filepath.Join(d.dir, "snapshots") }
+
+// save makes a Ready durable.
+func (d *disk) save(rd *raft.Ready) error {
+	if !raft.IsEmptySnap(rd.Snapshot) {
+		if err := d.keep(rd.Snapshot); err != nil {
+			return err
+		}
+	}
+	if err := d.wal.Save(rd.HardState, rd.Entries); err != nil {
+		return err
+	}
+	if !raft.IsEmptySnap(rd.Snapshot) {
+		if err := d.mem.ApplySnapshot(rd.Snapshot); err != nil {
+			return err
+		}
+		if err := d.tidy(); err != nil {
+			return err
+		}
+	}
+	return d.mem.Append(rd.Entries)
+}
+
+// keep writes a snapshot's file first and then its mark in the log: a mark without its file could not be read.
+func (d *disk) keep(s *raftpb.Snapshot) error {
+	if err := d.snaps.SaveSnap(s); err != nil {
+		return err
+	}
+	m := s.GetMetadata()
+	if err := d.wal.SaveSnapshot(&walpb.Snapshot{Index: new(m.GetIndex()), Term: new(m.GetTerm()), ConfState: m.GetConfState()}); err != nil {
+		return err
+	}
+	d.taken = m.GetIndex()
+	return nil
+}
+
+// compact takes a snapshot and lets go of what it stands for.
+func (d *disk) compact(index uint64, conf *raftpb.ConfState, data []byte) error {
+	s, err := d.mem.CreateSnapshot(index, conf, data)
+	if err != nil {
+		return err
+	}
+	if err := d.keep(s); err != nil {
+		return err
+	}
+	if index > keptEntries {
+		if err := d.mem.Compact(index - keptEntries); err != nil && !errors.Is(err, raft.ErrCompacted) {
+			return err
+		}
+	}
+	return d.tidy()
+}
+
+// tidy removes the files of the log that only hold what lies before the oldest snapshot kept, and older snapshots.
+func (d *disk) tidy() error {
+	snaps, err := fileutil.ReadDir(d.snapDir(), fileutil.WithExt(".snap"))
+	if err != nil {
+		return err
+	}
+	slices.Sort(snaps)
+	for len(snaps) > keptSnapshots {
+		if err := os.Remove(filepath.Join(d.snapDir(), snaps[0])); err != nil {
+			return err
+		}
+		snaps = snaps[1:]
+	}
+	var term, oldest uint64
+	if len(snaps) < keptSnapshots {
+		return nil
+	}
+	if _, err := fmt.Sscanf(strings.TrimSuffix(snaps[0], ".snap"), "%016x-%016x", &term, &oldest); err != nil {
+		return fmt.Errorf("snapshot %s: %w", snaps[0], err)
+	}
+	if err := d.wal.ReleaseLockTo(oldest); err != nil {
+		return err
+	}
+	files, err := fileutil.ReadDir(d.walDir(), fileutil.WithExt(".wal"))
+	if err != nil {
+		return err
+	}
+	slices.Sort(files)
+	for i := 0; i+1 < len(files); i++ {
+		var seq, begins uint64
+		if _, err := fmt.Sscanf(files[i+1], "%016x-%016x.wal", &seq, &begins); err != nil || begins > oldest {
+			break
+		}
+		if err := os.Remove(filepath.Join(d.walDir(), files[i])); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *disk) close() error { return d.wal.Close() }
--- /dev/null
+++ b/internal/coordinator/leasepb/dial.go
@@ -0,0 +1,22 @@
+package leasepb
+
+import (
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+)
+
+// MessageMost is the most that one message holds, in bytes: a snapshot of a full group has some 5 MB.
+const MessageMost = 16 << 20
+
+// Dial makes a connection to a coordinator at host:port; it opens with its first call.
+func Dial(address string) (*grpc.ClientConn, error) {
+	return grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: time.Second,
+			Backoff: backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.3, MaxDelay: time.Second}}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 10 * time.Second, Timeout: 3 * time.Second}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MessageMost), grpc.MaxCallSendMsgSize(MessageMost)))
+}
--- /dev/null
+++ b/internal/coordinator/peers.go
@@ -0,0 +1,191 @@
+package coordinator
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"time"
+
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+
+	"junctionring/internal/coordinator/leasepb"
+)
+
+const (
+	peerRoom  = 1024 // messages on their way to one coordinator; beyond them raft sends again
+	peerBatch = 64
+	peerWait  = time.Second
+	peerPause = 100 * time.Millisecond // after a call that failed
+	snapWait  = 20 * time.Second
+)
+
+// peers sends raft's messages to the other coordinators: one actor and one call at a time for each.
+type peers struct {
+	n   *Node
+	ctx context.Context
+	end context.CancelFunc
+	to  map[uint64]*peer
+}
+
+type peer struct {
+	Peer
+	out chan *raftpb.Message
+	end context.CancelFunc
+}
+
+func newPeers(n *Node) *peers {
+	ctx, end := context.WithCancel(context.Background())
+	return &peers{n, ctx, end, map[uint64]*peer{}}
+}
+
+// set follows who belongs to the group.
+func (p *peers) set(all map[uint64]Peer) {
+	for id, have := range p.to {
+		if now, ok := all[id]; !ok || now.Address != have.Address {
+			have.end()
+			delete(p.to, id)
+		}
+	}
+	for id, a := range all {
+		if id == p.n.id.ID || p.to[id] != nil {
+			continue
+		}
+		ctx, end := context.WithCancel(p.ctx)
+		x := &peer{a, make(chan *raftpb.Message, peerRoom), end}
+		p.to[id] = x
+		go x.run(ctx, p.n)
+	}
+}
+
+func (p *peers) send(messages []*raftpb.Message) {
+	for _, m := range messages {
+		x := p.to[m.GetTo()]
+		if x == nil {
+			continue
+		}
+		select {
+		case x.out <- m:
+		default:
+			if m.GetType() == raftpb.MsgSnap {
+				go p.n.post(p.n.urgent, snapshotSent{m.GetTo(), false})
+			}
+		}
+	}
+}
+
+func (p *peers) close() { p.end() }
+
+func (x *peer) run(ctx context.Context, n *Node) {
+	conn, err := leasepb.Dial(cmp.Or(n.via[x.Address], x.Address))
+	if err != nil {
+		n.log.Error("peer", "name", x.Name, "err", err)
+		return
+	}
+	defer conn.Close()
+	to := leasepb.NewPeersClient(conn)
+	failing := false
+	for {
+		var first *raftpb.Message
+		select {
+		case <-ctx.Done():
+			return
+		case first = <-x.out:
+		}
+		b := &leasepb.Batch{Group: n.id.Group, From: n.id.ID, Incarnation: n.id.Incarnation}
+		wait, snap := peerWait, false
+		for m := first; m != nil; {
+			if m.GetType() == raftpb.MsgSnap {
+				snap, wait = true, snapWait
+			}
+			raw, err := proto.Marshal(m)
+			if err == nil {
+				b.Messages = append(b.Messages, raw)
+			}
+			m = nil
+			if len(b.Messages) < peerBatch && !snap {
+				select {
+				case m = <-x.out:
+				default:
+				}
+			}
+		}
+		call, done := context.WithTimeout(ctx, wait)
+		_, err := to.Send(call, b)
+		done()
+		if snap {
+			n.post(n.urgent, snapshotSent{x.ID, err == nil})
+		}
+		if err != nil && ctx.Err() == nil {
+			if !failing {
+				n.log.Warn("another coordinator can't be reached", "name", x.Name, "address", x.Address, "err", err)
+			}
+			n.post(n.urgent, unreachable{x.ID})
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(peerPause):
+			}
+		} else if failing && err == nil {
+			n.log.Info("the other coordinator answers again", "name", x.Name)
+		}
+		failing = err != nil
+	}
+}
+
+// peerServer takes in what the others send.
+type peerServer struct {
+	leasepb.UnimplementedPeersServer
+	n *Node
+}
+
+// Send implements the Peers service. Who is not in the group, or speaks for one whose disk was lost, is not heard.
+func (s peerServer) Send(ctx context.Context, b *leasepb.Batch) (*leasepb.BatchAnswer, error) {
+	n := s.n
+	if b.Group != n.id.Group {
+		return nil, status.Errorf(codes.FailedPrecondition, "group %s, and this is %s", b.Group, n.id.Group)
+	}
+	var messages []*raftpb.Message
+	for _, raw := range b.Messages {
+		m := &raftpb.Message{}
+		if err := proto.Unmarshal(raw, m); err != nil {
+			return nil, status.Errorf(codes.InvalidArgument, "a message can't be read: %v", err)
+		}
+		if m.GetFrom() != b.From || m.GetTo() != n.id.ID {
+			return nil, status.Errorf(codes.InvalidArgument, "a message from %d to %d, sent by %d to %d", m.GetFrom(), m.GetTo(), b.From, n.id.ID)
+		}
+		messages = append(messages, m)
+	}
+	answer := make(chan error, 1)
+	ok := n.post(n.urgent, call{func() {
+		known, in := n.g.Peers[b.From]
+		switch {
+		case !in && n.applied > 0 && !n.id.Joins:
+			answer <- fmt.Errorf("coordinator %d is not of this group", b.From)
+		case in && known.Incarnation != 0 && known.Incarnation != b.Incarnation:
+			answer <- fmt.Errorf("this is not the coordinator %s that the group knows: its disk was lost", known.Name)
+		default:
+			if in && known.Incarnation == 0 {
+				n.take(meetPeer{Peer{ID: b.From, Incarnation: b.Incarnation}})
+			}
+			n.take(peerMessages{messages})
+			answer <- nil
+		}
+	}})
+	if !ok {
+		return nil, status.Error(codes.ResourceExhausted, "too much is waiting here")
+	}
+	select {
+	case err := <-answer:
+		if err != nil {
+			return nil, status.Error(codes.FailedPrecondition, err.Error())
+		}
+		return &leasepb.BatchAnswer{}, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-n.ended:
+		return nil, status.Error(codes.Unavailable, "ended")
+	}
+}
--- /dev/null
+++ b/internal/coordinator/service.go
@@ -0,0 +1,586 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"go.etcd.io/raft/v3"
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+
+	"junctionring/internal/coordinator/leasepb"
+	"junctionring/lease"
+)
+
+const (
+	streamRoom = 64  // answers that wait for one holder; a holder that reads slower than that is let go
+	nameMost   = 200 // bytes of a name
+	pieceSize  = 256 << 10
+	leastLife  = time.Second
+	busyPause  = 500 * time.Millisecond
+	fullPause  = 2 * time.Second
+)
+
+// Server is the gRPC server of a node.
+func (n *Node) Server() *grpc.Server {
+	s := grpc.NewServer(grpc.MaxRecvMsgSize(leasepb.MessageMost), grpc.MaxConcurrentStreams(uint32(2*n.c.Bounds.Sessions)),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: 5 * time.Second}),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 20 * time.Second, Timeout: 10 * time.Second}))
+	leasepb.RegisterPeersServer(s, peerServer{n: n})
+	leasepb.RegisterLeasesServer(s, service{n: n})
+	return s
+}
+
+type service struct {
+	leasepb.UnimplementedLeasesServer
+	n *Node
+}
+
+// outbox carries answers of the actor to one client. The actor never waits for it: one that is full ends.
+type outbox[T any] struct {
+	out   chan T
+	done  chan struct{} // closed by the actor, or by the client's going
+	close func()
+}
+
+func newOutbox[T any](ctx context.Context) outbox[T] {
+	ctx, end := context.WithCancel(ctx)
+	done := make(chan struct{})
+	context.AfterFunc(ctx, func() { close(done) })
+	return outbox[T]{make(chan T, streamRoom), done, end}
+}
+
+func (o outbox[T]) put(m T) bool {
+	select {
+	case o.out <- m:
+		return true
+	default:
+		o.close()
+		return false
+	}
+}
+
+// pump sends until the outbox ends, and then what is left in it.
+func (o outbox[T]) pump(send func(T) error) error {
+	for {
+		select {
+		case m := <-o.out:
+			if err := send(m); err != nil {
+				return err
+			}
+		case <-o.done:
+			for {
+				select {
+				case m := <-o.out:
+					if err := send(m); err != nil {
+						return err
+					}
+				default:
+					return nil
+				}
+			}
+		}
+	}
+}
+
+// stream is one holder's connection.
+type stream struct {
+	outbox[*leasepb.ToHolder]
+	session string
+}
+
+func (st *stream) told(v lease.View) {
+	st.put(&leasepb.ToHolder{Is: &leasepb.ToHolder_Told{Told: viewOut(v)}})
+}
+
+func (st *stream) gone() {
+	st.put(&leasepb.ToHolder{Is: &leasepb.ToHolder_Gone{Gone: true}})
+	st.close()
+}
+
+func (st *stream) notLeading(leader string) {
+	st.put(&leasepb.ToHolder{Is: &leasepb.ToHolder_NotLeading{NotLeading: &leasepb.NotLeading{Leader: leader}}})
+	st.close()
+}
+
+func (st *stream) busy(after time.Duration, why string) {
+	st.put(&leasepb.ToHolder{Is: &leasepb.ToHolder_Busy{Busy: &leasepb.Busy{RetryAfterMs: after.Milliseconds(), Why: why}}})
+}
+
+// Session implements the service.
+func (s service) Session(g grpc.BidiStreamingServer[leasepb.FromHolder, leasepb.ToHolder]) error {
+	n := s.n
+	first, err := g.Recv()
+	if err != nil {
+		return err
+	}
+	at := n.clock()
+	o := first.GetOpen()
+	if err := n.checkOpen(o); err != nil {
+		return status.Error(codes.InvalidArgument, err.Error())
+	}
+	st := &stream{newOutbox[*leasepb.ToHolder](g.Context()), o.Session}
+	defer st.close()
+	if !n.post(n.urgent, call{func() { n.open(st, o, at) }}) {
+		st.busy(busyPause, "too much is waiting here")
+		st.close()
+	}
+	go func() {
+		defer func() {
+			st.close()
+			n.post(n.asks, call{func() {
+				if n.streams[st.session] == st {
+					delete(n.streams, st.session)
+				}
+			}})
+		}()
+		for {
+			m, err := g.Recv()
+			if err != nil {
+				return
+			}
+			at, to, do := n.clock(), n.asks, func() {}
+			switch is := m.Is.(type) {
+			case *leasepb.FromHolder_Renew:
+				to, do = n.urgent, func() { n.renew(st, is.Renew, at) }
+			case *leasepb.FromHolder_Ask:
+				if err := checkAsk(is.Ask); err != nil {
+					return // a holder of ours never sends it
+				}
+				do = func() { n.ask(st, is.Ask) }
+			case *leasepb.FromHolder_Close:
+				do = func() { n.propose(lease.Command{Op: lease.Close, Session: st.session}, nil) }
+			}
+			if !n.post(to, call{do}) {
+				st.busy(busyPause, "too much is waiting here")
+			}
+		}
+	}()
+	return st.pump(g.Send)
+}
+
+func (n *Node) checkOpen(o *leasepb.Open) error {
+	life := time.Duration(o.GetLifeMs()) * time.Millisecond
+	switch {
+	case o == nil:
+		return errors.New("a session's first message must open it")
+	case o.Session == "" || len(o.Session) > nameMost:
+		return errors.New("session: it has no name, or one over 200 bytes")
+	case life < leastLife || life > n.c.Life.Duration:
+		return fmt.Errorf("life: %v is not from %v to the longest_life of %v", life, leastLife, n.c.Life.Duration)
+	}
+	return checkMember(o.Member)
+}
+
+func checkMember(m *leasepb.Member) error {
+	for _, word := range []string{m.GetKind(), m.GetName(), m.GetSite(), m.GetAddress(), m.GetVersion(), m.GetState()} {
+		if len(word) > nameMost {
+			return fmt.Errorf("member: %.20q... has over 200 bytes", word)
+		}
+	}
+	return nil
+}
+
+func checkAsk(a *leasepb.Ask) error {
+	switch lease.Op(a.Op) {
+	case lease.Acquire, lease.Release:
+		if a.Name == "" || len(a.Name) > nameMost {
+			return errors.New("lease: it has no name, or one over 200 bytes")
+		}
+		return nil
+	case lease.Report:
+		return checkMember(a.Member)
+	}
+	return fmt.Errorf("a holder can't ask for %d", a.Op)
+}
+
+// open begins a session, or goes on with one on a new connection.
+func (n *Node) open(st *stream, o *leasepb.Open, at time.Duration) {
+	if n.watch == nil {
+		st.notLeading(n.leaderAddress())
+		return
+	}
+	if old := n.streams[st.session]; old != nil && old != st {
+		old.close()
+		delete(n.streams, st.session)
+	}
+	if n.g.State.Sessions[st.session] != nil {
+		n.streams[st.session] = st
+		n.renew(st, o.Renew, at)
+		return
+	}
+	if len(n.pending) >= n.c.Bounds.Asks {
+		st.busy(busyPause, "too many asks are under way")
+		st.close()
+		return
+	}
+	n.propose(lease.Command{Op: lease.Open, Session: st.session, Life: time.Duration(o.LifeMs) * time.Millisecond,
+		Member: memberIn(o.Member), Bounds: n.c.bounds()}, func(e lease.Effect, err error) {
+		switch {
+		case err != nil:
+			st.notLeading(n.leaderAddress())
+		case e.Status == lease.Full:
+			st.busy(fullPause, fmt.Sprintf("%d sessions are open, the most that are kept here", n.c.Bounds.Sessions))
+			st.close()
+		default:
+			n.streams[st.session] = st
+			n.renewed(st, o.Renew, n.clock())
+		}
+	})
+}
+
+func (n *Node) renew(st *stream, number uint64, at time.Duration) {
+	n.confirm(func(err error) {
+		if err != nil {
+			st.notLeading(n.leaderAddress())
+			return
+		}
+		n.renewed(st, number, at)
+	})
+}
+
+// renewed answers a renewal that came in at a time after which this coordinator was sure to lead.
+func (n *Node) renewed(st *stream, number uint64, at time.Duration) {
+	if n.watch == nil || !n.watch.Renewed(at, n.g.State, st.session) {
+		st.gone()
+		return
+	}
+	v, _ := n.g.State.View(st.session)
+	st.put(&leasepb.ToHolder{Is: &leasepb.ToHolder_Renewed{Renewed: &leasepb.Renewed{Renew: number, View: viewOut(v)}}})
+}
+
+func (n *Node) ask(st *stream, a *leasepb.Ask) {
+	switch {
+	case n.watch == nil:
+		st.notLeading(n.leaderAddress())
+		return
+	case len(n.pending) >= n.c.Bounds.Asks:
+		st.busy(busyPause, "too many asks are under way")
+		return
+	}
+	n.propose(lease.Command{Op: lease.Op(a.Op), Session: st.session, Seq: a.Seq, Name: a.Name, Token: a.Token,
+		Member: memberIn(a.Member), Bounds: n.c.bounds()}, func(e lease.Effect, err error) {
+		v, there := n.g.State.View(st.session)
+		switch {
+		case errors.Is(err, raft.ErrProposalDropped):
+			st.busy(busyPause, "the log is behind")
+		case err != nil:
+			st.notLeading(n.leaderAddress())
+		case !there:
+			st.gone()
+		default:
+			if e.Status == lease.Full {
+				st.busy(fullPause, "as many leases, or waiters for this one, as are kept here")
+			}
+			st.put(&leasepb.ToHolder{Is: &leasepb.ToHolder_Answered{Answered: &leasepb.Answered{Seq: a.Seq, Outcome: outcomeOut(e.Outcome), View: viewOut(v)}}})
+		}
+	})
+}
+
+// watcher is one stream of membership changes.
+type watcher struct {
+	outbox[*leasepb.WatchAnswer]
+}
+
+func (w *watcher) end() { w.close() }
+
+func (w *watcher) push(whole bool, changes []lease.Change, seq uint64) bool {
+	a := &leasepb.WatchAnswer{Whole: whole, Seq: seq}
+	for _, c := range changes {
+		a.Changes = append(a.Changes, &leasepb.Change{Seq: c.Seq, Kind: uint32(c.Kind), Session: c.Session, Member: memberOut(c.Member)})
+	}
+	return w.put(a)
+}
+
+// Watch implements the service: what the watcher missed, or a whole list, and then each change in order.
+func (s service) Watch(a *leasepb.WatchAsk, g grpc.ServerStreamingServer[leasepb.WatchAnswer]) error {
+	w := &watcher{newOutbox[*leasepb.WatchAnswer](g.Context())}
+	defer w.close()
+	err := s.leading(g.Context(), func(n *Node) error {
+		state := n.g.State
+		missed, ok := state.Missed(a.After)
+		if a.Whole || !ok {
+			missed = nil
+			for _, id := range slices.Sorted(maps.Keys(state.Sessions)) {
+				missed = append(missed, lease.Change{Kind: lease.Joined, Session: id, Member: state.Sessions[id].Member})
+			}
+			w.push(true, missed, state.Seq)
+		} else {
+			w.push(false, missed, state.Seq)
+		}
+		n.watchers[w] = struct{}{}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	defer s.n.post(s.n.asks, call{func() { delete(s.n.watchers, w) }})
+	if err := w.pump(g.Send); err != nil {
+		return err
+	}
+	return status.Error(codes.Unavailable, "the stream ended here: come again with the newest change known")
+}
+
+// do has the actor do something and waits for what it says.
+func (s service) do(ctx context.Context, f func(n *Node, done func(error))) error {
+	answer := make(chan error, 1)
+	leader := ""
+	if !s.n.post(s.n.asks, call{func() {
+		f(s.n, func(err error) {
+			leader = s.n.leaderAddress()
+			answer <- err
+		})
+	}}) {
+		return status.Error(codes.ResourceExhausted, "too much is waiting here: come back in 500ms")
+	}
+	select {
+	case err := <-answer:
+		if errors.Is(err, errNotLeading) {
+			grpc.SetTrailer(ctx, metadata.Pairs("leader", leader))
+			return status.Error(codes.FailedPrecondition, err.Error())
+		}
+		if _, is := status.FromError(err); err != nil && !is {
+			return status.Error(codes.Aborted, err.Error())
+		}
+		return err
+	case <-ctx.Done():
+		return status.FromContextError(ctx.Err()).Err()
+	case <-s.n.ended:
+		return status.Error(codes.Unavailable, "this coordinator has ended")
+	}
+}
+
+// leading has the actor do something once it is sure that it leads.
+func (s service) leading(ctx context.Context, f func(n *Node) error) error {
+	return s.do(ctx, func(n *Node, done func(error)) {
+		n.confirm(func(err error) {
+			if err == nil {
+				err = f(n)
+			}
+			done(err)
+		})
+	})
+}
+
+// List implements the service.
+func (s service) List(ctx context.Context, _ *leasepb.ListAsk) (a *leasepb.ListAnswer, err error) {
+	a = &leasepb.ListAnswer{}
+	return a, s.leading(ctx, func(n *Node) error {
+		state := n.g.State
+		a.Sealed = state.Sealed
+		for _, name := range slices.Sorted(maps.Keys(state.Leases)) {
+			l := state.Leases[name]
+			out := &leasepb.Lease{Name: name, Holder: l.Holder, Token: l.Token, Revoked: l.Revoked, Waiters: slices.Clone(l.Waiters)}
+			if who := state.Sessions[l.Holder]; who != nil {
+				out.Member = memberOut(who.Member)
+			}
+			a.Leases = append(a.Leases, out)
+		}
+		for _, id := range slices.Sorted(maps.Keys(state.Sessions)) {
+			who := state.Sessions[id]
+			a.Sessions = append(a.Sessions, &leasepb.Session{Id: id, Member: memberOut(who.Member), LifeMs: who.Life.Milliseconds(),
+				LeftMs: n.watch.Left(n.clock(), id).Milliseconds()})
+		}
+		return nil
+	})
+}
+
+// Revoke implements the service. The lease is given on once its holder has said that it stopped, or can't act any more.
+func (s service) Revoke(ctx context.Context, a *leasepb.RevokeAsk) (o *leasepb.Outcome, err error) {
+	err = s.do(ctx, func(n *Node, done func(error)) {
+		if n.watch == nil {
+			done(errNotLeading)
+			return
+		}
+		n.log.Warn("revoked by an operator", "lease", a.Name, "token", a.Token, "by", a.By)
+		n.propose(lease.Command{Op: lease.Revoke, Name: a.Name, Token: a.Token, By: a.By}, func(e lease.Effect, err error) {
+			o = outcomeOut(e.Outcome)
+			done(err)
+		})
+	})
+	return o, err
+}
+
+// Status implements the service; every coordinator answers for itself.
+func (s service) Status(ctx context.Context, _ *leasepb.StatusAsk) (a *leasepb.StatusAnswer, err error) {
+	return a, s.do(ctx, func(n *Node, done func(error)) {
+		st := n.raft.Status()
+		last, err := n.disk.mem.LastIndex()
+		a = &leasepb.StatusAnswer{Name: n.id.Name, Id: n.id.ID, Group: n.id.Group, Term: st.GetTerm(), Leader: st.Lead, LeaderAddress: n.leaderAddress(),
+			Applied: n.applied, Last: last, Snapshot: n.disk.taken, Sessions: int32(len(n.g.State.Sessions)), Leases: int32(len(n.g.State.Leases)),
+			Elections: n.elections, Token: n.g.State.Token, Sealed: n.g.State.Sealed}
+		for _, id := range slices.Sorted(maps.Keys(n.g.Peers)) {
+			p := n.g.Peers[id]
+			c := &leasepb.Coordinator{Id: id, Name: p.Name, Address: p.Address, Votes: slices.Contains(n.conf.GetVoters(), id)}
+			if n.watch != nil {
+				c.Behind = last - min(last, st.Progress[id].Match)
+			}
+			a.Coordinators = append(a.Coordinators, c)
+		}
+		done(err)
+	})
+}
+
+// Backup implements the service.
+func (s service) Backup(_ *leasepb.BackupAsk, g grpc.ServerStreamingServer[leasepb.Piece]) error {
+	var all []byte
+	if err := s.leading(g.Context(), func(n *Node) error { all = encode(n.g); return nil }); err != nil {
+		return err
+	}
+	for piece := range slices.Chunk(all, pieceSize) {
+		if err := g.Send(&leasepb.Piece{Data: piece}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+var errChanging = status.Error(codes.Unavailable, "another change of the group is under way: come back when 'coordinator status' shows it done")
+
+// AddCoordinator implements the service: the new one reads the log at first, and votes once it has caught up.
+func (s service) AddCoordinator(ctx context.Context, c *leasepb.Coordinator) (a *leasepb.Coordinator, err error) {
+	err = s.do(ctx, func(n *Node, done func(error)) {
+		p, there := n.g.named(c.Name)
+		switch {
+		case n.watch == nil:
+			done(errNotLeading)
+			return
+		case there && p.Address == c.Address && p.Incarnation == 0: // asked again
+			a = &leasepb.Coordinator{Id: p.ID, Name: p.Name, Address: p.Address}
+			done(nil)
+			return
+		case there:
+			done(status.Errorf(codes.AlreadyExists, "%s is coordinator %d already; if its disk was lost, remove it first", c.Name, p.ID))
+			return
+		case n.changing || len(n.conf.GetLearners()) > 0:
+			done(errChanging)
+			return
+		case c.Name == "" || c.Address == "" || len(c.Name)+len(c.Address) > nameMost:
+			done(status.Error(codes.InvalidArgument, "a coordinator needs a name and an address"))
+			return
+		}
+		p = Peer{ID: n.g.Next, Name: c.Name, Address: c.Address}
+		if err := n.changeConf(raftpb.ConfChangeAddLearnerNode, p); err != nil {
+			done(err)
+			return
+		}
+		a = &leasepb.Coordinator{Id: p.ID, Name: p.Name, Address: p.Address}
+		n.awaited = append(n.awaited, awaited{func() bool { _, in := n.g.Peers[p.ID]; return in }, done})
+	})
+	return a, err
+}
+
+// RemoveCoordinator implements the service.
+func (s service) RemoveCoordinator(ctx context.Context, c *leasepb.Coordinator) (a *leasepb.Coordinator, err error) {
+	err = s.do(ctx, func(n *Node, done func(error)) {
+		p, there := n.g.named(c.Name)
+		switch {
+		case n.watch == nil:
+			done(errNotLeading)
+			return
+		case !there:
+			done(status.Errorf(codes.NotFound, "no coordinator is called %q", c.Name))
+			return
+		case n.changing:
+			done(errChanging)
+			return
+		}
+		if err := n.staysAble(p.ID); err != nil {
+			done(err)
+			return
+		}
+		if p.ID == n.id.ID { // another one leads first, and is asked again
+			n.handOver()
+			done(errNotLeading)
+			return
+		}
+		if err := n.changeConf(raftpb.ConfChangeRemoveNode, p); err != nil {
+			done(err)
+			return
+		}
+		a = &leasepb.Coordinator{Id: p.ID, Name: p.Name, Address: p.Address}
+		n.awaited = append(n.awaited, awaited{func() bool { _, in := n.g.Peers[p.ID]; return !in }, done})
+	})
+	return a, err
+}
+
+// staysAble refuses a removal after which no majority would be at work.
+func (n *Node) staysAble(without uint64) error {
+	voters, active := 0, 0
+	for id, p := range n.raft.Status().Progress {
+		if id == without || p.IsLearner {
+			continue
+		}
+		voters++
+		if p.RecentActive || id == n.id.ID {
+			active++
+		}
+	}
+	if voters == 0 {
+		return status.Error(codes.FailedPrecondition, "it is the only coordinator that votes")
+	}
+	if active <= voters/2 {
+		return status.Errorf(codes.FailedPrecondition, "%d of the %d others are at work: without it there would be no majority", active, voters)
+	}
+	return nil
+}
+
+// Join implements the service: a new process, started for a coordinator that was added, is told its number. A number
+// goes to one process only.
+func (s service) Join(ctx context.Context, j *leasepb.JoinAsk) (a *leasepb.JoinAnswer, err error) {
+	err = s.do(ctx, func(n *Node, done func(error)) {
+		p, there := n.g.named(j.Name)
+		switch {
+		case n.watch == nil:
+			done(errNotLeading)
+		case !there:
+			done(status.Errorf(codes.NotFound, "no coordinator %q was added to this group", j.Name))
+		case p.Incarnation != 0 && p.Incarnation != j.Incarnation:
+			done(status.Errorf(codes.AlreadyExists, "%s is at work already; if its disk was lost, remove it and add it again", j.Name))
+		default:
+			a = &leasepb.JoinAnswer{Group: n.id.Group, Id: p.ID}
+			for id, p := range n.g.Peers {
+				a.Coordinators = append(a.Coordinators, &leasepb.Coordinator{Id: id, Name: p.Name, Address: p.Address})
+			}
+			n.take(meetPeer{Peer{ID: p.ID, Incarnation: j.Incarnation}})
+			n.awaited = append(n.awaited, awaited{func() bool { return n.g.Peers[p.ID].Incarnation != 0 }, func(err error) {
+				if err == nil && n.g.Peers[p.ID].Incarnation != j.Incarnation {
+					err = status.Error(codes.AlreadyExists, "another process joined under this name")
+				}
+				done(err)
+			}})
+		}
+	})
+	return a, err
+}
+
+func memberIn(m *leasepb.Member) lease.Member {
+	return lease.Member{Kind: m.GetKind(), Name: m.GetName(), Site: m.GetSite(), Address: m.GetAddress(), Version: m.GetVersion(), State: m.GetState()}
+}
+
+func memberOut(m lease.Member) *leasepb.Member {
+	return &leasepb.Member{Kind: m.Kind, Name: m.Name, Site: m.Site, Address: m.Address, Version: m.Version, State: m.State}
+}
+
+func outcomeOut(o lease.Outcome) *leasepb.Outcome {
+	return &leasepb.Outcome{Status: uint32(o.Status), Token: o.Token, Place: int32(o.Place)}
+}
+
+func viewOut(v lease.View) *leasepb.View {
+	out := &leasepb.View{Rev: v.Rev}
+	for _, g := range v.Held {
+		out.Held = append(out.Held, &leasepb.Grant{Name: g.Name, Token: g.Token})
+	}
+	for _, p := range v.Places {
+		out.Places = append(out.Places, &leasepb.Place{Name: p.Name, Before: int32(p.Before)})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/coordinator/start.go
@@ -0,0 +1,205 @@
+package coordinator
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"junctionring/internal/coordinator/leasepb"
+	"junctionring/internal/snapshot"
+)
+
+// groupName is alike at all founders: it comes from their list.
+func (c *Config) groupName() string {
+	d := xxhash.New()
+	for _, p := range c.founders() {
+		fmt.Fprintln(d, p.ID, p.Name, p.Address)
+	}
+	return fmt.Sprintf("%016x", d.Sum64())
+}
+
+// empty refuses a data folder that holds a coordinator already.
+func empty(dir string) error {
+	switch made, err := Made(dir); {
+	case err != nil:
+		return err
+	case made:
+		return fmt.Errorf("data folder %s: it holds a coordinator already", dir)
+	}
+	left, err := os.ReadDir(dir)
+	if err == nil && len(left) > 0 {
+		return fmt.Errorf("data folder %s: it is not empty (%s, ...) and holds no coordinator's identity", dir, left[0].Name())
+	}
+	if errors.Is(err, os.ErrNotExist) {
+		err = nil
+	}
+	return err
+}
+
+// Init makes the data folder of a founder. It is refused where a group of this list is at work: an empty folder
+// then means a lost disk, and a coordinator without its memory must not vote under its old number.
+func Init(ctx context.Context, c *Config) (Identity, error) {
+	if err := empty(c.Data); err != nil {
+		return Identity{}, err
+	}
+	id := Identity{Group: c.groupName(), Name: c.Name, Incarnation: rand.Uint64() | 1}
+	for _, p := range c.founders() {
+		if p.Name == c.Name {
+			id.ID = p.ID
+			continue
+		}
+		if s, err := ask(ctx, p.Address, time.Second, func(ctx context.Context, to leasepb.LeasesClient) (*leasepb.StatusAnswer, error) {
+			return to.Status(ctx, &leasepb.StatusAsk{})
+		}); err == nil && s.Applied > 0 && s.Leader != 0 {
+			return Identity{}, fmt.Errorf("%s at %s is at work in a group already: this folder's disk was lost; use 'coordinator member remove %s', 'member add', and 'run --join'", p.Name, p.Address, c.Name)
+		}
+	}
+	return id, writeIdentity(c.Data, id)
+}
+
+// Join makes the data folder of a coordinator that was added to a running group. via is as in Options.
+func Join(ctx context.Context, c *Config, via map[string]string) (Identity, error) {
+	if err := empty(c.Data); err != nil {
+		return Identity{}, err
+	}
+	id := Identity{Name: c.Name, Incarnation: rand.Uint64() | 1, Joins: true}
+	var faults []error
+	for _, p := range c.founders() {
+		if p.Name == c.Name {
+			continue
+		}
+		a, err := ask(ctx, cmp.Or(via[p.Address], p.Address), 5*time.Second, func(ctx context.Context, to leasepb.LeasesClient) (*leasepb.JoinAnswer, error) {
+			return to.Join(ctx, &leasepb.JoinAsk{Name: c.Name, Incarnation: id.Incarnation})
+		})
+		if err == nil {
+			id.Group, id.ID = a.Group, a.Id
+			for _, p := range a.Coordinators {
+				id.First = append(id.First, Peer{ID: p.Id, Name: p.Name, Address: p.Address})
+			}
+			return id, writeIdentity(c.Data, id)
+		}
+		if status.Code(err) != codes.FailedPrecondition {
+			faults = append(faults, fmt.Errorf("%s at %s: %s", p.Name, p.Address, status.Convert(err).Message()))
+		}
+	}
+	if len(faults) == 0 {
+		faults = append(faults, errors.New("nobody leads just now: try again"))
+	}
+	return Identity{}, fmt.Errorf("no coordinator let %s join: %w", c.Name, errors.Join(faults...))
+}
+
+func ask[T any](ctx context.Context, address string, wait time.Duration, f func(context.Context, leasepb.LeasesClient) (T, error)) (t T, err error) {
+	conn, err := leasepb.Dial(address)
+	if err != nil {
+		return t, err
+	}
+	defer conn.Close()
+	ctx, done := context.WithTimeout(ctx, wait)
+	defer done()
+	return f(ctx, leasepb.NewLeasesClient(conn))
+}
+
+// Restore makes the data folder of a new group of one out of a backup; others are added to it. Tokens of the new
+// group are above all that the old one gave, as long as the wall clock of this machine was not set back by more than
+// the group's age; epoch, where it is not 0, is used instead.
+func Restore(c *Config, backup []byte, epoch uint32) (Identity, error) {
+	if err := empty(c.Data); err != nil {
+		return Identity{}, err
+	}
+	g, err := decodeGroup(backup)
+	if err != nil {
+		return Identity{}, err
+	}
+	switch {
+	case epoch != 0 && epoch <= g.State.Epoch:
+		return Identity{}, fmt.Errorf("epoch: %d is not above the backup's %d", epoch, g.State.Epoch)
+	case epoch == 0 && uint32(time.Now().Unix()) <= g.State.Epoch:
+		return Identity{}, fmt.Errorf("this machine's clock stands before the backup's epoch of %d: set it, or name an --epoch above all that guarded things have seen", g.State.Epoch)
+	case epoch != 0:
+		g.State.Epoch = epoch - 1 // the first leader takes the next one, or its clock's
+	}
+	g.State.Restored = true
+	id := Identity{Group: fmt.Sprintf("%s-%08x", c.groupName(), rand.Uint32()), ID: g.Next, Name: c.Name, Incarnation: rand.Uint64() | 1}
+	g.Peers = map[uint64]Peer{id.ID: {ID: id.ID, Name: c.Name, Address: c.Listen, Incarnation: id.Incarnation}}
+	g.Next++
+	d, _, _, err := openDisk(c.Data)
+	if err != nil {
+		return Identity{}, err
+	}
+	term := g.State.Term + 1
+	s := &raftpb.Snapshot{Data: encode(g), Metadata: &raftpb.SnapshotMetadata{Index: new(uint64(1)), Term: new(term),
+		ConfState: &raftpb.ConfState{Voters: []uint64{id.ID}}}}
+	if err := d.keep(s); err != nil {
+		return Identity{}, err
+	}
+	if err := d.wal.Save(&raftpb.HardState{Term: new(term), Commit: new(uint64(1))}, nil); err != nil {
+		return Identity{}, err
+	}
+	if err := d.close(); err != nil {
+		return Identity{}, err
+	}
+	return id, writeIdentity(c.Data, id) // last: without it the folder is nobody's
+}
+
+// CheckBackup says whether bytes are a whole backup, and what it holds.
+func CheckBackup(raw []byte) (sessions, leases int, token uint64, err error) {
+	g, err := decodeGroup(raw)
+	if err != nil {
+		return 0, 0, 0, err
+	}
+	return len(g.State.Sessions), len(g.State.Leases), g.State.Token, nil
+}
+
+// Serve runs a coordinator on its configured address until ctx ends. ready is called once it listens.
+func Serve(ctx context.Context, o Options, ready func(address string)) error {
+	n, err := New(o)
+	if err != nil {
+		return err
+	}
+	l, err := net.Listen("tcp", o.Config.Listen)
+	if err != nil {
+		n.disk.close()
+		n.peers.close()
+		return fmt.Errorf("listen: %w", err)
+	}
+	s := n.Server()
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(l) }()
+	if ready != nil {
+		ready(l.Addr().String())
+	}
+	o.Log.Info("coordinator", "name", n.id.Name, "id", n.id.ID, "group", n.id.Group, "listen", l.Addr().String(), "applied", n.applied,
+		"coordinators", slices.Sorted(func(yield func(string) bool) {
+			for _, p := range n.g.Peers {
+				if !yield(p.Name) {
+					return
+				}
+			}
+		}))
+	err = n.Run(ctx)
+	s.Stop()
+	return errors.Join(err, <-served)
+}
+
+// Made tells whether a data folder holds a coordinator.
+func Made(dir string) (bool, error) {
+	switch _, err := readIdentity(dir); {
+	case err == nil:
+		return true, nil
+	case errors.Is(err, snapshot.ErrNone):
+		return false, nil
+	default:
+		return false, fmt.Errorf("data folder %s: %w", dir, err)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"junctionring/fence"
 	"junctionring/internal/config"
 	"junctionring/internal/configuration"
 	"junctionring/internal/core"
@@ -40,6 +41,7 @@
 	o       *config.Operator
 	tally   *counter.Redis
 	roster  *routetable.Roster
+	fence   *fence.Gate // of the operators' calls
 	log     *slog.Logger
 }
 
@@ -65,7 +67,15 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &Gateway{Core: c, front: front, o: o, tally: tally, log: log, roster: &routetable.Roster{Tell: c.Routes}}
+	guarded := ""
+	if base.Versions.Snapshot != "" { // as lasting as the versions that the calls set
+		guarded = base.Versions.Snapshot + ".fence"
+	}
+	gate, err := fence.Open(guarded)
+	if err != nil {
+		return nil, err
+	}
+	g := &Gateway{Core: c, fence: gate, front: front, o: o, tally: tally, log: log, roster: &routetable.Roster{Tell: c.Routes}}
 	g.Steward = configuration.New(base, o, number, content, c, front, g.targets, log)
 	g.roster.Known = g.Steward.Roster
 	return g, nil
@@ -109,8 +119,11 @@
 // Front is the handler for clients.
 func (g *Gateway) Front() http.Handler { return g.front }
 
-// Operations is the handler for operators.
-func (g *Gateway) Operations() http.Handler { return operations.New(g.o, g.Core, g.Steward) }
+// Operations is the handler for operators. A call that carries a lease's token (fence.Header) is turned away once a
+// later holder has called.
+func (g *Gateway) Operations() http.Handler {
+	return g.fence.Guard(operations.New(g.o, g.Core, g.Steward))
+}
 
 // Start has the parts run until ctx ends, and returns once the route table is known; false: ready ended first.
 func (g *Gateway) Start(ctx, ready context.Context) bool {
--- a/internal/management/management.go
+++ b/internal/management/management.go
@@ -1,6 +1,7 @@
 // Package management is the operators' front: a second address with four calls, HTTP/1.1, one call per
 // connection. Each answer is due within a second whatever the load, so no handler waits on the core or on
-// another caller: they read atomics or set a flag.
+// another caller: they read atomics or set a flag. A call that carries a lease's token (fence.Header) is turned away
+// with 409 when a later holder has called.
 package management
 
 import (
@@ -9,6 +10,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"junctionring/fence"
 )
 
 const (
@@ -33,6 +36,7 @@
 // New serves h.
 func New(h Hooks, log *slog.Logger) *Server {
 	mux := http.NewServeMux()
+	gate, _ := fence.Open("") // as lasting as what the calls set: it ends with the process
 	mux.HandleFunc("GET /api/ready", func(w http.ResponseWriter, r *http.Request) {
 		if !h.Ready() {
 			http.Error(w, "not taking clients", http.StatusServiceUnavailable)
@@ -56,10 +60,11 @@
 		log.Info("rejoin: clients are taken again")
 		w.Write([]byte("done\n"))
 	})
+	guarded := gate.Guard(mux)
 	s := &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			r.Body = http.MaxBytesReader(w, r.Body, maxBody)
-			mux.ServeHTTP(w, r)
+			guarded.ServeHTTP(w, r)
 		}),
 		ReadHeaderTimeout: headWait, ReadTimeout: callWait, WriteTimeout: writeWait, IdleTimeout: headWait,
 		MaxHeaderBytes: maxHead,
--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -37,6 +37,14 @@
 	closed bool
 	silent chan struct{} // not nil: closed when the silence ends
 	healed time.Time
+	met    int // connections and packets that a fault caught
+}
+
+// Met is how many connections and packets the link's faults have caught.
+func (l *Link) Met() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.met
 }
 
 // linkEnd is where the link listens for one target.
@@ -88,6 +96,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.cut || l.closed {
+		l.met++
 		c.Close()
 		return 0, false
 	}
@@ -169,6 +178,9 @@
 		for {
 			l.mu.Lock()
 			silent, healed := l.silent, l.healed
+			if silent != nil {
+				l.met++
+			}
 			l.mu.Unlock()
 			if silent == nil {
 				if back := healed.Add(l.o.Resend); s.due.Before(healed) && time.Until(back) > 0 {
@@ -222,6 +234,7 @@
 }
 
 func (l *Link) reset() {
+	l.met += len(l.conns)
 	for c := range l.conns {
 		c.(*net.TCPConn).SetLinger(0)
 		c.Close()
@@ -229,6 +242,13 @@
 	clear(l.conns)
 }
 
+// Reset resets all connections and takes new ones.
+func (l *Link) Reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reset()
+}
+
 // Heal ends a cut and a silence.
 func (l *Link) Heal() error {
 	l.mu.Lock()
