Throw a put-back backup at the leases, measure them, and name who is silent

Need: the plays had to show what a restore, a lost disk and a stop between look and act do, at size and again and again.

--- a/cmd/fleet/coordinator.go
+++ b/cmd/fleet/coordinator.go
@@ -1,11 +1,9 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"os"
 	"text/tabwriter"
 	"time"
@@ -135,7 +133,14 @@
 			if !p.Votes {
 				kind = "reads the log, and votes once it has caught up"
 			}
-			fmt.Printf("coordinator %d, %s at %s: %s, %d entries behind\n", p.Id, p.Name, p.Address, kind, p.Behind)
+			seen := ""
+			switch {
+			case p.SilentMs < 0:
+				seen = ", not heard of yet"
+			case p.SilentMs > 1000:
+				seen = fmt.Sprintf(", silent for %v", time.Duration(p.SilentMs)*time.Millisecond)
+			}
+			fmt.Printf("coordinator %d, %s at %s: %s, %d entries behind%s\n", p.Id, p.Name, p.Address, kind, p.Behind, seen)
 		}
 	}
 	if silent == len(c.Coordinators) {
@@ -161,23 +166,9 @@
 }
 
 func (c snapshotCommand) Run(g *globals) error {
-	raw, err := at(g, c.reach, func(ctx context.Context, to leasepb.LeasesClient, o grpc.CallOption) ([]byte, error) {
-		s, err := to.Backup(ctx, &leasepb.BackupAsk{}, o)
-		if err != nil {
-			return nil, err
-		}
-		var all bytes.Buffer
-		for {
-			p, err := s.Recv()
-			if err == io.EOF {
-				return all.Bytes(), nil
-			}
-			if err != nil {
-				return nil, err
-			}
-			all.Write(p.Data)
-		}
-	})
+	ctx, done := context.WithTimeout(g.ctx, c.Timeout)
+	defer done()
+	raw, err := leaseholder.Backup(ctx, c.Coordinators)
 	if err != nil {
 		return err
 	}
--- a/cmd/fleet/lease.go
+++ b/cmd/fleet/lease.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"os"
 	"os/user"
-	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -204,42 +203,3 @@
 		}
 	}
 }
-
-type fleetCommand struct {
-	Members membersCommand `cmd:"" help:"Show who is there, and with --watch each change."`
-}
-
-type membersCommand struct {
-	reach
-	Kind  string `help:"Only members of this kind: gateway, agent, task, ..."`
-	Watch bool   `help:"Go on, and print each join, change, leave and silence."`
-}
-
-func (c membersCommand) Run(g *globals) error {
-	if c.Watch {
-		w := leaseholder.Watch{Coordinators: c.Coordinators, Log: g.log}
-		return w.Run(g.ctx, func(whole bool, changes []lease.Change) {
-			if whole {
-				fmt.Printf("-- everybody: %d\n", len(changes))
-			}
-			for _, m := range changes {
-				if c.Kind == "" || c.Kind == m.Member.Kind {
-					fmt.Printf("%s  %s %s  %s  %s  %s  %s\n", leaseholder.ChangeWord(m.Kind), m.Member.Kind, m.Member.Name, m.Member.Site, m.Member.Address, m.Member.Version, m.Member.State)
-				}
-			}
-		})
-	}
-	a, err := list(g, c.reach)
-	if err != nil {
-		return err
-	}
-	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "KIND\tNAME\tSITE\tADDRESS\tVERSION\tSTATE\tLEFT")
-	for _, s := range a.Sessions {
-		m := s.Member
-		if c.Kind == "" || c.Kind == m.Kind {
-			fmt.Fprintln(w, strings.Join([]string{m.Kind, m.Name, m.Site, m.Address, m.Version, m.State, (time.Duration(s.LeftMs) * time.Millisecond).String()}, "\t"))
-		}
-	}
-	return w.Flush()
-}
--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -30,7 +30,7 @@
 	if own := os.Getenv("JUNCTIONRING_NAME"); own != "" {
 		name = own
 	}
-	k := kong.Parse(&cli, kong.Name(name), kong.Description("What the processes of a fleet agree on."), kong.UsageOnError())
+	k := kong.Parse(&cli, kong.Name(name), kong.Description("What the processes of a fleet agree on."), kong.ShortUsageOnError())
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	var h slog.Handler = slog.NewTextHandler(os.Stderr, nil)
--- a/cmd/junctionring/main.go
+++ b/cmd/junctionring/main.go
@@ -3,8 +3,11 @@
 
 import (
 	"fmt"
+	"os"
+	"path/filepath"
 	"runtime/debug"
 	"strings"
+	"syscall"
 
 	"github.com/alecthomas/kong"
 
@@ -39,13 +42,33 @@
 	return err
 }
 
+// beside is a command of the program fleet, which stands beside this one: a gateway carries none of what it needs.
+type beside struct {
+	Args []string `arg:"" optional:""`
+}
+
+func (b beside) Run(k *kong.Context) error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	program := filepath.Join(filepath.Dir(self), "fleet")
+	args := append([]string{"junctionring", k.Selected().Name}, b.Args...)
+	err = syscall.Exec(program, args, append(os.Environ(), "JUNCTIONRING_NAME=junctionring"))
+	return fmt.Errorf("%s can't be started (go build -o bin/ ./cmd/...): %w", program, err)
+}
+
 func main() {
 	var cli struct {
 		Serve   serveCommand   `cmd:"" help:"Serve the platform's protocol or, with an operator's file, forward authentication."`
 		Check   checkCommand   `cmd:"" help:"Check a configuration file."`
 		Config  configCommand  `cmd:"" help:"Show or set the configuration version of a running gateway."`
 		Version versionCommand `cmd:"" help:"Print the version."`
+
+		Coordinator beside `cmd:"" passthrough:"" help:"Run a coordinator, or look after the group of them."`
+		Lease       beside `cmd:"" passthrough:"" help:"List, hold and take away leases."`
+		Fleet       beside `cmd:"" passthrough:"" help:"Who is there."`
 	}
 	k := kong.Parse(&cli, kong.Name("junctionring"), kong.Description("A quota-keeping gateway."))
-	k.FatalIfErrorf(k.Run())
+	k.FatalIfErrorf(k.Run(k))
 }
--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -17,6 +17,7 @@
 	"github.com/schollz/progressbar/v3"
 
 	"junctionring/internal/lab"
+	"junctionring/internal/lab/leases"
 	"junctionring/internal/standin"
 )
 
@@ -141,9 +142,13 @@
 }
 
 func main() {
+	if leases.Role() { // a process that a play of leases started
+		return
+	}
 	var cli struct {
 		Try      tryCommand      `cmd:"" help:"Play a scenario between two sites with real gateways, and measure it."`
 		Plays    playsCommand    `cmd:"" help:"List the plays."`
+		Lease    leaseCommand    `cmd:"" help:"Play coordinators, holders and faults between them, and judge by what they did."`
 		Load     loadCommand     `cmd:"" help:"Offer an open-loop load to gateways on loopback."`
 		Tables   tablesCommand   `cmd:"" help:"Start stand-in table servers."`
 		Store    storeCommand    `cmd:"" help:"Start a stand-in Redis store."`
--- /dev/null
+++ b/fence/fence_test.go
@@ -0,0 +1,103 @@
+package fence
+
+import (
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+func TestATokenIsNeverFollowedByALowerOne(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "tokens")
+	g, err := Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, step := range []struct {
+		name  string
+		token uint64
+		stale bool
+	}{
+		{"a", 5, false}, {"a", 5, false}, {"a", 4, true}, {"b", 1, false}, {"a", 9, false}, {"a", 5, true}, {"b", 1, false},
+	} {
+		err := g.Admit(step.name, step.token)
+		var stale *Stale
+		if errors.As(err, &stale) != step.stale || err != nil && !step.stale {
+			t.Errorf("%s %d: %v", step.name, step.token, err)
+		}
+	}
+	again, err := Open(path) // a process that died and came back
+	if err != nil || again.Seen("a") != 9 || again.Admit("a", 8) == nil || again.Admit("a", 9) != nil {
+		t.Errorf("after a restart %d was seen, %v", again.Seen("a"), err)
+	}
+	if g.Admit("", 1) == nil || g.Admit("a", 0) == nil {
+		t.Error("no name, or no token, was let in")
+	}
+	if err := os.WriteFile(path, []byte("spoilt"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Open(path); err == nil {
+		t.Error("a gate that forgot what it saw was opened")
+	}
+}
+
+// A token that can't be kept is not let in: the next one in could be lower.
+func TestNothingIsLetInThatCannotBeKept(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "gone")
+	g, err := Open(filepath.Join(dir, "tokens"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if g.Admit("a", 1) == nil || g.Seen("a") != 0 {
+		t.Error("let in without a disk")
+	}
+	if err := os.Mkdir(dir, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if err := g.Admit("a", 1); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestCallsAreGuarded(t *testing.T) {
+	g, _ := Open("")
+	done := 0
+	s := httptest.NewServer(g.Guard(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { done++ })))
+	defer s.Close()
+	for _, c := range []struct {
+		method, fence string
+		status        int
+	}{
+		{"PUT", "", 200}, {"PUT", "release 7", 200}, {"PUT", "release 7", 200}, {"PUT", "release 6", 409}, {"PUT", "other 6", 200},
+		{"PUT", "release", 400}, {"PUT", "release x", 400}, {"PUT", "release 0", 400}, {"PUT", " 3", 400}, {"PUT", "release -1", 400},
+		{"GET", "release 1", 200}, {"PUT", "", 200},
+	} {
+		r, _ := http.NewRequest(c.method, s.URL, nil)
+		if c.fence != "" {
+			r.Header.Set(Header, c.fence)
+		}
+		a, err := http.DefaultClient.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		a.Body.Close()
+		if a.StatusCode != c.status {
+			t.Errorf("%s with %q: %d, want %d", c.method, c.fence, a.StatusCode, c.status)
+		}
+	}
+	if done != 6 {
+		t.Errorf("%d calls came through, want 6", done)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add("release 7")
+	f.Add(" ")
+	f.Fuzz(func(t *testing.T, value string) {
+		if name, token, err := Parse(value); err == nil && (name == "" || token == 0) {
+			t.Errorf("%q was read as %q %d", value, name, token)
+		}
+	})
+}
--- a/internal/coordinator/disk.go
+++ b/internal/coordinator/disk.go
@@ -38,6 +38,9 @@
 	keptEntries   = 2_000 // behind a snapshot, for those a little late
 )
 
+// The library's own 64 MB a file, made in advance, is for far longer logs. It has no other way to be told.
+func init() { wal.SegmentSizeBytes = segmentSize }
+
 // disk is the durable part of a coordinator: log, snapshots, identity. After an error nothing may be said to anybody
 // any more: the process ends.
 type disk struct {
@@ -73,7 +76,6 @@
 // openDisk reads what a data folder holds. fresh: there is no log yet. A torn end is cut: what was not written whole
 // was never answered. Anything else that does not fit its checksum is an error: that disk is lost.
 func openDisk(dir string) (d *disk, snapshot *raftpb.Snapshot, fresh bool, err error) {
-	wal.SegmentSizeBytes = segmentSize
 	d = &disk{dir: dir, mem: raft.NewMemoryStorage()}
 	if err := os.MkdirAll(d.snapDir(), 0o700); err != nil {
 		return nil, nil, false, err
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -78,7 +78,9 @@
 	watchers  map[*watcher]struct{}
 	meeting   map[uint64]bool
 	changing  bool
+	joined    uint64 // index at which a coordinator last joined: raft turns down a snapshot that doesn't name its reader
 	awaited   []awaited
+	stranger  error // the others mean another incarnation: this one must not speak for it
 }
 
 // awaited is somebody who waits for a change of the group to be applied.
@@ -206,6 +208,9 @@
 			n.log.Error("ends: what it knows can't be kept", "err", err)
 			return err
 		}
+		if n.stranger != nil {
+			return n.stranger
+		}
 		if _, in := n.g.Peers[n.id.ID]; !in && n.applied > 0 && !n.id.Joins && n.removed() {
 			return fmt.Errorf("coordinator %s was removed from the group", n.id.Name)
 		}
@@ -305,7 +310,6 @@
 		return
 	}
 	for _, c := range n.watch.Due(n.clock(), n.g.State) {
-		n.log.Info("due", "op", c.Op, "session", c.Session, "lease", c.Name, "token", c.Token)
 		n.propose(c, nil)
 	}
 	n.promote()
@@ -412,7 +416,7 @@
 		}
 		return false
 	})
-	if n.applied >= n.disk.taken+n.c.Entries {
+	if n.applied >= n.disk.taken+n.c.Entries || n.joined > n.disk.taken {
 		return n.disk.compact(n.applied, n.conf, encode(n.g))
 	}
 	return nil
@@ -496,6 +500,9 @@
 			return err
 		}
 		n.conf = n.raft.ApplyConfChange(&cc)
+		if cc.GetType() == raftpb.ConfChangeAddLearnerNode {
+			n.joined = n.applied
+		}
 		n.changing = false
 		if cc.GetNodeId() == n.id.ID {
 			n.id.Joins = false
@@ -537,6 +544,7 @@
 	if n.watch == nil {
 		return
 	}
+	n.report(x.Cmd, e)
 	for _, id := range e.Touched {
 		st := n.streams[id]
 		if st == nil {
@@ -558,6 +566,27 @@
 	}
 }
 
+// report logs what a command led to, at the coordinator that leads.
+func (n *Node) report(c *lease.Command, e lease.Effect) {
+	switch {
+	case e.Status == lease.Stale || e.Status == lease.Unknown || e.Status == lease.Full:
+		n.log.Debug("without effect", "op", c.Op, "session", c.Session, "lease", c.Name, "token", c.Token, "status", e.Status)
+	case c.Op == lease.Expire:
+		n.log.Warn("session over", "session", c.Session, "cause", "its life passed without a renewal")
+	case c.Op == lease.Close:
+		n.log.Info("session over", "session", c.Session, "cause", "closed")
+	case c.Op == lease.Revoke:
+		n.log.Warn("lease revoked", "lease", c.Name, "token", e.Token, "by", c.By)
+	case c.Op == lease.Release || c.Op == lease.Free:
+		n.log.Info("lease free", "lease", c.Name, "token", c.Token, "session", c.Session, "cause", c.Op)
+	case c.Op == lease.Unseal:
+		n.log.Info("leases are given from now on")
+	}
+	for _, g := range e.Given {
+		n.log.Info("lease given", "lease", g.Name, "token", g.Token, "session", g.Session)
+	}
+}
+
 // post gives the actor something to do; false: its mailbox is full, or it has ended.
 func (n *Node) post(to chan any, m any) bool {
 	select {
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"go.etcd.io/raft/v3/raftpb"
@@ -32,8 +33,9 @@
 
 type peer struct {
 	Peer
-	out chan *raftpb.Message
-	end context.CancelFunc
+	out   chan *raftpb.Message
+	end   context.CancelFunc
+	heard atomic.Int64 // when it last answered, on the node's clock; 0: never
 }
 
 func newPeers(n *Node) *peers {
@@ -44,7 +46,7 @@
 // set follows who belongs to the group.
 func (p *peers) set(all map[uint64]Peer) {
 	for id, have := range p.to {
-		if now, ok := all[id]; !ok || now.Address != have.Address {
+		if now, ok := all[id]; !ok || now != have.Peer {
 			have.end()
 			delete(p.to, id)
 		}
@@ -54,7 +56,7 @@
 			continue
 		}
 		ctx, end := context.WithCancel(p.ctx)
-		x := &peer{a, make(chan *raftpb.Message, peerRoom), end}
+		x := &peer{Peer: a, out: make(chan *raftpb.Message, peerRoom), end: end}
 		p.to[id] = x
 		go x.run(ctx, p.n)
 	}
@@ -76,6 +78,15 @@
 	}
 }
 
+// silent is for how long a coordinator has not answered; ok is false for one that never did.
+func (p *peers) silent(id uint64) (d time.Duration, ok bool) {
+	x := p.to[id]
+	if x == nil || x.heard.Load() == 0 {
+		return 0, false
+	}
+	return p.n.clock() - time.Duration(x.heard.Load()), true
+}
+
 func (p *peers) close() { p.end() }
 
 func (x *peer) run(ctx context.Context, n *Node) {
@@ -94,7 +105,7 @@
 			return
 		case first = <-x.out:
 		}
-		b := &leasepb.Batch{Group: n.id.Group, From: n.id.ID, Incarnation: n.id.Incarnation}
+		b := &leasepb.Batch{Group: n.id.Group, From: n.id.ID, Incarnation: n.id.Incarnation, ToIncarnation: x.Incarnation}
 		wait, snap := peerWait, false
 		for m := first; m != nil; {
 			if m.GetType() == raftpb.MsgSnap {
@@ -115,6 +126,9 @@
 		call, done := context.WithTimeout(ctx, wait)
 		_, err := to.Send(call, b)
 		done()
+		if err == nil {
+			x.heard.Store(int64(n.clock()))
+		}
 		if snap {
 			n.post(n.urgent, snapshotSent{x.ID, err == nil})
 		}
@@ -162,6 +176,9 @@
 	ok := n.post(n.urgent, call{func() {
 		known, in := n.g.Peers[b.From]
 		switch {
+		case b.ToIncarnation != 0 && b.ToIncarnation != n.id.Incarnation:
+			n.stranger = fmt.Errorf("the group knows another %s: this one's disk was lost; use 'coordinator member remove', 'member add', and 'run --join'", n.id.Name)
+			answer <- n.stranger
 		case !in && n.applied > 0 && !n.id.Joins:
 			answer <- fmt.Errorf("coordinator %d is not of this group", b.From)
 		case in && known.Incarnation != 0 && known.Incarnation != b.Incarnation:
--- a/internal/coordinator/service.go
+++ b/internal/coordinator/service.go
@@ -25,6 +25,7 @@
 	nameMost   = 200 // bytes of a name
 	pieceSize  = 256 << 10
 	leastLife  = time.Second
+	atWork     = 250 * time.Millisecond // since its last answer: five heartbeats
 	busyPause  = 500 * time.Millisecond
 	fullPause  = 2 * time.Second
 )
@@ -400,7 +401,6 @@
 			done(errNotLeading)
 			return
 		}
-		n.log.Warn("revoked by an operator", "lease", a.Name, "token", a.Token, "by", a.By)
 		n.propose(lease.Command{Op: lease.Revoke, Name: a.Name, Token: a.Token, By: a.By}, func(e lease.Effect, err error) {
 			o = outcomeOut(e.Outcome)
 			done(err)
@@ -419,7 +419,12 @@
 			Elections: n.elections, Token: n.g.State.Token, Sealed: n.g.State.Sealed}
 		for _, id := range slices.Sorted(maps.Keys(n.g.Peers)) {
 			p := n.g.Peers[id]
-			c := &leasepb.Coordinator{Id: id, Name: p.Name, Address: p.Address, Votes: slices.Contains(n.conf.GetVoters(), id)}
+			c := &leasepb.Coordinator{Id: id, Name: p.Name, Address: p.Address, Votes: slices.Contains(n.conf.GetVoters(), id), Met: p.Incarnation != 0}
+			if silent, ok := n.peers.silent(id); ok {
+				c.SilentMs = silent.Milliseconds()
+			} else if id != n.id.ID {
+				c.SilentMs = -1
+			}
 			if n.watch != nil {
 				c.Behind = last - min(last, st.Progress[id].Match)
 			}
@@ -520,7 +525,7 @@
 			continue
 		}
 		voters++
-		if p.RecentActive || id == n.id.ID {
+		if silent, ok := n.peers.silent(id); id == n.id.ID || ok && silent < atWork {
 			active++
 		}
 	}
--- a/internal/lab/leases/faults.go
+++ b/internal/lab/leases/faults.go
@@ -15,6 +15,7 @@
 
 	"google.golang.org/grpc"
 
+	"junctionring/internal/coordinator"
 	"junctionring/internal/coordinator/leasepb"
 	"junctionring/internal/leaseholder"
 	"junctionring/internal/standin"
@@ -63,10 +64,25 @@
 	}},
 	{"holder paused between its look and its act", func(ctx context.Context, r *Rig) (bool, error) {
 		p := r.holder()
+		if record, _ := readEvents(r.judge.role.Log); len(record) > 0 { // one that acts just now
+			if i := slices.IndexFunc(r.holders, func(p *process) bool { return p.name == record[len(record)-1].Who }); i >= 0 {
+				p = r.holders[i]
+			}
+		}
 		if err := p.cmd.Process.Signal(syscall.SIGUSR1); err != nil {
 			return false, err
 		}
 		if !r.eventually(ctx, 20*time.Second, func() bool { return p.state() == "T" }) {
+			go func() { // it stops in its next act, whenever that is, and must go on
+				for p.running() {
+					if at := now(); p.state() == "T" && !p.stopped {
+						p.cmd.Process.Signal(syscall.SIGCONT)
+						r.gone(p, at, now())
+						return
+					}
+					time.Sleep(20 * time.Millisecond)
+				}
+			}()
 			return false, nil
 		}
 		at := now()
@@ -147,6 +163,61 @@
 		all, _ := os.ReadFile(r.nodes[i].log)
 		return bytes.Contains(all[len(from):], []byte("torn end was cut")), nil
 	}},
+	{"all disks lost, and an old backup put back", func(ctx context.Context, r *Rig) (bool, error) {
+		if err := r.settled(ctx, 20*time.Second); err != nil {
+			return false, err
+		}
+		old, err := leaseholder.Backup(ctx, r.listens)
+		if err != nil {
+			return false, err
+		}
+		_, _, before, err := coordinator.CheckBackup(old)
+		if err != nil {
+			return false, err
+		}
+		var newest uint64
+		if !r.eventually(ctx, 20*time.Second, func() bool { // the backup is behind what holders were given
+			s, err := r.status(ctx, r.led(ctx))
+			if err == nil {
+				newest = s.Token
+			}
+			return newest > before+3
+		}) {
+			return false, nil
+		}
+		for i, p := range r.nodes {
+			r.kill(p)
+			if err := os.RemoveAll(r.data(i)); err != nil {
+				return false, err
+			}
+			p.role.Join = i > 0
+		}
+		c, err := coordinator.LoadConfig(r.config(0))
+		if err != nil {
+			return false, err
+		}
+		if _, err := coordinator.Restore(c, old, 0); err != nil {
+			return false, err
+		}
+		if err := r.start(ctx, r.nodes[0]); err != nil {
+			return false, err
+		}
+		for i, p := range r.nodes[1:] {
+			if _, err := r.admin(ctx, func(ctx context.Context, to leasepb.LeasesClient, o grpc.CallOption) (*leasepb.Coordinator, error) {
+				return to.AddCoordinator(ctx, &leasepb.Coordinator{Name: p.name, Address: r.listens[i+1]}, o)
+			}); err != nil {
+				return false, err
+			}
+			if err := r.start(ctx, p); err != nil {
+				return false, err
+			}
+		}
+		if err := r.settled(ctx, 30*time.Second); err != nil {
+			return false, err
+		}
+		s, err := r.status(ctx, r.led(ctx))
+		return err == nil && s.Token > newest, err
+	}},
 	{"a lost disk", func(ctx context.Context, r *Rig) (bool, error) {
 		if err := r.settled(ctx, 20*time.Second); err != nil {
 			return false, err
--- a/internal/lab/leases/roles.go
+++ b/internal/lab/leases/roles.go
@@ -46,6 +46,7 @@
 	Seed         uint64
 	Log          string // contender: its history; resource: its record
 	Listen       string
+	Sessions     int // crowd
 }
 
 // Role plays the role that this process was started for; false: it was started for none.
@@ -75,6 +76,8 @@
 			err = r.contend(ctx, log)
 		case "resource":
 			err = r.guard(ctx)
+		case "crowd":
+			err = r.crowd(ctx, log)
 		default:
 			err = fmt.Errorf("there is no role %q", r.Kind)
 		}
@@ -135,9 +138,10 @@
 	Lease string
 	Token uint64
 	At    time.Duration
-	OK    bool   `json:",omitempty"` // act: let in
-	Seen  uint64 `json:",omitempty"` // act refused: the token that overtook it
-	Why   string `json:",omitempty"` // stop: the cause
+	OK    bool          `json:",omitempty"` // act: let in
+	Seen  uint64        `json:",omitempty"` // act refused: the token that overtook it
+	Why   string        `json:",omitempty"` // stop: the cause
+	Took  time.Duration `json:",omitempty"` // renewed
 }
 
 // journal appends events to a file, whole lines each.
--- a/internal/leaseholder/ask.go
+++ b/internal/leaseholder/ask.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -72,3 +73,24 @@
 	}
 	return grpc.EmptyCallOption{}
 }
+
+// Backup fetches a whole backup of what the group keeps.
+func Backup(ctx context.Context, coordinators []string) ([]byte, error) {
+	return Ask(ctx, coordinators, func(ctx context.Context, to leasepb.LeasesClient) ([]byte, error) {
+		s, err := to.Backup(ctx, &leasepb.BackupAsk{}, Trailer(ctx))
+		if err != nil {
+			return nil, err
+		}
+		var all []byte
+		for {
+			p, err := s.Recv()
+			if err == io.EOF {
+				return all, nil
+			}
+			if err != nil {
+				return nil, err
+			}
+			all = append(all, p.Data...)
+		}
+	})
+}
--- a/internal/leaseholder/client.go
+++ b/internal/leaseholder/client.go
@@ -37,11 +37,12 @@
 	Drift        float64       // of any clock's rate; 1 % where it is 0
 	Margin       time.Duration // by which it stops before it must; a tenth of the life where it is 0
 	Clock        func() time.Duration
-	Via          map[string]string // where to dial for an address; others are dialled as they are
+	Via          map[string]string        // where to dial for an address; others are dialled as they are
+	Renewed      func(took time.Duration) // each renewal's time from sending to answer; nil: nobody wants to know
 	Log          *slog.Logger
 }
 
-// ErrOver says that the client was closed.
+// ErrOver says that the client was closed, or that the coordinators turn its session down for good.
 var ErrOver = errors.New("the lease client is closed")
 
 // Client keeps one session, and a new one when that is lost.
@@ -67,6 +68,9 @@
 	resend  <-chan time.Time // when the first ask is sent again
 	asked   uint64           // the ask that is out on this stream
 	closing chan struct{}
+	fault   error  // why it ended; read once ended is closed
+	renewal uint64 // the newest, and when it was sent
+	sent    time.Duration
 }
 
 // Lease is one lease that a client asked for.
@@ -142,16 +146,23 @@
 	select {
 	case <-l.got:
 		return l, nil
-	case <-l.lost: // another ask of this process for the same name
+	case <-l.lost: // another ask of this process for the same name, or the client's end
+		select {
+		case <-c.ended:
+			return nil, c.over()
+		default:
+		}
 		return nil, fmt.Errorf("lease %s: %s", name, l.cause)
 	case <-ctx.Done():
 		c.tell(context.Background(), release{l, nil})
 		return nil, ctx.Err()
 	case <-c.ended:
-		return nil, ErrOver
+		return nil, c.over()
 	}
 }
 
+func (c *Client) over() error { return cmp.Or(c.fault, ErrOver) }
+
 // Token is what each act under the lease carries; ok is false when nothing may be done under it any more, and left
 // is for how long it may be acted on if no renewal is answered from now on.
 func (l *Lease) Token() (token uint64, left time.Duration, ok bool) {
@@ -187,7 +198,7 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	case <-l.c.ended:
-		return ErrOver
+		return l.c.over()
 	}
 }
 
@@ -215,7 +226,7 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	case <-c.ended:
-		return ErrOver
+		return c.over()
 	}
 }
 
@@ -227,17 +238,18 @@
 		look.Stop()
 		renew.Stop()
 		c.hangUp()
+		close(c.ended)
 		for _, l := range c.leases {
 			l.end(lease.Asked)
 		}
-		close(c.ended)
 	}()
 	c.begin()
 	for {
 		var in <-chan *leasepb.ToHolder
 		var failed <-chan error
-		if c.stream != nil {
-			in, failed = c.stream.in, c.stream.failed
+		stream := c.stream
+		if stream != nil {
+			in, failed = stream.in, stream.failed
 		}
 		select {
 		case <-ctx.Done():
@@ -254,10 +266,12 @@
 			c.asked = 0
 		case r := <-in:
 			c.follow(c.h.Tick(c.clock(), c.wall(), nil)) // first: a pause ends the session, whatever was answered in it
-			c.received(r)
+			if c.stream == stream {                      // else the session that it was meant for is over
+				c.received(r)
+			}
 		case err := <-failed:
 			c.follow(c.h.Tick(c.clock(), c.wall(), nil))
-			c.failed(c.stream, err)
+			c.failed(stream, err)
 		case m := <-c.ask:
 			c.follow(c.h.Tick(c.clock(), c.wall(), nil))
 			c.asks(m)
@@ -333,7 +347,9 @@
 			c.again(0)
 			return
 		}
-		if !c.stream.send(&leasepb.FromHolder{Is: &leasepb.FromHolder_Renew{Renew: c.h.Renew(c.clock())}}) {
+		c.sent = c.clock()
+		c.renewal = c.h.Renew(c.sent)
+		if !c.stream.send(&leasepb.FromHolder{Is: &leasepb.FromHolder_Renew{Renew: c.renewal}}) {
 			c.again(0)
 		}
 	}
@@ -362,10 +378,12 @@
 		default:
 		}
 		if status.Code(err) == codes.InvalidArgument {
-			c.o.Log.Error("the coordinators turn this session down", "err", status.Convert(err).Message())
-		} else {
-			c.o.Log.Info("the connection to a coordinator ended", "address", s.address, "err", err)
+			c.fault = fmt.Errorf("%w: the coordinators turn its session down: %s", ErrOver, status.Convert(err).Message())
+			c.hangUp()
+			c.close()
+			return
 		}
+		c.o.Log.Info("the connection to a coordinator ended", "address", s.address, "err", err)
 		c.again(0)
 	}
 }
@@ -376,6 +394,9 @@
 	switch is := m.Is.(type) {
 	case *leasepb.ToHolder_Renewed:
 		c.stream.opened = true
+		if c.o.Renewed != nil && is.Renewed.Renew == c.renewal {
+			c.o.Renewed(now - c.sent)
+		}
 		c.pause.Reset()
 		c.follow(c.h.Renewed(now, is.Renewed.Renew, viewIn(is.Renewed.View), nil))
 	case *leasepb.ToHolder_Answered:
--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -38,6 +38,14 @@
 	silent chan struct{} // not nil: closed when the silence ends
 	healed time.Time
 	met    int // connections and packets that a fault caught
+	bytes  int // carried, both ways
+}
+
+// Bytes is how many bytes the link has carried, both ways together.
+func (l *Link) Bytes() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.bytes
 }
 
 // Met is how many connections and packets the link's faults have caught.
@@ -178,6 +186,9 @@
 		for {
 			l.mu.Lock()
 			silent, healed := l.silent, l.healed
+			if silent == nil {
+				l.bytes += len(s.data)
+			}
 			if silent != nil {
 				l.met++
 			}
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"crypto/sha1"
 	"fmt"
 	"io"
 	"net"
@@ -22,6 +23,53 @@
 	added    float64 // all amounts ever added
 	silent   bool
 	conns    []net.Conn
+	texts    map[string]string      // values that scripts wrote
+	scripts  map[string]storeScript // by the checksum of their text
+}
+
+// storeScript is what a script does. It returns a bulk string, or nil for false.
+type storeScript func(get func(string) (string, bool), set func(key, value string), keys, args []string) (string, bool)
+
+// Script has the store know a script by its text: EVAL and EVALSHA of it run do, and of any other are refused.
+func (s *Store) Script(text string, do storeScript) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.scripts[checksum(text)] = do
+}
+
+func checksum(text string) string { return fmt.Sprintf("%x", sha1.Sum([]byte(text))) }
+
+// Text is a value that a script wrote.
+func (s *Store) Text(key string) (string, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	text, there := s.texts[key]
+	return text, there
+}
+
+// eval runs a script: EVAL text, or EVALSHA checksum, then the number of keys, keys, arguments.
+func (s *Store) eval(args []string) string {
+	if len(args) < 3 {
+		return "-ERR wrong number of arguments\r\n"
+	}
+	sum := args[1]
+	if strings.EqualFold(args[0], "EVAL") {
+		sum = checksum(args[1])
+	}
+	do := s.scripts[sum]
+	n, err := strconv.Atoi(args[2])
+	switch {
+	case do == nil && strings.EqualFold(args[0], "EVALSHA"):
+		return "-NOSCRIPT No matching script\r\n"
+	case do == nil || err != nil || n < 0 || n > len(args)-3:
+		return "-ERR this stand-in does not know the script\r\n"
+	}
+	out, any := do(func(key string) (string, bool) { v, ok := s.texts[key]; return v, ok },
+		func(key, value string) { s.texts[key] = value }, args[3:3+n], args[3+n:])
+	if !any {
+		return "$-1\r\n"
+	}
+	return fmt.Sprintf("$%d\r\n%s\r\n", len(out), out)
 }
 
 // NewStore starts a store at an address; port 0 takes any.
@@ -30,7 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Store{listener: l, values: map[string]float64{}, ends: map[string]time.Time{}}
+	s := &Store{listener: l, values: map[string]float64{}, ends: map[string]time.Time{}, texts: map[string]string{}, scripts: map[string]storeScript{}}
 	s.changed = sync.NewCond(&s.mu)
 	go func() {
 		for {
@@ -66,6 +114,7 @@
 	defer s.mu.Unlock()
 	clear(s.values)
 	clear(s.ends)
+	clear(s.texts)
 }
 
 // Silence makes the store read on and answer nothing from now on.
@@ -127,6 +176,10 @@
 			queued, out = append(queued, args), "+QUEUED\r\n"
 		case name == "PING":
 			out = "+PONG\r\n"
+		case name == "EVAL" || name == "EVALSHA":
+			s.mu.Lock()
+			out = s.eval(args)
+			s.mu.Unlock()
 		default:
 			out = "-ERR unknown command\r\n"
 		}
--- a/lease/state.go
+++ b/lease/state.go
@@ -29,6 +29,16 @@
 	Report                // a session tells how its member is
 )
 
+var opWords = [...]string{"none", "lead", "unseal", "open", "close", "expire", "acquire", "release", "revoke", "free", "report"}
+
+// String is the command in a word.
+func (o Op) String() string {
+	if int(o) < len(opWords) {
+		return opWords[o]
+	}
+	return "unknown"
+}
+
 // Member is who a session stands for.
 type Member struct {
 	Kind    string `msgpack:"k"` // gateway, agent, task, ...
@@ -163,10 +173,17 @@
 	return &State{Sessions: map[string]*Session{}, Leases: map[string]*Lease{}}
 }
 
+// Given is a lease that a session got.
+type Given struct {
+	Grant
+	Session string
+}
+
 // Effect is what a command led to.
 type Effect struct {
 	Outcome
-	Touched []string // sessions whose leases changed, or whose place did
+	Touched []string // sessions whose leases changed
+	Given   []Given  // leases that somebody got
 	Changes []Change
 }
 
@@ -351,6 +368,7 @@
 	l.Holder, l.Token, l.Revoked = next, s.Token, false
 	s.leave(name, next)
 	s.Sessions[next].Holds = append(s.Sessions[next].Holds, name)
+	e.Given = append(e.Given, Given{Grant{name, s.Token}, next})
 	s.touch(next, e)
 }
 
--- a/lease/watch.go
+++ b/lease/watch.go
@@ -94,15 +94,15 @@
 
 // Due are the commands that time calls for. Each is named once, and again after a while if it was lost.
 func (w *Watch) Due(now time.Duration, s *State) (due []Command) {
-	for id, end := range w.ends {
-		if now >= end {
+	for _, id := range sortedKeys(w.ends) {
+		if now >= w.ends[id] {
 			w.ending[id] = true
 			w.ends[id] = now + again
 			due = append(due, Command{Op: Expire, Term: w.term, Session: id})
 		}
 	}
-	for name, r := range w.revoked {
-		if now >= r.frees {
+	for _, name := range sortedKeys(w.revoked) {
+		if r := w.revoked[name]; now >= r.frees {
 			r.frees = now + again
 			w.revoked[name] = r
 			due = append(due, Command{Op: Free, Term: w.term, Name: name, Token: r.token})
