--- a/internal/coordinator/service.go
+++ b/internal/coordinator/service.go
@@ -306,6 +306,9 @@
 	w := &watcher{newOutbox[*leasepb.WatchAnswer](g.Context())}
 	defer w.close()
 	err := s.leading(g.Context(), func(n *Node) error {
+		if len(n.watchers) >= n.c.Bounds.Sessions {
+			return status.Errorf(codes.ResourceExhausted, "%d watch already, the most that are told here: come back in %v", len(n.watchers), fullPause)
+		}
 		state := n.g.State
 		missed, ok := state.Missed(a.After)
 		if a.Whole || !ok {
