Decide drains and releases by a budget and a plan that live in the log: rollout

Need: nothing keeps two operators, a release and a crash from taking out half a hall together.

rollout/ is pure: the budget (who is out, by rules over kind, site and zone, by count, share or what stays able to serve), the plan of a release (canary, waves, pause, check, halt, resume, way back newest first) and the check of a version against the one before. A permit ends when its unit is seen back, and leaving is asked for once more at the last moment. An ask that lacks room holds only that room against those behind it.

--- /dev/null
+++ b/rollout/check.go
@@ -0,0 +1,65 @@
+package rollout
+
+import (
+	"fmt"
+	"math"
+)
+
+// Count is what became of the requests of one class at some gateways.
+type Count struct {
+	Asked  uint64 `msgpack:"a"`
+	Failed uint64 `msgpack:"f"` // errors, and refusals for other reasons than quota
+	Late   uint64 `msgpack:"l"` // served after the class's aim
+}
+
+// Limits say when a version is judged worse than the one before.
+type Limits struct {
+	Enough uint64  `msgpack:"n"` // requests of a class on each side before it is judged
+	More   float64 `msgpack:"m"` // by how much the share of failed or of late may be above the others'
+	Sure   float64 `msgpack:"s"` // standard deviations by which it must be more than chance
+}
+
+// DefaultLimits fit a fleet with some requests a second at each gateway.
+var DefaultLimits = Limits{Enough: 100, More: 0.02, Sure: 3}
+
+// Verdict is what a comparison comes to.
+type Verdict int
+
+// What a comparison may come to.
+const (
+	TooFew Verdict = iota // to tell
+	Good
+	Bad
+)
+
+// Judge compares the changed gateways with the others, class by class. One class that is worse is enough; one that
+// has too few requests leaves the whole undecided, unless another is worse.
+func (l Limits) Judge(changed, others map[string]Count) (v Verdict, why string) {
+	v = Good
+	seen := false
+	for _, class := range sortedKeys(changed) {
+		a, b := changed[class], others[class]
+		if a.Asked < l.Enough || b.Asked < l.Enough {
+			if a.Asked > 0 && b.Asked > 0 && v == Good {
+				v, why = TooFew, fmt.Sprintf("%s: %d and %d requests, %d are enough", class, a.Asked, b.Asked, l.Enough)
+			}
+			continue
+		}
+		seen = true
+		for _, part := range []struct {
+			name string
+			a, b uint64
+		}{{"failed", a.Failed, b.Failed}, {"late", a.Late, b.Late}} {
+			p, q := float64(part.a)/float64(a.Asked), float64(part.b)/float64(b.Asked)
+			both := float64(part.a+part.b) / float64(a.Asked+b.Asked)
+			deviation := math.Sqrt(both * (1 - both) * (1/float64(a.Asked) + 1/float64(b.Asked)))
+			if p > q+l.More && p-q > l.Sure*deviation {
+				return Bad, fmt.Sprintf("%s: %.1f %% %s, and %.1f %% at the others", class, 100*p, part.name, 100*q)
+			}
+		}
+	}
+	if !seen && v == Good {
+		return TooFew, "no class has enough requests on both sides"
+	}
+	return v, why
+}
--- /dev/null
+++ b/rollout/fleet.go
@@ -0,0 +1,370 @@
+package rollout
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Op says what a command does.
+type Op string
+
+// The commands.
+const (
+	SetRules Op = "rules"    // the budget's rules
+	See      Op = "see"      // what is seen of a unit, by its agent
+	Lose     Op = "lose"     // a unit's agent is silent: the unit counts as out
+	Forget   Op = "forget"   // a unit left the fleet for good
+	Want     Op = "want"     // a permit
+	Leave    Op = "leave"    // asked at the last moment before a unit leaves
+	Return   Op = "return"   // a unit is to serve again
+	Withdraw Op = "withdraw" // what a change still waits for
+	Late     Op = "late"     // a permit's time has passed (the leader counts it)
+	Halt     Op = "halt"     // all planned work
+	Resume   Op = "resume"   // planned work
+	Begin    Op = "begin"    // a release
+	Step     Op = "move"     // of a release
+	Fail     Op = "fail"     // a unit could not be changed
+	Drain    Op = "drain"    // units are to be taken out, and stay so until restored
+	Restore  Op = "restore"  // drained units are to serve again
+	Claim    Op = "claim"    // an operator has looked after an overdue permit: it has time again
+)
+
+// Command is one entry of the fleet's log.
+type Command struct {
+	Op       Op               `msgpack:"o"`
+	By       string           `msgpack:"b,omitempty"` // who asks, for the log
+	Unit     string           `msgpack:"u,omitempty"`
+	Seen     *Unit            `msgpack:"s,omitempty"`
+	Figures  map[string]Count `msgpack:"f,omitempty"`
+	Rules    []Rule           `msgpack:"r,omitempty"`
+	Change   string           `msgpack:"c,omitempty"`
+	Token    uint64           `msgpack:"k,omitempty"`
+	Life     time.Duration    `msgpack:"l,omitempty"` // of a permit
+	Why      string           `msgpack:"w,omitempty"`
+	Units    []string         `msgpack:"n,omitempty"`
+	Version  string           `msgpack:"v,omitempty"`
+	Settings *Settings        `msgpack:"t,omitempty"`
+	Move     *Move            `msgpack:"m,omitempty"`
+}
+
+// Bounds of what one command may carry.
+const (
+	wordMost  = 200
+	unitsMost = 10_000
+	rulesMost = 100
+	notesMost = 2_000
+	plansMost = 100
+	classMost = 64
+	lifeLeast = time.Second
+	lifeMost  = 24 * time.Hour
+)
+
+// Check names what is wrong with a command, whatever the state.
+func (c *Command) Check() error {
+	for what, word := range map[string]string{"by": c.By, "unit": c.Unit, "change": c.Change, "version": c.Version} {
+		if len(word) > wordMost {
+			return fmt.Errorf("%s: %.20q... has over %d bytes", what, word, wordMost)
+		}
+	}
+	if len(c.Why) > 5*wordMost || len(c.Units) > unitsMost || len(c.Rules) > rulesMost || len(c.Figures) > classMost {
+		return errors.New("the command is too large")
+	}
+	need := func(ok bool, what string) error {
+		if !ok {
+			return fmt.Errorf("%s: %s", c.Op, what)
+		}
+		return nil
+	}
+	switch c.Op {
+	case SetRules:
+		names := map[string]bool{}
+		for i := range c.Rules {
+			if err := c.Rules[i].Check(); err != nil {
+				return err
+			}
+			if names[c.Rules[i].Name] {
+				return fmt.Errorf("rule %s: it is named twice", c.Rules[i].Name)
+			}
+			names[c.Rules[i].Name] = true
+		}
+		return nil
+	case See:
+		return need(c.Unit != "" && c.Seen != nil && c.Seen.Kind != "" && c.Seen.Capacity >= 0 && c.Seen.Load >= 0, "a unit with a kind, and capacity and load of 0 or more, are due")
+	case Lose, Forget, Claim:
+		return need(c.Unit != "", "a unit is due")
+	case Want:
+		return need(c.Unit != "" && c.Change != "" && c.Life >= lifeLeast && c.Life <= lifeMost, "a unit, a change, and a time from 1s to 24h are due")
+	case Leave, Return, Late:
+		return need(c.Unit != "" && c.Token != 0, "a unit and its permit's token are due")
+	case Withdraw:
+		return need(c.Change != "", "a change is due")
+	case Halt:
+		return need(c.Why != "", "a reason is due")
+	case Resume:
+		return nil
+	case Begin:
+		if err := need(c.Change != "" && c.Version != "" && len(c.Units) > 0 && c.Settings != nil, "a name, a version, units and settings are due"); err != nil {
+			return err
+		}
+		return c.Settings.Check()
+	case Step:
+		return need(c.Move != nil && c.Move.Plan != "", "a move of a release is due")
+	case Fail:
+		return need(c.Change != "" && c.Unit != "" && c.Why != "", "a release, a unit and a reason are due")
+	case Drain:
+		return need(c.Change != "" && len(c.Units) > 0 && c.Life >= lifeLeast && c.Life <= lifeMost, "a name, units, and a time from 1s to 24h are due")
+	case Restore:
+		return need(c.Change != "", "a drain's name is due")
+	}
+	return fmt.Errorf("there is no command %q", c.Op)
+}
+
+// Reply is what a command comes to.
+type Reply struct {
+	Error string `msgpack:"e,omitempty"` // it was refused, and why
+	Token uint64 `msgpack:"k,omitempty"` // of the permit
+	Waits bool   `msgpack:"w,omitempty"` // the ask stands, and is given a permit in its turn
+}
+
+// Note is one line of the fleet's own log: who asked what, and what came of it.
+type Note struct {
+	Seq  uint64 `msgpack:"q"`
+	By   string `msgpack:"b"`
+	What string `msgpack:"w"`
+}
+
+// Taken is a drain.
+type Taken struct {
+	Units []string      `msgpack:"u"`
+	By    string        `msgpack:"b"`
+	Life  time.Duration `msgpack:"l"`
+	Back  bool          `msgpack:"r"` // it is being restored
+}
+
+// Fleet is all that the coordinators' log builds about changes of the fleet.
+type Fleet struct {
+	Budget  *Budget                     `msgpack:"b"`
+	Plans   map[string]*Plan            `msgpack:"p"`
+	Drains  map[string]*Taken           `msgpack:"d"`
+	Lives   map[string]time.Duration    `msgpack:"l"` // of the permits, by unit
+	Figures map[string]map[string]Count `msgpack:"f"` // by unit and class, since its process began
+	Notes   []Note                      `msgpack:"n"`
+	Seq     uint64                      `msgpack:"q"`
+}
+
+// NewFleet is a fleet of which nothing is known yet.
+func NewFleet() *Fleet {
+	return &Fleet{Budget: NewBudget(), Plans: map[string]*Plan{}, Drains: map[string]*Taken{}, Lives: map[string]time.Duration{},
+		Figures: map[string]map[string]Count{}}
+}
+
+func (f *Fleet) note(by, format string, args ...any) {
+	f.Seq++
+	f.Notes = append(f.Notes, Note{f.Seq, by, fmt.Sprintf(format, args...)})
+	if len(f.Notes) > notesMost {
+		f.Notes = slices.Clone(f.Notes[len(f.Notes)-notesMost:])
+	}
+}
+
+func refusal(err error) Reply { return Reply{Error: err.Error()} }
+
+// Apply takes one command of the log in. It was checked before.
+func (f *Fleet) Apply(c Command) (r Reply) {
+	b := f.Budget
+	switch c.Op {
+	case SetRules:
+		b.Rules = c.Rules
+		f.note(c.By, "sets %d rules", len(c.Rules))
+	case See:
+		seen := *c.Seen
+		if old := b.Units[c.Unit]; old == nil {
+			f.note(c.Unit, "is there: a %s at %s that runs %s", seen.Kind, seen.Site, seen.Version)
+		} else if old.Up != seen.Up || old.Version != seen.Version {
+			f.note(c.Unit, "is seen: ready %v, runs %s", seen.Up, seen.Version)
+		}
+		b.See(c.Unit, seen)
+		f.Figures[c.Unit] = c.Figures
+	case Lose:
+		if u := b.Units[c.Unit]; u != nil && u.Up {
+			u.Up, u.Warm = false, false
+			f.note(c.Unit, "is silent: it counts as out")
+		}
+	case Forget:
+		if err := b.Forget(c.Unit); err != nil {
+			return refusal(err)
+		}
+		delete(f.Figures, c.Unit)
+		f.note(c.By, "forgets %s", c.Unit)
+	case Want:
+		p, refused := b.Want(Ask{c.Change, c.Unit})
+		if refused != nil {
+			f.Lives[c.Unit] = max(f.Lives[c.Unit], c.Life)
+			return Reply{Error: refused.Error(), Waits: slices.Contains(b.Waiting, Ask{c.Change, c.Unit})}
+		}
+		f.Lives[c.Unit] = c.Life
+		r.Token = p.Token
+	case Leave:
+		if refused := b.Leave(c.Unit, c.Token); refused != nil {
+			return refusal(refused)
+		}
+		change := b.Permits[c.Unit].Change
+		if p := f.Plans[change]; p != nil {
+			p.Began(c.Unit)
+		}
+		f.note(c.Unit, "leaves for %s", change)
+	case Return:
+		if !b.Return(c.Unit, c.Token) {
+			return Reply{Error: fmt.Sprintf("%s: token %d is no permit in force", c.Unit, c.Token)}
+		}
+		f.note(c.Unit, "is to serve again")
+	case Late:
+		if b.Late(c.Unit, c.Token) {
+			f.note(c.Unit, "its permit is overdue: planned work is halted until somebody has looked")
+		}
+	case Claim:
+		p := b.Permits[c.Unit]
+		if p == nil {
+			return Reply{Error: c.Unit + " has no permit"}
+		}
+		p.Overdue = false
+		f.note(c.By, "has looked after %s", c.Unit)
+	case Withdraw:
+		b.Withdraw(c.Change)
+	case Halt:
+		b.Halted = strings.TrimSpace(c.By + ": " + c.Why)
+		f.note(c.By, "halts planned work: %s", c.Why)
+	case Resume:
+		b.Halted = ""
+		f.note(c.By, "resumes planned work")
+	case Begin:
+		return f.begin(c)
+	case Step:
+		p := f.Plans[c.Move.Plan]
+		if p == nil {
+			return Reply{Error: fmt.Sprintf("there is no release %s", c.Move.Plan)}
+		}
+		if err := p.Take(*c.Move); err != nil {
+			return refusal(err)
+		}
+		if p.Stage == Halted || p.Stage == Backing || p.Over() {
+			b.Withdraw(p.ID)
+		}
+		f.note(c.By, "release %s is %s, wave %d of %d %s", p.ID, p.Stage, p.Wave+1, len(p.Waves), p.Why)
+	case Fail:
+		if p := f.Plans[c.Change]; p != nil {
+			p.Fail(c.Unit, c.Why)
+			if p.Stage == Halted {
+				b.Withdraw(p.ID)
+			}
+			f.note(c.Unit, "could not be changed: %s", c.Why)
+		}
+	case Drain:
+		return f.drain(c)
+	case Restore:
+		d := f.Drains[c.Change]
+		if d == nil {
+			return Reply{Error: fmt.Sprintf("there is no drain %s", c.Change)}
+		}
+		d.Back = true
+		b.Withdraw(c.Change)
+		f.note(c.By, "restores %s", c.Change)
+	}
+	f.tidy()
+	return r
+}
+
+func (f *Fleet) begin(c Command) (r Reply) {
+	if old := f.Plans[c.Change]; old != nil {
+		if old.To == c.Version && !old.Over() {
+			return r // asked again
+		}
+		return Reply{Error: fmt.Sprintf("there was a release %s already", c.Change)}
+	}
+	p, err := NewPlan(c.Change, c.Version, f.Budget, c.Units, *c.Settings)
+	if err != nil {
+		return refusal(err)
+	}
+	for _, id := range sortedKeys(f.Plans) {
+		if other := f.Plans[id]; !other.Over() {
+			if unit, both := other.Conflicts(p); both {
+				return Reply{Error: fmt.Sprintf("release %s is %s, and has %s too", id, other.Stage, unit)}
+			}
+		}
+	}
+	f.Plans[c.Change] = p
+	f.note(c.By, "begins release %s: %s on %d units in %d waves", p.ID, p.To, len(p.From), len(p.Waves))
+	return r
+}
+
+func (f *Fleet) drain(c Command) (r Reply) {
+	if f.Drains[c.Change] != nil {
+		return Reply{Error: fmt.Sprintf("there is a drain %s already", c.Change)}
+	}
+	for _, u := range c.Units {
+		if f.Budget.Units[u] == nil {
+			return Reply{Error: u + " is not known"}
+		}
+	}
+	f.Drains[c.Change] = &Taken{Units: c.Units, By: c.By, Life: c.Life}
+	f.note(c.By, "drains %s as %s", strings.Join(c.Units, ", "), c.Change)
+	for _, u := range c.Units {
+		f.Lives[u] = c.Life
+		if _, refused := f.Budget.Want(Ask{c.Change, u}); refused != nil {
+			r.Waits, r.Error = true, refused.Error()
+		}
+	}
+	return r
+}
+
+// tidy gives permits to those who wait, and forgets what is over.
+func (f *Fleet) tidy() {
+	for _, a := range f.Budget.Give() {
+		f.note(a.Unit, "may leave for %s", a.Change)
+	}
+	for _, id := range sortedKeys(f.Drains) {
+		d := f.Drains[id]
+		if d.Back && !slices.ContainsFunc(d.Units, func(u string) bool { p := f.Budget.Permits[u]; return p != nil && p.Change == id }) {
+			delete(f.Drains, id)
+		}
+	}
+	for over := 0; len(f.Plans) > plansMost && over < len(f.Plans); over++ {
+		for _, id := range sortedKeys(f.Plans) {
+			if f.Plans[id].Over() {
+				delete(f.Plans, id)
+				break
+			}
+		}
+	}
+}
+
+// Task is what a unit's agent is to do now.
+type Task struct {
+	Change  string // release or drain; empty: nothing
+	Version string // to run; empty: to be out
+	Restore bool   // to serve again, after a drain
+}
+
+// Task tells what follows from the log for one unit.
+func (f *Fleet) Task(unit string) (t Task) {
+	for _, id := range sortedKeys(f.Drains) {
+		d := f.Drains[id]
+		if slices.Contains(d.Units, unit) {
+			p := f.Budget.Permits[unit]
+			switch {
+			case p != nil && p.Change == id && d.Back:
+				return Task{Change: id, Restore: true}
+			case !d.Back:
+				return Task{Change: id}
+			}
+		}
+	}
+	for _, id := range sortedKeys(f.Plans) {
+		if v, ok := f.Plans[id].Due(f.Budget, unit); ok {
+			return Task{Change: id, Version: v}
+		}
+	}
+	return t
+}
--- /dev/null
+++ b/rollout/rollout_test.go
@@ -0,0 +1,140 @@
+package rollout
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+func fleetOf(t *testing.T, n int, rules ...Rule) *Fleet {
+	t.Helper()
+	f := NewFleet()
+	apply(t, f, Command{Op: SetRules, Rules: rules}, "")
+	for i := range n {
+		apply(t, f, Command{Op: See, Unit: fmt.Sprintf("g%d", i), Seen: &Unit{Kind: "gateway", Site: []string{"east", "west"}[i%2], Capacity: 10, Load: 5, Version: "1", Up: true, Warm: true}}, "")
+	}
+	return f
+}
+
+func apply(t *testing.T, f *Fleet, c Command, refused string) Reply {
+	t.Helper()
+	if err := c.Check(); err != nil {
+		t.Fatal(err)
+	}
+	r := f.Apply(c)
+	if (r.Error == "") != (refused == "") || !strings.Contains(r.Error, refused) {
+		t.Errorf("%s of %s%s: %q, want %q", c.Op, c.Unit, c.Change, r.Error, refused)
+	}
+	return r
+}
+
+func TestARefusalNamesTheRuleAndWhoUsesIt(t *testing.T) {
+	f := fleetOf(t, 10, Rule{Name: "tenth", Kind: "gateway", Share: 0.1}, Rule{Name: "sites", Site: "*", Spare: 1.6})
+	life := time.Minute
+	first := apply(t, f, Command{Op: Want, Unit: "g1", Change: "r", Life: life}, "")
+	if again := apply(t, f, Command{Op: Want, Unit: "g1", Change: "r", Life: life}, ""); again.Token != first.Token {
+		t.Errorf("asked twice: permits %d and %d", first.Token, again.Token)
+	}
+	apply(t, f, Command{Op: Want, Unit: "g1", Change: "other", Life: life}, "g1 is out already; out are: g1 (r)")
+	if r := apply(t, f, Command{Op: Want, Unit: "g2", Change: "r", Life: life}, "rule tenth: at most 1 of 10 may be out; out are: g1 (r)"); !r.Waits {
+		t.Error("an ask that is refused for want of room does not wait")
+	}
+	apply(t, f, Command{Op: Return, Unit: "g1", Token: first.Token + 1}, "no permit in force")
+	apply(t, f, Command{Op: Late, Unit: "g1", Token: first.Token}, "")
+	apply(t, f, Command{Op: Want, Unit: "g2", Change: "r", Life: life}, "overdue")
+	apply(t, f, Command{Op: Claim, Unit: "g1"}, "")
+	apply(t, f, Command{Op: Halt, By: "ito", Why: "the final"}, "")
+	apply(t, f, Command{Op: Leave, Unit: "g1", Token: first.Token}, "halted: ito: the final")
+	apply(t, f, Command{Op: Resume}, "")
+	apply(t, f, Command{Op: Leave, Unit: "g1", Token: first.Token}, "")
+	apply(t, f, Command{Op: Return, Unit: "g1", Token: first.Token}, "")
+	if f.Budget.Permits["g1"] == nil {
+		t.Error("a permit ended because somebody said so")
+	}
+	g1 := *f.Budget.Units["g1"]
+	apply(t, f, Command{Op: See, Unit: "g1", Seen: &g1}, "")
+	if p := f.Budget.Permits["g2"]; p == nil || f.Budget.Permits["g1"] != nil {
+		t.Error("seen back, and the next in the queue has no permit")
+	}
+	// What would stay at a site has to be enough: 4 of 5 can serve 40, and 25 x 1.7 is 42.
+	f = fleetOf(t, 10, Rule{Name: "sites", Site: "*", Spare: 1.7})
+	apply(t, f, Command{Op: Want, Unit: "g1", Change: "r", Life: life}, "rule sites: what would stay in west can serve 40 a second")
+	// A unit that no rule speaks of may not leave, and neither may any without rules.
+	f = fleetOf(t, 2, Rule{Name: "tables", Kind: "table", Most: 1})
+	apply(t, f, Command{Op: Want, Unit: "g1", Change: "r", Life: life}, "no rule of the budget speaks of g1")
+	apply(t, f, Command{Op: Want, Unit: "g9", Change: "r", Life: life}, "g9 is not known")
+}
+
+// An ask that lacks room keeps those behind it from that room, and from no other.
+func TestSmallChangesStarveNobody(t *testing.T) {
+	f := fleetOf(t, 4, Rule{Name: "all", Most: 3}, Rule{Name: "east", Site: "east", Most: 1}, Rule{Name: "west", Site: "west", Most: 3})
+	life := time.Minute
+	apply(t, f, Command{Op: Want, Unit: "g0", Change: "a", Life: life}, "")
+	apply(t, f, Command{Op: Want, Unit: "g2", Change: "b", Life: life}, "rule east") // lacks room in the east, not of all
+	g1 := apply(t, f, Command{Op: Want, Unit: "g1", Change: "c", Life: life}, "")
+	apply(t, f, Command{Op: Want, Unit: "g3", Change: "c", Life: life}, "")
+	apply(t, f, Command{Op: Return, Unit: "g1", Token: g1.Token}, "")
+	apply(t, f, Command{Op: See, Unit: "g1", Seen: &Unit{Kind: "gateway", Site: "west", Up: true, Warm: true}}, "")
+	if len(f.Budget.Waiting) != 1 || f.Budget.Waiting[0].Unit != "g2" {
+		t.Errorf("waiting: %v", f.Budget.Waiting)
+	}
+}
+
+func TestTwoReleasesConflictAndSayWithWhat(t *testing.T) {
+	f := fleetOf(t, 4, Rule{Name: "one", Most: 1})
+	s := DefaultSettings
+	apply(t, f, Command{Op: Begin, Change: "r1", Version: "2", Units: []string{"g0", "g1"}, Settings: &s}, "")
+	apply(t, f, Command{Op: Begin, Change: "r1", Version: "2", Units: []string{"g0", "g1"}, Settings: &s}, "")
+	apply(t, f, Command{Op: Begin, Change: "r2", Version: "3", Units: []string{"g1", "g2"}, Settings: &s}, "release r1 is going, and has g1 too")
+	apply(t, f, Command{Op: Begin, Change: "r3", Version: "3", Units: []string{"g2", "g2"}, Settings: &s}, "named twice")
+	apply(t, f, Command{Op: Begin, Change: "r3", Version: "3", Units: []string{"g2"}, Settings: &s}, "")
+	// Of two conductors the later one's moves count, and a move from what is not so any more never.
+	going := Move{Plan: "r1", Stage: Going, To: Looking}
+	later, earlier := going, going
+	later.Token, earlier.Token = 9, 8
+	apply(t, f, Command{Op: Step, Move: &later}, "")
+	apply(t, f, Command{Op: Step, Move: &earlier}, "overtaken by 9")
+	apply(t, f, Command{Op: Step, Move: &later}, "not going in wave 1")
+	if got := fmt.Sprint(Waves([]string{"a1", "a2", "a3", "b1", "b2", "b3"}, func(u string) string { return u[:1] }, 1, 2)); got != "[[a1] [b1 a2] [b2 a3 b3]]" {
+		t.Errorf("waves %s", got)
+	}
+}
+
+func TestJudgedOnEnoughRequestsByClass(t *testing.T) {
+	l := DefaultLimits
+	one := func(asked, failed, late uint64) map[string]Count {
+		return map[string]Count{"move": {asked, failed, late}, "view": {1000, 10, 10}}
+	}
+	for _, c := range []struct {
+		name            string
+		changed, others map[string]Count
+		want            Verdict
+	}{
+		{"alike", one(1000, 10, 50), one(9000, 90, 450), Good},
+		{"one class fails", one(1000, 80, 50), one(9000, 90, 450), Bad},
+		{"one class is late", one(1000, 10, 150), one(9000, 90, 450), Bad},
+		{"a little more, within chance", one(200, 4, 0), one(9000, 90, 0), Good},
+		{"too few to tell", one(50, 50, 0), one(9000, 90, 450), TooFew},
+		{"too few of one class, another is worse", map[string]Count{"move": {10, 10, 0}, "view": {1000, 100, 0}}, one(9000, 90, 0), Bad},
+		{"nothing at all", nil, nil, TooFew},
+		{"better", one(1000, 0, 0), one(9000, 900, 900), Good},
+	} {
+		if v, why := l.Judge(c.changed, c.others); v != c.want {
+			t.Errorf("%s: %d (%s), want %d", c.name, v, why, c.want)
+		}
+	}
+}
+
+func TestCommandsAreChecked(t *testing.T) {
+	for _, c := range []Command{
+		{}, {Op: "x"}, {Op: See, Unit: "a"}, {Op: See, Unit: "a", Seen: &Unit{Kind: "g", Load: -1}}, {Op: Want, Unit: "a", Change: "c"},
+		{Op: Want, Unit: strings.Repeat("a", 300), Change: "c", Life: time.Minute}, {Op: Leave, Unit: "a"}, {Op: Halt}, {Op: Step},
+		{Op: Begin, Change: "r", Version: "2", Units: []string{"a"}, Settings: &Settings{}}, {Op: Drain, Change: "d", Units: []string{"a"}, Life: time.Millisecond},
+		{Op: SetRules, Rules: []Rule{{Name: "a"}}}, {Op: SetRules, Rules: []Rule{{Name: "a", Most: 1}, {Name: "a", Most: 1}}}, {Op: SetRules, Rules: []Rule{{Name: "a", Share: 1}}},
+	} {
+		if c.Check() == nil {
+			t.Errorf("%+v was taken", c)
+		}
+	}
+}
