Release versions by waves under a budget in the coordinators' log, with agents and conductors

Need: a release has to go on whichever conductor dies, never with too many out, and back when a version is bad.

The coordinators keep rollout.Fleet in their log (Change, Fleet); junctionring agent replaces a gateway's process under a permit, new beside old, and keeps the old one when the new one fails; fleet conductor moves plans on under a lease.

Four bad versions (never ready, crashes after 0.7 s, fails moves, wrong checksum): each halted with its reason and back; 1, 1, 1 and 0 gateways saw it.

--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -23,7 +23,8 @@
 	var cli struct {
 		Coordinator coordinatorCommand `cmd:"" help:"Run a coordinator, or look after the group of them."`
 		Lease       leaseCommand       `cmd:"" help:"List, hold and take away leases."`
-		Fleet       fleetCommand       `cmd:"" help:"Who is there."`
+		Fleet       fleetCommand       `cmd:"" help:"Who is there, releases, and the budget that holds them."`
+		Agent       agentCommand       `cmd:"" help:"Stand beside one gateway: keep it at work, and replace it under a permit."`
 		Log         string             `default:"text" enum:"text,json" help:"Form of the log: text or json."`
 	}
 	name := "fleet"
--- a/cmd/fleet/members.go
+++ b/cmd/fleet/members.go
@@ -16,6 +16,14 @@
 type fleetCommand struct {
 	Members  membersCommand  `cmd:"" help:"Show who is there, and with --watch each change."`
 	Register registerCommand `cmd:"" help:"Keep one member in that list, from a process beside it."`
+
+	Status    statusFleetCommand  `cmd:"" help:"Units, permits, releases and drains."`
+	Budget    budgetCommand       `cmd:"" help:"Show the budget's rules and their use, or set them."`
+	Release   releaseFleetCommand `cmd:"" help:"Begin, halt, resume or take back a release."`
+	Halt      haltAllCommand      `cmd:"" help:"Halt all planned work, or end the halt."`
+	Claim     claimCommand        `cmd:"" help:"Say that somebody has looked after an overdue permit."`
+	Forget    forgetCommand       `cmd:"" help:"A unit has left the fleet for good."`
+	Conductor conductorCommand    `cmd:"" help:"Conduct releases, under a lease."`
 }
 
 type membersCommand struct {
--- a/cmd/junctionring/main.go
+++ b/cmd/junctionring/main.go
@@ -67,7 +67,8 @@
 
 		Coordinator beside `cmd:"" passthrough:"" help:"Run a coordinator, or look after the group of them."`
 		Lease       beside `cmd:"" passthrough:"" help:"List, hold and take away leases."`
-		Fleet       beside `cmd:"" passthrough:"" help:"Who is there."`
+		Fleet       beside `cmd:"" passthrough:"" help:"Who is there, releases, and the budget that holds them."`
+		Agent       beside `cmd:"" passthrough:"" help:"Stand beside one gateway, and replace it under a permit."`
 	}
 	k := kong.Parse(&cli, kong.Name("junctionring"), kong.Description("A quota-keeping gateway."))
 	k.FatalIfErrorf(k.Run(k))
--- /dev/null
+++ b/internal/agent/release_test.go
@@ -0,0 +1,332 @@
+package agent
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"junctionring/internal/conductor"
+	"junctionring/internal/coordinator"
+	"junctionring/internal/leaseholder"
+	"junctionring/lease"
+	"junctionring/rollout"
+)
+
+func TestMain(m *testing.M) {
+	if version := os.Getenv("JUNCTIONRING_VERSION"); version != "" {
+		gateway(version)
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// gateway is a stand-in for the gateway's program: its versions fail in the ways that releases fail.
+func gateway(version string) {
+	note := func(what string) {
+		f, _ := os.OpenFile(os.Getenv("TEST_RECORD"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+		fmt.Fprintf(f, "%d %s %s %s\n", time.Now().UnixNano(), os.Getenv("TEST_NAME"), version, what)
+		f.Close()
+	}
+	note("start")
+	begun := time.Now()
+	term := make(chan os.Signal, 1)
+	signal.Notify(term, syscall.SIGTERM)
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /api/ready", func(w http.ResponseWriter, r *http.Request) {
+		if version == "never-ready" {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	mux.HandleFunc("GET /api/telemetry", func(w http.ResponseWriter, r *http.Request) {
+		n := time.Since(begun).Milliseconds() / 2
+		bad := n / 50
+		if version == "fails-moves" {
+			bad = n / 3
+		}
+		fmt.Fprintf(w, "svc.replies.move-submit.success:%d|c\nsvc.replies.move-submit.error:%d|c\nsvc.replies.table-view.success:%d|c\nsvc.concurrent:3|g\n", n-bad, bad, n)
+	})
+	l, err := net.Listen("tcp", os.Getenv("EDGE_MANAGEMENT"))
+	if err != nil {
+		note(err.Error())
+		os.Exit(1)
+	}
+	go http.Serve(l, mux)
+	if version == "crashes" {
+		time.AfterFunc(700*time.Millisecond, func() { note("crash"); os.Exit(2) })
+	}
+	<-term
+	note("end")
+}
+
+// fleet is three coordinators' worth of what a release needs: a group, agents, gateways, conductors.
+type fleet struct {
+	t       *testing.T
+	ctx     context.Context
+	at      []string
+	dir     string
+	record  string
+	configs []*Config
+	group   func()
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+const gateways = 4
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	f := &fleet{t: t, ctx: ctx, dir: t.TempDir()}
+	f.record = filepath.Join(f.dir, "record")
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range []string{"1", "2", "never-ready", "crashes", "fails-moves", "spoilt"} {
+		dir := filepath.Join(f.dir, "versions", v)
+		if err := os.MkdirAll(dir, 0o755); err != nil {
+			t.Fatal(err)
+		}
+		script := fmt.Sprintf("#!/bin/sh\n# version %s\nexec %q\n", v, self)
+		sum := fmt.Sprintf("%x", sha256.Sum256([]byte(script)))
+		if v == "spoilt" {
+			script += "true\n"
+		}
+		os.WriteFile(filepath.Join(dir, "SHA256"), []byte(sum+"  junctionring\n"), 0o644)
+		os.WriteFile(filepath.Join(dir, "junctionring"), []byte(script), 0o755)
+	}
+	f.coordinators()
+	var all sync.WaitGroup
+	agents, stop := context.WithCancel(ctx)
+	for i := range gateways {
+		path := filepath.Join(f.dir, fmt.Sprintf("g%d.toml", i))
+		text := fmt.Sprintf(`name = "g%d"
+site = "s%d"
+coordinators = [%q]
+life = "3s"
+state = "g%d.state"
+[program]
+versions = "versions"
+version = "1"
+args = []
+management = [%q, %q]
+ready_within = "1500ms"
+drain = "2s"
+learn = "100ms"
+env = { TEST_RECORD = %q, TEST_NAME = "g%d" }
+`, i, i%2, f.at[0], i, freeAddress(t), freeAddress(t), f.record, i)
+		if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		c, err := LoadConfig(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.configs = append(f.configs, c)
+		all.Go(func() {
+			if err := New(c, slog.New(slog.DiscardHandler)).Run(agents); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	t.Cleanup(func() {
+		stop()
+		all.Wait()
+		for _, c := range f.configs { // the gateways go on without their agents
+			if r, ok, _ := loadRunning(c.State); ok {
+				if p := adopt(r); p != nil {
+					p.end(time.Second)
+				}
+			}
+		}
+		cancel()
+		f.group()
+	})
+	f.change(rollout.Command{Op: rollout.SetRules, Rules: []rollout.Rule{{Name: "one", Kind: "gateway", Most: 1}}})
+	f.await("all gateways serve", func(v *rollout.Fleet) bool { return f.run(v, "1") == gateways })
+	return f
+}
+
+// coordinators starts a group of one; it is stopped and started again by some tests.
+func (f *fleet) coordinators() {
+	f.t.Helper()
+	path := filepath.Join(f.dir, "c.toml")
+	if f.at == nil {
+		f.at = []string{freeAddress(f.t)}
+		if err := os.WriteFile(path, []byte(fmt.Sprintf("listen = %q\ndata = \"data\"\nlongest_life = \"3s\"\n", f.at[0])), 0o644); err != nil {
+			f.t.Fatal(err)
+		}
+	}
+	c, err := coordinator.LoadConfig(path)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if made, _ := coordinator.Made(c.Data); !made {
+		if _, err := coordinator.Init(f.ctx, c); err != nil {
+			f.t.Fatal(err)
+		}
+	}
+	ctx, end := context.WithCancel(context.Background())
+	ready, ended := make(chan struct{}), make(chan error, 1)
+	go func() {
+		ended <- coordinator.Serve(ctx, coordinator.Options{Config: c, Log: slog.New(slog.DiscardHandler)}, func(string) { close(ready) })
+	}()
+	<-ready
+	f.group = func() { end(); <-ended }
+}
+
+// conduct starts a conductor.
+func (f *fleet) conduct(stop func(rollout.Move)) (end func()) {
+	f.t.Helper()
+	ctx, cancel := context.WithCancel(f.ctx)
+	client, err := leaseholder.Start(ctx, leaseholder.Options{Coordinators: f.at, Life: 2 * time.Second, Member: lease.Member{Kind: "conductor", Name: "test"}})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		(&conductor.Conductor{Client: client, Coordinators: f.at, Log: slog.New(slog.DiscardHandler), Stop: stop}).Run(ctx)
+	}()
+	end = func() { cancel(); <-done }
+	f.t.Cleanup(end)
+	return end
+}
+
+func (f *fleet) change(c rollout.Command) {
+	f.t.Helper()
+	if r, err := coordinator.Change(f.ctx, f.at, c); err != nil || r.Error != "" {
+		f.t.Fatalf("%s: %s %v", c.Op, r.Error, err)
+	}
+}
+
+func (f *fleet) release(to string, back bool) {
+	f.t.Helper()
+	s := rollout.Settings{Canary: 1, Growth: 3, Pause: 500 * time.Millisecond, Patience: 20 * time.Second, Limits: rollout.DefaultLimits, GoBack: back}
+	f.change(rollout.Command{Op: rollout.Begin, Change: "r", Version: to, Units: []string{"g0", "g1", "g2", "g3"}, Settings: &s})
+}
+
+func (f *fleet) await(what string, so func(*rollout.Fleet) bool) *rollout.Fleet {
+	f.t.Helper()
+	for {
+		v, err := coordinator.View(f.ctx, f.at, 0)
+		if err == nil && so(v) {
+			return v
+		}
+		select {
+		case <-f.ctx.Done():
+			f.t.Fatalf("never: %s: %+v %v", what, v, err)
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// run counts the gateways that serve with a version.
+func (f *fleet) run(v *rollout.Fleet, version string) (n int) {
+	for _, u := range v.Budget.Units {
+		if u.Version == version && u.Up && u.Warm {
+			n++
+		}
+	}
+	return n
+}
+
+// judge reads the gateways' own record: how many were being replaced at once at the most, and how many ran a version.
+func (f *fleet) judge(version string) (atOnce, ran int) {
+	text, err := os.ReadFile(f.record)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	procs, ranOn, under := map[string]int{}, map[string]bool{}, 0
+	for _, line := range strings.Split(strings.TrimSpace(string(text)), "\n") {
+		w := strings.Fields(line)
+		name, v, what := w[1], w[2], w[3]
+		if v == version {
+			ranOn[name] = true
+		}
+		switch what {
+		case "start":
+			if procs[name]++; procs[name] == 2 {
+				under++
+			}
+		case "end", "crash":
+			if procs[name]--; procs[name] == 1 {
+				under--
+			}
+		}
+		atOnce = max(atOnce, under)
+	}
+	return atOnce, len(ranOn)
+}
+
+func TestAGoodReleaseGoesThroughWhateverDies(t *testing.T) {
+	f := newFleet(t)
+	moves, over := make(chan rollout.Move), make(chan struct{})
+	defer close(over)
+	first := f.conduct(func(m rollout.Move) {
+		select {
+		case moves <- m:
+			<-over // it is stopped before its move, and goes on when all is over
+		case <-over:
+		}
+	})
+	f.release("2", false)
+	<-moves // one conductor stands still with a move in its hand; its lease passes on when its session ends
+	go first()
+	f.conduct(nil)
+	f.await("the canary is changed", func(v *rollout.Fleet) bool { return f.run(v, "2") >= 1 })
+	f.group() // all coordinators gone for a while, with permits out
+	time.Sleep(time.Second)
+	f.coordinators()
+	v := f.await("the release is done", func(v *rollout.Fleet) bool { return v.Plans["r"].Over() })
+	if p := v.Plans["r"]; p.Stage != rollout.Done || f.run(v, "2") < gateways-1 {
+		t.Errorf("%s (%s), %d run it", p.Stage, p.Why, f.run(v, "2"))
+	}
+	if atOnce, ran := f.judge("2"); atOnce > 1 || ran != gateways {
+		t.Errorf("%d were replaced at once, %d ran it", atOnce, ran)
+	}
+}
+
+func TestBadReleasesHaltAndGoBack(t *testing.T) {
+	for _, c := range []struct{ version, why string }{
+		{"never-ready", "was not ready within"},
+		{"crashes", "not seen ready"},
+		{"fails-moves", "move-submit"},
+		{"spoilt", "checksum"},
+	} {
+		t.Run(c.version, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			f.conduct(nil)
+			f.release(c.version, true)
+			v := f.await("the release is over", func(v *rollout.Fleet) bool { return v.Plans["r"].Over() && f.run(v, "1") == gateways })
+			p := v.Plans["r"]
+			if p.Stage != rollout.Undone || !strings.Contains(p.Why, c.why) {
+				t.Errorf("%s: %q", p.Stage, p.Why)
+			}
+			atOnce, ran := f.judge(c.version)
+			if want := map[bool]int{true: 0, false: 1}[c.version == "spoilt"]; ran != want || atOnce > 1 {
+				t.Errorf("%d gateways saw it, want %d; %d replaced at once", ran, want, atOnce)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/coordinator/fleet.go
@@ -0,0 +1,91 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"slices"
+
+	"go.etcd.io/raft/v3"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"junctionring/internal/coordinator/leasepb"
+	"junctionring/internal/leaseholder"
+	"junctionring/rollout"
+)
+
+// Change implements the service: one command of the fleet, answered once it is in the log.
+func (s service) Change(ctx context.Context, in *leasepb.FleetCommand) (out *leasepb.FleetReply, err error) {
+	var c rollout.Command
+	if err := decode(in.Command, &c); err != nil {
+		return nil, status.Errorf(codes.InvalidArgument, "the command can't be read: %v", err)
+	}
+	if err := c.Check(); err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	if c.Op == rollout.Late || c.Op == rollout.Lose {
+		return nil, status.Errorf(codes.InvalidArgument, "%s is the coordinators' own word", c.Op)
+	}
+	err = s.do(ctx, func(n *Node, done func(error)) {
+		switch {
+		case n.watch == nil:
+			done(errNotLeading)
+			return
+		case len(n.rolls) >= n.c.Bounds.Asks:
+			done(status.Errorf(codes.ResourceExhausted, "too many changes are under way: come back in %v", busyPause))
+			return
+		}
+		n.roll(c, func(r rollout.Reply, err error) {
+			if errors.Is(err, raft.ErrProposalDropped) {
+				err = status.Errorf(codes.ResourceExhausted, "the log is behind: come back in %v", busyPause)
+			}
+			out = &leasepb.FleetReply{Error: r.Error, Token: r.Token, Waits: r.Waits}
+			done(err)
+		})
+	})
+	return out, err
+}
+
+// Fleet implements the service: all that is known of units, permits, releases and drains, as it stands now.
+func (s service) Fleet(ctx context.Context, a *leasepb.FleetAsk) (out *leasepb.FleetView, err error) {
+	return out, s.leading(ctx, func(n *Node) error {
+		view := *n.g.Fleet
+		from := slices.IndexFunc(view.Notes, func(note rollout.Note) bool { return note.Seq > a.Seq })
+		if view.Notes = nil; from >= 0 {
+			view.Notes = n.g.Fleet.Notes[from:]
+		}
+		out = &leasepb.FleetView{Fleet: encode(&view)}
+		return nil
+	})
+}
+
+// Change makes one change of the fleet wherever the group is led. A lost answer is asked for again: every command may
+// be said twice.
+func Change(ctx context.Context, coordinators []string, c rollout.Command) (rollout.Reply, error) {
+	if err := c.Check(); err != nil {
+		return rollout.Reply{}, err
+	}
+	raw := encode(c)
+	out, err := leaseholder.Ask(ctx, coordinators, func(ctx context.Context, to leasepb.LeasesClient) (*leasepb.FleetReply, error) {
+		return to.Change(ctx, &leasepb.FleetCommand{Command: raw}, leaseholder.Trailer(ctx))
+	})
+	if err != nil {
+		return rollout.Reply{}, err
+	}
+	return rollout.Reply{Error: out.Error, Token: out.Token, Waits: out.Waits}, nil
+}
+
+// View fetches what is known of the fleet's changes, with the notes after one.
+func View(ctx context.Context, coordinators []string, after uint64) (*rollout.Fleet, error) {
+	out, err := leaseholder.Ask(ctx, coordinators, func(ctx context.Context, to leasepb.LeasesClient) (*leasepb.FleetView, error) {
+		return to.Fleet(ctx, &leasepb.FleetAsk{Seq: after}, leaseholder.Trailer(ctx))
+	})
+	if err != nil {
+		return nil, err
+	}
+	f := rollout.NewFleet()
+	if err := decode(out.Fleet, f); err != nil {
+		return nil, err
+	}
+	return f, nil
+}
--- a/internal/coordinator/group.go
+++ b/internal/coordinator/group.go
@@ -10,6 +10,7 @@
 	"go.etcd.io/raft/v3/raftpb"
 
 	"junctionring/lease"
+	"junctionring/rollout"
 )
 
 // Peer is one coordinator of the group, as the log knows it.
@@ -25,17 +26,19 @@
 	State *lease.State    `msgpack:"s"`
 	Peers map[uint64]Peer `msgpack:"p"`
 	Next  uint64          `msgpack:"n"` // number of the next coordinator; none is ever given twice
+	Fleet *rollout.Fleet  `msgpack:"f"` // releases, drains, and the budget that holds them
 }
 
 // entry is one entry of the log: a command, or that a coordinator was met for the first time.
 type entry struct {
-	ID   uint64         `msgpack:"i"` // of the proposal, at its proposer
-	Cmd  *lease.Command `msgpack:"c,omitempty"`
-	Meet *Peer          `msgpack:"m,omitempty"`
+	ID   uint64           `msgpack:"i"` // of the proposal, at its proposer
+	Cmd  *lease.Command   `msgpack:"c,omitempty"`
+	Meet *Peer            `msgpack:"m,omitempty"`
+	Roll *rollout.Command `msgpack:"r,omitempty"`
 }
 
 func newGroup() *group {
-	return &group{State: lease.NewState(), Peers: map[uint64]Peer{}, Next: 1}
+	return &group{State: lease.NewState(), Peers: map[uint64]Peer{}, Next: 1, Fleet: rollout.NewFleet()}
 }
 
 func encode(v any) []byte {
@@ -65,7 +68,7 @@
 	if err := decode(b, g); err != nil {
 		return nil, fmt.Errorf("the snapshot can't be read: %w", err)
 	}
-	if g.State == nil || g.State.Sessions == nil || g.State.Leases == nil || g.Peers == nil {
+	if g.State == nil || g.State.Sessions == nil || g.State.Leases == nil || g.Peers == nil || g.Fleet == nil || g.Fleet.Budget == nil {
 		return nil, fmt.Errorf("the snapshot is not whole")
 	}
 	return g, nil
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -21,18 +21,23 @@
 	"google.golang.org/protobuf/proto"
 
 	"junctionring/lease"
+	"junctionring/rollout"
 )
 
 const (
-	tickEvery   = 50 * time.Millisecond
-	electAfter  = 10 // ticks without a leader
-	urgentRoom  = 4096
-	asksRoom    = 1024
-	urgentBatch = 1024 // taken in before the disk is written once
-	asksBatch   = 256
-	lagToVote   = 64 // entries by which a joiner may be behind when it is given its vote
+	tickEvery    = 50 * time.Millisecond
+	electAfter   = 10 // ticks without a leader
+	urgentRoom   = 4096
+	asksRoom     = 1024
+	urgentBatch  = 1024 // taken in before the disk is written once
+	asksBatch    = 256
+	overdueAgain = time.Second // after a Late that may have been lost
+	lagToVote    = 64          // entries by which a joiner may be behind when it is given its vote
 )
 
+// AgentKind is the kind of the members that speak for units: an agent's name is its unit's.
+const AgentKind = "agent"
+
 var errNotLeading = errors.New("this coordinator does not lead")
 
 // Options start a coordinator.
@@ -77,6 +82,8 @@
 	streams   map[string]*stream // by session
 	watchers  map[*watcher]struct{}
 	meeting   map[uint64]bool
+	lates     map[string]late // when the permits of units are overdue
+	rolls     map[uint64]func(rollout.Reply, error)
 	changing  bool
 	joined    uint64 // index at which a coordinator last joined: raft turns down a snapshot that doesn't name its reader
 	awaited   []awaited
@@ -89,6 +96,12 @@
 	then func(error)
 }
 
+// late is when a permit's time has passed, as this leader counts from its start or the permit's.
+type late struct {
+	token uint64
+	at    time.Duration
+}
+
 // read waits until this coordinator has made sure that it leads.
 type read func(err error)
 
@@ -129,7 +142,7 @@
 		c: o.Config, id: id, clock: o.Clock, via: o.Via, full: o.Full, log: o.Log.With("coordinator", id.Name), disk: d, g: newGroup(), conf: &raftpb.ConfState{},
 		urgent: make(chan any, urgentRoom), asks: make(chan any, asksRoom), ended: make(chan struct{}),
 		pending: map[uint64]func(lease.Effect, error){}, reads: map[uint64][]read{}, streams: map[string]*stream{},
-		watchers: map[*watcher]struct{}{}, meeting: map[uint64]bool{}, proposals: rand.Uint64(), round: rand.Uint64(),
+		watchers: map[*watcher]struct{}{}, meeting: map[uint64]bool{}, lates: map[string]late{}, rolls: map[uint64]func(rollout.Reply, error){}, proposals: rand.Uint64(), round: rand.Uint64(),
 	}
 	if n.clock == nil {
 		begun := time.Now()
@@ -312,9 +325,47 @@
 	for _, c := range n.watch.Due(n.clock(), n.g.State) {
 		n.propose(c, nil)
 	}
+	n.overdue()
 	n.promote()
 }
 
+// overdue proposes what the permits' times call for. A permit that waited has its time from when it was given; after
+// a change of leader every one has its whole time again.
+func (n *Node) overdue() {
+	f := n.g.Fleet
+	for unit, p := range f.Budget.Permits {
+		l, counted := n.lates[unit]
+		if !counted || l.token != p.Token {
+			n.lates[unit] = late{p.Token, n.clock() + f.Lives[unit]}
+		} else if p.Overdue || p.Returned && f.Budget.Units[unit] == nil {
+			continue
+		} else if n.clock() >= l.at {
+			n.lates[unit] = late{p.Token, n.clock() + overdueAgain}
+			n.roll(rollout.Command{Op: rollout.Late, Unit: unit, Token: p.Token}, nil)
+		}
+	}
+	for unit := range n.lates {
+		if f.Budget.Permits[unit] == nil {
+			delete(n.lates, unit)
+		}
+	}
+}
+
+// roll puts a command of the fleet on its way to the log; then is called as with propose.
+func (n *Node) roll(c rollout.Command, then func(rollout.Reply, error)) {
+	n.proposals++
+	id := n.proposals
+	if err := n.raft.Propose(encode(entry{ID: id, Roll: &c})); err != nil {
+		if then != nil {
+			then(rollout.Reply{}, err)
+		}
+		return
+	}
+	if then != nil {
+		n.rolls[id] = then
+	}
+}
+
 // promote gives a joiner that has caught up its vote.
 func (n *Node) promote() {
 	if n.changing || len(n.conf.GetLearners()) == 0 {
@@ -469,6 +520,12 @@
 	for _, then := range pending {
 		then(lease.Effect{}, errNotLeading)
 	}
+	rolls := n.rolls
+	n.rolls = map[uint64]func(rollout.Reply, error){}
+	clear(n.lates)
+	for _, then := range rolls {
+		then(rollout.Reply{}, errNotLeading)
+	}
 	for _, r := range reads {
 		r(errNotLeading)
 	}
@@ -524,6 +581,13 @@
 		if x.Cmd != nil {
 			n.command(x)
 		}
+		if x.Roll != nil {
+			r := n.g.Fleet.Apply(*x.Roll)
+			if then := n.rolls[x.ID]; then != nil {
+				delete(n.rolls, x.ID)
+				then(r, nil)
+			}
+		}
 	}
 	return nil
 }
@@ -557,6 +621,11 @@
 			delete(n.streams, id)
 		}
 	}
+	for _, c := range e.Changes { // without its agent a unit is out of sight
+		if (c.Kind == lease.Silent || c.Kind == lease.Left) && c.Member.Kind == AgentKind && n.g.Fleet.Budget.Units[c.Member.Name] != nil {
+			n.roll(rollout.Command{Op: rollout.Lose, Unit: c.Member.Name}, nil)
+		}
+	}
 	if len(e.Changes) > 0 {
 		for w := range n.watchers {
 			if !w.push(false, e.Changes, n.g.State.Seq) {
