--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -1,16 +1,12 @@
 package agent
 
 import (
-	"errors"
 	"fmt"
 	"net"
-	"os"
 	"path/filepath"
 	"strings"
 	"time"
 
-	"github.com/BurntSushi/toml"
-
 	"junctionring/internal/config"
 )
 
@@ -42,21 +38,9 @@
 	c.Life.Duration = 5 * time.Second
 	c.Program.Name, c.Program.Args = "junctionring", []string{"serve"}
 	c.Program.Ready.Duration, c.Program.Drain.Duration, c.Program.Learn.Duration = 10*time.Second, 6*time.Second, 4*time.Second
-	text, err := os.ReadFile(path)
-	if err != nil {
+	if err := config.ReadFile(path, c, c.check); err != nil {
 		return nil, err
 	}
-	meta, err := toml.Decode(string(text), c)
-	if err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
-	}
-	var faults []error
-	for _, key := range meta.Undecoded() {
-		faults = append(faults, fmt.Errorf("unknown key %s", key))
-	}
-	if faults = append(faults, c.check()...); len(faults) > 0 {
-		return nil, fmt.Errorf("%s: %w", path, errors.Join(faults...))
-	}
 	for _, p := range []*string{&c.State, &c.Program.Versions} {
 		if !filepath.IsAbs(*p) {
 			*p = filepath.Join(filepath.Dir(path), *p)
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -1,18 +1,14 @@
 package config
 
 import (
-	"errors"
 	"fmt"
 	"net"
 	"net/netip"
 	"net/url"
-	"os"
 	"slices"
 	"strings"
 	"time"
 
-	"github.com/BurntSushi/toml"
-
 	"junctionring/control"
 	"junctionring/internal/routes"
 	"junctionring/sites"
@@ -218,13 +214,9 @@
 
 // LoadOperator reads and checks an operator's file. An error says plainly what is wrong.
 func LoadOperator(path string) (*Operator, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return nil, err
-	}
 	o := withDefaults()
-	if err := errors.Join(o.read(text)...); err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
+	if err := ReadFile(path, o, o.check); err != nil {
+		return nil, err
 	}
 	return o, nil
 }
@@ -240,17 +232,7 @@
 }
 
 // read decodes a document over what o holds, and returns all that is wrong with the outcome.
-func (o *Operator) read(text []byte) []error {
-	meta, err := toml.Decode(string(text), o)
-	if err != nil {
-		return []error{err}
-	}
-	var faults []error
-	for _, key := range meta.Undecoded() {
-		faults = append(faults, fmt.Errorf("unknown key %s", key))
-	}
-	return append(faults, o.check()...)
-}
+func (o *Operator) read(text []byte) []error { return read(text, o, o.check) }
 
 // check returns everything that is wrong, and fills in what the module is told.
 func (o *Operator) check() (faults []error) {
--- a/internal/coordinator/config.go
+++ b/internal/coordinator/config.go
@@ -1,16 +1,12 @@
 package coordinator
 
 import (
-	"errors"
 	"fmt"
 	"net"
-	"os"
 	"path/filepath"
 	"strings"
 	"time"
 
-	"github.com/BurntSushi/toml"
-
 	"junctionring/internal/config"
 	"junctionring/lease"
 )
@@ -40,21 +36,9 @@
 	c := &Config{Name: "coordinator-1", Drift: 0.01, Entries: 10_000}
 	c.Life.Duration = 10 * time.Second
 	c.Bounds.Sessions, c.Bounds.Leases, c.Bounds.Waiters, c.Bounds.Asks = 10_000, 10_000, 1_000, 4_096
-	text, err := os.ReadFile(path)
-	if err != nil {
+	if err := config.ReadFile(path, c, c.check); err != nil {
 		return nil, err
 	}
-	meta, err := toml.Decode(string(text), c)
-	if err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
-	}
-	var faults []error
-	for _, key := range meta.Undecoded() {
-		faults = append(faults, fmt.Errorf("unknown key %s", key))
-	}
-	if faults = append(faults, c.check()...); len(faults) > 0 {
-		return nil, fmt.Errorf("%s: %w", path, errors.Join(faults...))
-	}
 	if !filepath.IsAbs(c.Data) {
 		c.Data = filepath.Join(filepath.Dir(path), c.Data)
 	}
