Count an office anew when it was lost and won between two looks; drop what nothing uses

Found in the read-over: office() told a lost office from the role alone, so a leader that lost and won it within one look would have kept the lives counted in its older term. Its term is compared now. Watch.Next, a counter and a line of hold.go were used by nothing. Checked: the tests of coordinator and leaseholder under the race detector.

--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -73,6 +73,7 @@
 	watch     *lease.Watch // nil: not in office
 	leader    uint64
 	wasLeader bool
+	term      uint64 // of its office
 	elections uint64
 	proposals uint64
 	pending   map[uint64]func(lease.Effect, error)
@@ -494,14 +495,16 @@
 		n.log.Info("leader", "is", n.g.Peers[s.Lead].Name, "term", s.GetTerm())
 	}
 	leads := s.RaftState == raft.StateLeader
-	switch {
-	case leads && !n.wasLeader:
+	if n.wasLeader && (!leads || s.GetTerm() != n.term) { // also where it lost the office and has it again
+		n.leave()
+		n.wasLeader = false
+	}
+	if leads && !n.wasLeader {
+		n.term = s.GetTerm()
 		n.propose(lease.Command{Op: lease.Lead, Term: s.GetTerm(), Epoch: uint32(time.Now().Unix())}, nil)
 		if n.g.Peers[n.id.ID].Incarnation == 0 {
 			n.take(meetPeer{Peer{ID: n.id.ID, Incarnation: n.id.Incarnation}})
 		}
-	case !leads && n.wasLeader:
-		n.leave()
 	}
 	n.wasLeader = leads
 }
--- a/internal/leaseholder/client.go
+++ b/internal/leaseholder/client.go
@@ -62,7 +62,6 @@
 	session string
 	stream  *connection
 	leases  map[string]*Lease
-	lost    int // sessions that ended by themselves
 	turn    int
 	leader  string
 	pause   *backoff.ExponentialBackOff
@@ -511,7 +510,6 @@
 				c.close()
 				return
 			}
-			c.lost++
 			c.o.Log.Warn("session over: a new one begins", "session", c.session, "cause", string(a.Cause))
 			for _, l := range c.leases {
 				if l.released != nil {
--- a/internal/leaseholder/hold.go
+++ b/internal/leaseholder/hold.go
@@ -42,9 +42,6 @@
 		return ExitNotHeld, fmt.Errorf("lease %s: not held within %v: %w", name, wait, err)
 	}
 	token, left, ok := l.Token()
-	if !ok || left < grace {
-		left = max(left, 0)
-	}
 	cmd := exec.Command(command[0], command[1:]...)
 	cmd.Stdin, cmd.Stdout, cmd.Stderr = os.Stdin, os.Stdout, os.Stderr
 	cmd.Env = append(os.Environ(), "JUNCTIONRING_LEASE="+name, "JUNCTIONRING_TOKEN="+strconv.FormatUint(token, 10),
--- a/lease/watch.go
+++ b/lease/watch.go
@@ -115,24 +115,5 @@
 	return due
 }
 
-// Next is the earliest moment at which Due may have something to say.
-func (w *Watch) Next(s *State) (at time.Duration, any bool) {
-	earliest := func(t time.Duration) {
-		if !any || t < at {
-			at, any = t, true
-		}
-	}
-	for _, end := range w.ends {
-		earliest(end)
-	}
-	for _, r := range w.revoked {
-		earliest(r.frees)
-	}
-	if s.Sealed {
-		earliest(w.unseal)
-	}
-	return at, any
-}
-
 // Left is how long a session has until its life has passed, as this leader counts.
 func (w *Watch) Left(now time.Duration, session string) time.Duration { return w.ends[session] - now }
