Tell an agent's sight only when it changed, and never hold the agent up for a word unheard

Found in the read-over of internal/agent/agent.go: tell() compared the unit before its load was filled in, so any gateway under load looked changed and was told every 200 ms, a log entry each time, instead of every 2 s. work() said a permit's return or a failure until it was heard, and so left the gateway unwatched while the coordinators were gone; its next look says it again now. say(), in the replacement's own goroutine, went round without a pause where the coordinators refuse.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -168,13 +168,13 @@
 	u := rollout.Unit{Kind: "gateway", Site: a.c.Site, Zone: a.c.Zone, Capacity: a.c.Capacity, Version: a.now.Version,
 		Instance: fmt.Sprintf("%d-%s", a.now.PID, a.now.Began), Up: a.ready && !a.busy}
 	u.Warm = u.Up && time.Since(a.since) >= a.c.Program.Learn.Duration
-	changed := u != a.told
-	if !changed && time.Since(a.toldAt) < tellEvery {
-		return
-	}
-	if u.Load = a.told.Load; time.Since(a.toldAt) >= tellEvery {
+	due := time.Since(a.toldAt) >= tellEvery
+	if u.Load = a.told.Load; due { // a load that moves is no reason to tell sooner
 		u.Load = a.rate
 	}
+	if !due && u == a.told {
+		return
+	}
 	call, done := context.WithTimeout(ctx, callWait)
 	defer done()
 	if _, err := coordinator.Change(call, a.c.Coordinators, rollout.Command{Op: rollout.See, Unit: a.c.Name, Seen: &u, Figures: maps.Clone(a.figures)}); err != nil {
@@ -196,14 +196,14 @@
 	if p := f.Budget.Permits[a.c.Name]; p != nil && !p.Returned && f.Plans[p.Change] != nil && (task.Change != p.Change || task.Version == "") {
 		// A permit of a release that doesn't want anything of this unit any more, or of an agent before that ended
 		// in the middle: the gateway serves as it is.
-		a.giveBack(ctx, p.Token)
+		coordinator.Change(call, a.c.Coordinators, a.returned(p.Token)) // where it is not heard, the next look says it again
 		return
 	}
 	if task.Change == "" || task.Version == "" || task.Version == a.now.Version {
 		return
 	}
 	if _, err := verify(a.c, task.Version); err != nil {
-		a.report(ctx, task.Change, err.Error())
+		coordinator.Change(call, a.c.Coordinators, a.failure(task.Change, err.Error()))
 		return
 	}
 	life := permitShare * (a.c.Program.Ready.Duration + a.c.Program.Drain.Duration + a.c.Program.Learn.Duration)
@@ -236,14 +236,14 @@
 	ctx := context.Background()
 	if why != "" {
 		a.done <- outcome{why: why}
-		a.report(ctx, task.Change, why)
+		a.say(ctx, a.failure(task.Change, why))
 	} else {
 		if old.alive() {
 			old.end(a.c.Program.Drain.Duration)
 		}
 		a.done <- outcome{next: next}
 	}
-	a.giveBack(ctx, permit)
+	a.say(ctx, a.returned(permit))
 }
 
 func waitReady(p *process, within time.Duration) (why string) {
@@ -262,15 +262,16 @@
 	}
 }
 
-// giveBack says that the gateway is to serve again, until that is heard. The permit ends when it is seen to.
-func (a *Agent) giveBack(ctx context.Context, permit uint64) {
-	a.say(ctx, rollout.Command{Op: rollout.Return, By: a.c.Name, Unit: a.c.Name, Token: permit})
+// returned says that the gateway is to serve again. The permit ends when it is seen to.
+func (a *Agent) returned(permit uint64) rollout.Command {
+	return rollout.Command{Op: rollout.Return, By: a.c.Name, Unit: a.c.Name, Token: permit}
 }
 
-func (a *Agent) report(ctx context.Context, change, why string) {
-	a.say(ctx, rollout.Command{Op: rollout.Fail, By: a.c.Name, Unit: a.c.Name, Change: change, Why: why})
+func (a *Agent) failure(change, why string) rollout.Command {
+	return rollout.Command{Op: rollout.Fail, By: a.c.Name, Unit: a.c.Name, Change: change, Why: why}
 }
 
+// say says something until it is heard.
 func (a *Agent) say(ctx context.Context, c rollout.Command) {
 	for ctx.Err() == nil {
 		call, done := context.WithTimeout(ctx, callWait)
@@ -279,5 +280,7 @@
 		if err == nil {
 			return
 		}
+		a.log.Warn("not heard by the coordinators", "op", c.Op, "err", err)
+		time.Sleep(askEvery)
 	}
 }
