Read off what still comes of a body that nobody wants, so its answer isn't reset

Ruled out: the plain 413 by Content-Length (Reject reads off, then net/http waits half a second before it closes) and the 409 in front of a long body (net/http does both). Left is a chunked body that turns out too long while it is passed on: Body.Close put the read deadline in the past and left it there (message.go, Close), so net/http's own reading off failed at once, it took the body for read, and closed on unread bytes: a reset, which can overtake the answer at the client.

--- a/internal/front/message.go
+++ b/internal/front/message.go
@@ -229,7 +229,10 @@
 	}
 	b.control.SetReadDeadline(past)
 	b.mu.Lock() // until it has taken that in
-	b.mu.Unlock()
+	defer b.mu.Unlock()
+	// The answer goes out now. net/http reads off a part of what still comes, and without time for that would close
+	// on unread bytes at once: a reset, which may take the answer with it.
+	b.control.SetReadDeadline(time.Now().Add(lingerFor))
 }
 
 var (
