--- a/cmd/fleet/changes.go
+++ b/cmd/fleet/changes.go
@@ -34,7 +34,7 @@
 	ctx, done := context.WithTimeout(g.ctx, r.Timeout)
 	defer done()
 	c.By = me()
-	reply, err := coordinator.Change(ctx, r.Coordinators, c)
+	reply, err := coordinator.Change(ctx, leaseholder.NewGroup(r.Coordinators...), c)
 	if err == nil && reply.Error != "" && !reply.Waits {
 		err = errors.New(reply.Error)
 	}
@@ -44,7 +44,7 @@
 func view(g *globals, r reach, after uint64) (*rollout.Fleet, error) {
 	ctx, done := context.WithTimeout(g.ctx, r.Timeout)
 	defer done()
-	return coordinator.View(ctx, r.Coordinators, after)
+	return coordinator.View(ctx, leaseholder.NewGroup(r.Coordinators...), after)
 }
 
 type agentCommand struct {
@@ -81,12 +81,13 @@
 		defer done()
 		client.Close(last)
 	}()
-	return (&conductor.Conductor{Client: client, Coordinators: c.Coordinators, Log: g.log}).Run(g.ctx)
+	return (&conductor.Conductor{Client: client, Group: leaseholder.NewGroup(c.Coordinators...), Log: g.log}).Run(g.ctx)
 }
 
 type statusFleetCommand struct {
 	reach
-	Watch  bool   `help:"Go on, and print each note of the fleet's log."`
+	Watch  bool   `help:"Go on, and print each note of the fleet's log, and releases' progress by wave."`
+	Notes  bool   `help:"Print the notes that are kept too: who asked what, and what came of it."`
 	Output string `default:"text" enum:"text,json"`
 }
 
@@ -99,7 +100,12 @@
 		return json.NewEncoder(os.Stdout).Encode(f)
 	}
 	printFleet(f)
-	newest := f.Seq
+	if c.Notes {
+		for _, n := range f.Notes {
+			fmt.Printf("%d  %s %s\n", n.Seq, n.By, n.What)
+		}
+	}
+	newest, before := f.Seq, map[string]string{}
 	for c.Watch {
 		select {
 		case <-g.ctx.Done():
@@ -114,6 +120,12 @@
 			fmt.Printf("%d  %s %s\n", n.Seq, n.By, n.What)
 			newest = n.Seq
 		}
+		for _, id := range sorted(f.Plans) {
+			if p := f.Plans[id]; !p.Over() && before[id] != progress(f, p) {
+				before[id] = progress(f, p)
+				fmt.Println("release " + id + " " + before[id])
+			}
+		}
 	}
 	return nil
 }
@@ -154,19 +166,35 @@
 	}
 	for _, id := range sorted(f.Plans) {
 		p := f.Plans[id]
-		changed := 0
-		for unit := range p.From {
-			if u := f.Budget.Units[unit]; u != nil && u.Version == p.To {
-				changed++
-			}
+		fmt.Println("release " + id + " " + progress(f, p))
+		for _, unit := range sorted(p.Failed) {
+			fmt.Printf("  %s could not be changed: %s\n", unit, p.Failed[unit])
 		}
-		fmt.Printf("release %s to %s: %s, wave %d of %d, %d of %d units run it %s\n", id, p.To, p.Stage, p.Wave+1, len(p.Waves), changed, len(p.From), p.Why)
 	}
 	for _, id := range sorted(f.Drains) {
-		fmt.Printf("drain %s by %s: %s\n", id, f.Drains[id].By, strings.Join(f.Drains[id].Units, ", "))
+		fmt.Printf("drain %s by %s: %s\n", id, f.Drains[id].By, drained(f, id))
 	}
 }
 
+// progress is how far a release has come, wave by wave.
+func progress(f *rollout.Fleet, p *rollout.Plan) string {
+	what := "to " + p.To
+	if p.Config {
+		what = "to configuration " + p.To
+	}
+	line := fmt.Sprintf("%s: %s, wave %d of %d, run it by wave:", what, p.Stage, p.Wave+1, len(p.Waves))
+	for _, wave := range p.Waves {
+		n := 0
+		for _, unit := range wave {
+			if u := f.Budget.Units[unit]; u != nil && p.Runs(u) == p.To {
+				n++
+			}
+		}
+		line += fmt.Sprintf(" %d/%d", n, len(wave))
+	}
+	return strings.TrimSpace(line + " " + p.Why)
+}
+
 func sorted[V any](m map[string]V) (keys []string) {
 	for k := range m {
 		keys = append(keys, k)
@@ -192,7 +220,8 @@
 	Pause    time.Duration `default:"30s" help:"After each wave, before it is judged."`
 	Patience time.Duration `default:"5m" help:"For enough requests to judge by, and for a unit to be back."`
 	Enough   uint64        `default:"100" help:"Requests of a class on each side before it is judged."`
-	More     float64       `default:"0.02" help:"By how much the share of failed may be above the others'."`
+	More     float64       `default:"0.02" help:"By how much the share of failed or of late may be above the others'."`
+	Config   bool          `name:"configuration" help:"VERSION is one of the configuration, not of the program."`
 	GoBack   bool          `help:"Go back by itself when a check halts it."`
 	DryRun   bool          `help:"Only print the waves and the smallest capacity left."`
 }
@@ -212,13 +241,15 @@
 	s := rollout.DefaultSettings
 	s.Canary, s.Growth, s.Pause, s.Patience, s.GoBack = c.Canary, c.Growth, c.Pause, c.Patience, c.GoBack
 	s.Limits.Enough, s.Limits.More = c.Enough, c.More
-	p, err := rollout.NewPlan(c.Name, c.Version, f.Budget, c.Units, s)
+	p, err := rollout.NewPlan(c.Name, c.Version, c.Config, f.Budget, c.Units, s)
 	if err != nil {
 		return err
 	}
 	all, load := 0.0, 0.0
 	for _, u := range f.Budget.Units {
-		all, load = all+u.Capacity, load+u.Load
+		if u.Kind == rollout.Gateways {
+			all, load = all+u.Capacity, load+u.Load
+		}
 	}
 	least := math.Inf(1)
 	for i, wave := range p.Waves {
@@ -233,7 +264,7 @@
 	if c.DryRun {
 		return nil
 	}
-	_, err = change(g, c.reach, rollout.Command{Op: rollout.Begin, Change: c.Name, Version: c.Version, Units: c.Units, Settings: &s})
+	_, err = change(g, c.reach, rollout.Command{Op: rollout.Begin, Change: c.Name, Version: c.Version, Config: c.Config, Units: c.Units, Settings: &s})
 	return err
 }
 
--- a/cmd/fleet/coordinator.go
+++ b/cmd/fleet/coordinator.go
@@ -36,7 +36,7 @@
 func at[T any](g *globals, r reach, call func(ctx context.Context, to leasepb.LeasesClient, o grpc.CallOption) (T, error)) (T, error) {
 	ctx, done := context.WithTimeout(g.ctx, r.Timeout)
 	defer done()
-	return leaseholder.Ask(ctx, r.Coordinators, func(ctx context.Context, to leasepb.LeasesClient) (T, error) {
+	return leaseholder.Ask(ctx, leaseholder.NewGroup(r.Coordinators...), func(ctx context.Context, to leasepb.LeasesClient) (T, error) {
 		return call(ctx, to, leaseholder.Trailer(ctx))
 	})
 }
@@ -168,7 +168,7 @@
 func (c snapshotCommand) Run(g *globals) error {
 	ctx, done := context.WithTimeout(g.ctx, c.Timeout)
 	defer done()
-	raw, err := leaseholder.Backup(ctx, c.Coordinators)
+	raw, err := leaseholder.Backup(ctx, leaseholder.NewGroup(c.Coordinators...))
 	if err != nil {
 		return err
 	}
--- a/cmd/fleet/members.go
+++ b/cmd/fleet/members.go
@@ -21,9 +21,12 @@
 	Budget    budgetCommand       `cmd:"" help:"Show the budget's rules and their use, or set them."`
 	Release   releaseFleetCommand `cmd:"" help:"Begin, halt, resume or take back a release."`
 	Halt      haltAllCommand      `cmd:"" help:"Halt all planned work, or end the halt."`
+	Drain     drainCommand        `cmd:"" help:"Take table servers or gateways out, under the budget, until they are restored."`
+	Restore   serveAgainCommand   `cmd:"" help:"Have what a drain took out serve again."`
 	Claim     claimCommand        `cmd:"" help:"Say that somebody has looked after an overdue permit."`
 	Forget    forgetCommand       `cmd:"" help:"A unit has left the fleet for good."`
 	Conductor conductorCommand    `cmd:"" help:"Conduct releases, under a lease."`
+	Tables    tablesCommand       `cmd:"" help:"Watch over the table servers of one registry, under a lease."`
 }
 
 type membersCommand struct {
--- a/cmd/junctionring/agent_test.go
+++ b/cmd/junctionring/agent_test.go
@@ -81,11 +81,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	go (&conductor.Conductor{Client: client, Coordinators: []string{at}, Log: quiet}).Run(ctx)
+	go (&conductor.Conductor{Client: client, Group: leaseholder.NewGroup(at), Log: quiet}).Run(ctx)
 	await := func(what string, so func(*rollout.Fleet) bool) {
 		t.Helper()
 		for {
-			if f, err := coordinator.View(ctx, []string{at}, 1<<62); err == nil && so(f) {
+			if f, err := coordinator.View(ctx, leaseholder.NewGroup(at), 1<<62); err == nil && so(f) {
 				return
 			}
 			select {
@@ -124,7 +124,7 @@
 	s.Pause = 200 * time.Millisecond
 	for _, do := range []rollout.Command{{Op: rollout.SetRules, Rules: []rollout.Rule{{Name: "one", Most: 1}}},
 		{Op: rollout.Begin, Change: "r", Version: "2", Units: []string{"gw-1"}, Settings: &s}} {
-		if r, err := coordinator.Change(ctx, []string{at}, do); err != nil || r.Error != "" {
+		if r, err := coordinator.Change(ctx, leaseholder.NewGroup(at), do); err != nil || r.Error != "" {
 			t.Fatal(r.Error, err)
 		}
 	}
@@ -147,7 +147,7 @@
 	if err := <-again; err != nil {
 		t.Error(err)
 	}
-	f, err := coordinator.View(ctx, []string{at}, 1<<62)
+	f, err := coordinator.View(ctx, leaseholder.NewGroup(at), 1<<62)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/junctionring/serve.go
+++ b/cmd/junctionring/serve.go
@@ -145,12 +145,7 @@
 		if err != nil {
 			return fmt.Errorf("management: %w", err)
 		}
-		m := management.New(management.Hooks{
-			Ready:     server.Taking,
-			Telemetry: func(b *bytes.Buffer) { figures.WriteTo(b) },
-			Evacuate:  func() { server.Evacuate(work) },
-			Rejoin:    server.Rejoin,
-		}, log)
+		m := management.New(hooks(work, server, figures), log)
 		defer m.Close()
 		go m.Serve(l)
 		log.Info("management", "listen", l.Addr().String())
@@ -169,6 +164,10 @@
 		return err
 	}
 	defer g.Close()
+	if own := os.Getenv("EDGE_MANAGEMENT"); own != "" { // a process that replaces another has one of its own
+		o.Operations.Listen = own
+	}
+	server := front.NewServer(g.Front(), o.MaxHeader, &g.Figures.Concurrent, log)
 	doors := openDoors(log, o.Listen, o.Operations.Listen)
 	if o.Operations.Listen != "" {
 		l, err := doors.listen(o.Operations.Listen)
@@ -177,13 +176,29 @@
 		}
 		defer l.Close()
 		log.Info("operations", "listen", l.Addr().String())
-		go http.Serve(l, g.Operations())
+		go http.Serve(l, g.Operations(hooks(work, server, g.Figures)))
 	}
 	go eachHangup(work, hup, func() { log.Warn("SIGHUP: the operator's file is read at the start only") })
 	if !g.Start(work, ctx) {
 		return nil // told to end before the route table was known
 	}
-	return serve(ctx, work, g.Core, front.NewServer(g.Front(), o.MaxHeader, nil, log), doors, ingressConns(o.Limits.Sockets), o.Drain.Duration, log)
+	return serve(ctx, work, g.Core, server, doors, ingressConns(o.Limits.Sockets), o.Drain.Duration, log)
+}
+
+// hooks are what the management calls do.
+func hooks(work context.Context, server *front.Server, figures *telemetry.Figures) management.Hooks {
+	return management.Hooks{
+		Ready:     server.Taking,
+		Telemetry: func(b *bytes.Buffer) { figures.WriteTo(b) },
+		Draining: func() map[string]int {
+			if out := figures.Draining.Load(); out != nil {
+				return *out
+			}
+			return map[string]int{}
+		},
+		Evacuate: func() { server.Evacuate(work) },
+		Rejoin:   server.Rejoin,
+	}
 }
 
 // platformNames are the words that new requests may use under the table.
--- a/control/state.go
+++ b/control/state.go
@@ -479,6 +479,21 @@
 // Check says what cannot be right in settings.
 func (s *Settings) Check() error { return s.validate() }
 
+// Draining tells how many attempts are out at each server that takes nothing new; nil: there is none. It is a view for
+// operators and decides nothing.
+func (g *Gateway) Draining() *map[string]int {
+	var out *map[string]int
+	for id, s := range g.servers {
+		if s.member.State != Ready {
+			if out == nil {
+				out = &map[string]int{}
+			}
+			(*out)[id] = s.lim.out
+		}
+	}
+	return out
+}
+
 // Listed tells how many servers are on the list, and how many of those are avoided now: not ready, or left
 // alone for a while. It is a view for operators and decides nothing.
 func (g *Gateway) Listed() (listed, avoided int) {
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -12,13 +12,14 @@
 
 // Config is an agent's file.
 type Config struct {
-	Name         string          `toml:"name"` // of the gateway, and of the agent as a member of the fleet
-	Site         string          `toml:"site"`
-	Zone         string          `toml:"zone"`
-	Capacity     float64         `toml:"capacity"` // requests a second that the gateway can serve
-	Coordinators []string        `toml:"coordinators"`
-	Life         config.Duration `toml:"life"`  // of the agent's session: silent for longer, the gateway counts as out
-	State        string          `toml:"state"` // file of what runs, for the next agent
+	Name         string            `toml:"name"` // of the gateway, and of the agent as a member of the fleet
+	Site         string            `toml:"site"`
+	Zone         string            `toml:"zone"`
+	Capacity     float64           `toml:"capacity"` // requests a second that the gateway can serve
+	Coordinators []string          `toml:"coordinators"`
+	Via          map[string]string `toml:"via"`   // where to reach a coordinator, by its own address, where that is another one
+	Life         config.Duration   `toml:"life"`  // of the agent's session: silent for longer, the gateway counts as out
+	State        string            `toml:"state"` // file of what runs, for the next agent
 	Program      struct {
 		Versions   string            `toml:"versions"` // folder of folders: VERSION/NAME and VERSION/SHA256
 		Version    string            `toml:"version"`  // that runs first
@@ -30,6 +31,10 @@
 		Drain      config.Duration   `toml:"drain"` // from SIGTERM to SIGKILL
 		Learn      config.Duration   `toml:"learn"` // after which a fresh process serves its share
 	} `toml:"program"`
+	Configuration struct {
+		Folder  string `toml:"folder"`  // of folders: NAME/config.toml and NAME/SHA256; empty: none is rolled out
+		Version string `toml:"version"` // NAME of the first
+	} `toml:"configuration"`
 }
 
 // LoadConfig reads and checks an agent's file. The error names each key that is wrong.
@@ -41,8 +46,8 @@
 	if err := config.ReadFile(path, c, c.check); err != nil {
 		return nil, err
 	}
-	for _, p := range []*string{&c.State, &c.Program.Versions} {
-		if !filepath.IsAbs(*p) {
+	for _, p := range []*string{&c.State, &c.Program.Versions, &c.Configuration.Folder} {
+		if *p != "" && !filepath.IsAbs(*p) {
 			*p = filepath.Join(filepath.Dir(path), *p)
 		}
 	}
@@ -75,6 +80,7 @@
 	for _, a := range p.Management {
 		address("program: management", a)
 	}
+	require((c.Configuration.Folder == "") == (c.Configuration.Version == ""), "configuration: folder and version go together")
 	require(p.Ready.Duration > 0 && p.Drain.Duration > 0 && p.Learn.Duration >= 0, "program: ready_within and drain must be above 0, learn 0 or more")
 	return faults
 }
--- a/internal/agent/process.go
+++ b/internal/agent/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -17,6 +18,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"junctionring/internal/snapshot"
 	"junctionring/rollout"
 )
@@ -27,12 +30,14 @@
 	PID        int
 	Began      string // the kernel's start time: another process under this number is not it
 	Management string
+	Config     string // configuration that it is to have
 }
 
 // process is a gateway's process, a child of this agent or one that it found at work.
 type process struct {
 	running
-	ended chan struct{}
+	ended      chan struct{}
+	configured bool // it has that configuration
 }
 
 func loadRunning(path string) (r running, ok bool, err error) {
@@ -67,12 +72,44 @@
 	return ""
 }
 
+// ownEnv names the state file of the agent that started a process, so that one that it could not note is found.
+const ownEnv = "JUNCTIONRING_AGENT_STATE"
+
+// strays are the processes that agents of this state file started, but for one.
+func strays(state string, but *process) (all []*process) {
+	found, _ := filepath.Glob("/proc/[0-9]*/environ")
+	for _, path := range found {
+		text, err := os.ReadFile(path) // of others' processes, or of those that ended just now: not ours
+		if err != nil || !bytes.Contains(text, []byte("\x00"+ownEnv+"="+state+"\x00")) {
+			continue
+		}
+		r := running{}
+		r.PID, _ = strconv.Atoi(filepath.Base(filepath.Dir(path)))
+		if but != nil && r.PID == but.PID {
+			continue
+		}
+		for _, v := range strings.Split(string(text), "\x00") {
+			switch name, value, _ := strings.Cut(v, "="); name {
+			case "EDGE_MANAGEMENT":
+				r.Management = value
+			case "JUNCTIONRING_VERSION":
+				r.Version = value
+			}
+		}
+		r.Began = began(r.PID)
+		if p := adopt(r); p != nil {
+			all = append(all, p)
+		}
+	}
+	return all
+}
+
 // adopt goes on with a process that an agent before started; nil: it is not there any more.
 func adopt(r running) *process {
 	if r.PID <= 0 || r.Began == "" || began(r.PID) != r.Began {
 		return nil
 	}
-	p := &process{r, make(chan struct{})}
+	p := &process{running: r, ended: make(chan struct{})}
 	go func() {
 		for began(r.PID) == r.Began { // it is nobody's child here: nothing tells of its end
 			time.Sleep(100 * time.Millisecond)
@@ -82,31 +119,72 @@
 	return p
 }
 
+// lock keeps a second agent from the same state.
+func lock(path string) (*os.File, error) {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, 0o644)
+	if err != nil {
+		return nil, err
+	}
+	if err := unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
+		f.Close()
+		return nil, fmt.Errorf("%s: another agent keeps this gateway: %w", path, err)
+	}
+	return f, nil
+}
+
 // verify makes sure that a version's program is the one that was put there.
 func verify(c *Config, version string) (path string, err error) {
-	if version == "" || strings.ContainsAny(version, "/ ") || version == ".." {
-		return "", fmt.Errorf("version %q is no folder's name", version)
-	}
-	dir := filepath.Join(c.Program.Versions, version)
-	path = filepath.Join(dir, c.Program.Name)
-	want, err := os.ReadFile(filepath.Join(dir, "SHA256"))
+	path, err = within(c.Program.Versions, version, c.Program.Name)
 	if err != nil {
-		return "", fmt.Errorf("version %s: its checksum: %w", version, err)
+		return "", err
 	}
 	f, err := os.Open(path)
 	if err != nil {
 		return "", fmt.Errorf("version %s: %w", version, err)
 	}
 	defer f.Close()
+	return path, checksum(path, version, f)
+}
+
+// document is the text of a configuration, made sure of likewise.
+func (c *Config) document(name string) ([]byte, error) {
+	path, err := within(c.Configuration.Folder, name, "config.toml")
+	if err != nil {
+		return nil, err
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return text, checksum(path, name, bytes.NewReader(text))
+}
+
+// within is the path of a version's file.
+func within(folder, version, name string) (string, error) {
+	if folder == "" {
+		return "", errors.New("the agent's file names no folder for it")
+	}
+	if version == "" || strings.ContainsAny(version, "/ ") || version == ".." {
+		return "", fmt.Errorf("version %q is no folder's name", version)
+	}
+	return filepath.Join(folder, version, name), nil
+}
+
+// checksum compares a file with the sum that stands in SHA256 beside it.
+func checksum(path, version string, r io.Reader) error {
+	want, err := os.ReadFile(filepath.Join(filepath.Dir(path), "SHA256"))
+	if err != nil {
+		return fmt.Errorf("version %s: its checksum: %w", version, err)
+	}
 	h := sha256.New()
-	if _, err := io.Copy(h, f); err != nil {
-		return "", fmt.Errorf("version %s: %w", version, err)
+	if _, err := io.Copy(h, r); err != nil {
+		return fmt.Errorf("version %s: %w", version, err)
 	}
 	first, _, _ := strings.Cut(strings.TrimSpace(string(want)), " ")
 	if got := hex.EncodeToString(h.Sum(nil)); got != first {
-		return "", fmt.Errorf("version %s: %s has the checksum %.12s..., and %.12s... is due", version, c.Program.Name, got, first)
+		return fmt.Errorf("version %s: %s has the checksum %.12s..., and %.12s... is due", version, filepath.Base(path), got, first)
 	}
-	return path, nil
+	return nil
 }
 
 // start starts a version's program. It goes on when this agent ends.
@@ -121,7 +199,7 @@
 	}
 	defer out.Close()
 	cmd := exec.Command(path, c.Program.Args...)
-	cmd.Env = append(os.Environ(), "EDGE_MANAGEMENT="+management, "JUNCTIONRING_VERSION="+version)
+	cmd.Env = append(os.Environ(), "EDGE_MANAGEMENT="+management, "JUNCTIONRING_VERSION="+version, ownEnv+"="+c.State)
 	for k, v := range c.Program.Env {
 		cmd.Env = append(cmd.Env, k+"="+v)
 	}
@@ -130,7 +208,7 @@
 	if err := cmd.Start(); err != nil {
 		return nil, fmt.Errorf("version %s: %w", version, err)
 	}
-	p := &process{running{version, cmd.Process.Pid, began(cmd.Process.Pid), management}, make(chan struct{})}
+	p := &process{running: running{Version: version, PID: cmd.Process.Pid, Began: began(cmd.Process.Pid), Management: management}, ended: make(chan struct{})}
 	go func() {
 		cmd.Wait()
 		close(p.ended)
@@ -158,6 +236,8 @@
 	}
 }
 
+var offers = &http.Client{Timeout: 40 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}} // a version is checked, staged and saved first
+
 var client = &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 
 // ready asks the process whether it takes clients.
@@ -183,6 +263,70 @@
 	return readFigures(io.LimitReader(a.Body, 1<<20))
 }
 
+// draining reads the work under way at the servers that take nothing new.
+func (p *process) draining() (out map[string]int, err error) {
+	a, err := client.Get("http://" + p.Management + "/api/draining")
+	if err != nil {
+		return nil, err
+	}
+	defer a.Body.Close()
+	if a.StatusCode != http.StatusOK {
+		return nil, errors.New(a.Status)
+	}
+	err = json.NewDecoder(io.LimitReader(a.Body, 1<<20)).Decode(&out)
+	return out, err
+}
+
+// call has the process do something: evacuate or rejoin.
+func (p *process) call(what string) error {
+	r, err := http.NewRequest(http.MethodPut, "http://"+p.Management+"/api/"+what, nil)
+	if err != nil {
+		return err
+	}
+	a, err := client.Do(r)
+	if err != nil {
+		return err
+	}
+	a.Body.Close()
+	if a.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: %s", what, a.Status)
+	}
+	return nil
+}
+
+// offer has the process take a configuration as its next version, and keep to it whatever a control service offers. On
+// an error the one in force stays.
+func (p *process) offer(text []byte) error {
+	var now struct{ Version int64 }
+	call := func(method, path string, body []byte) error {
+		r, err := http.NewRequest(method, "http://"+p.Management+path, bytes.NewReader(body))
+		if err != nil {
+			return err
+		}
+		a, err := offers.Do(r)
+		if err != nil {
+			return err
+		}
+		defer a.Body.Close()
+		answer, err := io.ReadAll(io.LimitReader(a.Body, 1<<20))
+		if err == nil && a.StatusCode != http.StatusOK {
+			err = fmt.Errorf("%s: %s", a.Status, strings.TrimSpace(string(answer)))
+		}
+		if err == nil {
+			err = json.Unmarshal(answer, &now)
+		}
+		return err
+	}
+	if err := call(http.MethodGet, "/config", nil); err != nil {
+		return err
+	}
+	if err := call(http.MethodPost, "/config/unpin", nil); err != nil {
+		return err
+	}
+	err := call(http.MethodPost, fmt.Sprintf("/config?version=%d&rollback=true", now.Version+1), text)
+	return errors.Join(err, call(http.MethodPost, "/config/pin", nil))
+}
+
 // readFigures reads lines like svc.replies.CLASS.success:812|c; others are of no account here.
 func readFigures(r io.Reader) (map[string]rollout.Count, error) {
 	all := map[string]rollout.Count{}
@@ -205,6 +349,8 @@
 		switch what {
 		case "success":
 			c.Asked += n
+		case "late":
+			c.Late += n
 		case "overload", "error":
 			c.Asked, c.Failed = c.Asked+n, c.Failed+n
 		}
--- a/internal/agent/release_test.go
+++ b/internal/agent/release_test.go
@@ -205,7 +205,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		(&conductor.Conductor{Client: client, Coordinators: f.at, Log: slog.New(slog.DiscardHandler), Stop: stop}).Run(ctx)
+		(&conductor.Conductor{Client: client, Group: leaseholder.NewGroup(f.at...), Log: slog.New(slog.DiscardHandler), Stop: stop}).Run(ctx)
 	}()
 	end = func() { cancel(); <-done }
 	f.t.Cleanup(end)
@@ -214,7 +214,7 @@
 
 func (f *fleet) change(c rollout.Command) {
 	f.t.Helper()
-	if r, err := coordinator.Change(f.ctx, f.at, c); err != nil || r.Error != "" {
+	if r, err := coordinator.Change(f.ctx, leaseholder.NewGroup(f.at...), c); err != nil || r.Error != "" {
 		f.t.Fatalf("%s: %s %v", c.Op, r.Error, err)
 	}
 }
@@ -228,7 +228,7 @@
 func (f *fleet) await(what string, so func(*rollout.Fleet) bool) *rollout.Fleet {
 	f.t.Helper()
 	for {
-		v, err := coordinator.View(f.ctx, f.at, 0)
+		v, err := coordinator.View(f.ctx, leaseholder.NewGroup(f.at...), 0)
 		if err == nil && so(v) {
 			return v
 		}
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -21,11 +21,11 @@
 
 // Conductor watches over releases.
 type Conductor struct {
-	Client       *leaseholder.Client
-	Coordinators []string
-	Log          *slog.Logger
-	Stop         func(m rollout.Move) // for tests: called before a move is sent; nil: nothing
-	sights       map[string]*sight
+	Client *leaseholder.Client
+	Group  *leaseholder.Group
+	Log    *slog.Logger
+	Stop   func(m rollout.Move) // for tests: called before a move is sent; nil: nothing
+	sights map[string]*sight
 }
 
 // sight is what this conductor has seen of a release since it saw its stage and wave first.
@@ -73,7 +73,7 @@
 func (c *Conductor) look(ctx context.Context, l *leaseholder.Lease) {
 	call, done := context.WithTimeout(ctx, callWait)
 	defer done()
-	f, err := coordinator.View(call, c.Coordinators, 1<<62)
+	f, err := coordinator.View(call, c.Group, 1<<62)
 	if err != nil {
 		return
 	}
@@ -94,7 +94,7 @@
 			return
 		}
 		m.Token = token // a conductor that was stopped here is turned away by it
-		r, err := coordinator.Change(call, c.Coordinators, rollout.Command{Op: rollout.Step, By: "conductor", Move: &m})
+		r, err := coordinator.Change(call, c.Group, rollout.Command{Op: rollout.Step, By: "conductor", Move: &m})
 		c.Log.Info("moves", "release", id, "from", m.Stage, "to", m.To, "wave", m.Wave+1, "why", m.Why, "refused", r.Error, "err", err)
 	}
 }
@@ -111,14 +111,14 @@
 		_, mine := p.From[unit]
 		figures, known := f.Figures[unit]
 		if !known {
-			look.Sight = look.Sight && !(mine && u.Version == p.To)
+			look.Sight = look.Sight && !(mine && p.Runs(u) == p.To)
 			continue
 		}
 		if s.insts[unit] != u.Instance {
 			s.insts[unit], s.base[unit] = u.Instance, figures
 		}
 		side := look.Others
-		if u.Version == p.To {
+		if p.Runs(u) == p.To {
 			side = look.Changed
 		}
 		for class, n := range figures {
--- a/internal/configuration/steward.go
+++ b/internal/configuration/steward.go
@@ -8,6 +8,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"slices"
 	"strconv"
 	"time"
 
@@ -111,6 +112,7 @@
 	s.docs[key{first.Number, first.Digest}] = content
 	s.life = versions.New(0, first, base.Versions.Snapshot != "")
 	s.slots.Take(effective, func(int) bool { return true }, func(int) bool { return true })
+	c.Name(slices.Clone(s.slots.ClassNames))
 	return s
 }
 
@@ -388,6 +390,7 @@
 		Plans:   append([]control.Plan(nil), s.slots.Plans...), From: from,
 	})
 	next.view.Number(c, p)
+	s.core.Name(slices.Clone(s.slots.ClassNames))
 	s.front.Install(next.view)
 	s.targets(next.o)
 	s.now, s.next = next, nil
--- a/internal/configuration/steward_test.go
+++ b/internal/configuration/steward_test.go
@@ -17,6 +17,7 @@
 	"junctionring/internal/config"
 	"junctionring/internal/configuration"
 	"junctionring/internal/gateway"
+	"junctionring/internal/management"
 	"junctionring/internal/snapshot"
 	"junctionring/internal/standin"
 )
@@ -98,7 +99,7 @@
 	if !r.g.Start(ctx, ctx) {
 		r.t.Fatal("not started")
 	}
-	r.front, r.ops = httptest.NewServer(r.g.Front()), httptest.NewServer(r.g.Operations())
+	r.front, r.ops = httptest.NewServer(r.g.Front()), httptest.NewServer(r.g.Operations(management.Hooks{}))
 	r.stop = func() {
 		r.front.Close()
 		r.ops.Close()
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -165,7 +165,7 @@
 func asked[T any](f *fleet, do func(context.Context, leasepb.LeasesClient) (T, error)) (T, error) {
 	ctx, done := context.WithTimeout(f.ctx, 5*time.Second)
 	defer done()
-	return leaseholder.Ask(ctx, f.all, do)
+	return leaseholder.Ask(ctx, leaseholder.NewGroup(f.all...), do)
 }
 
 func (f *fleet) list() *leasepb.ListAnswer {
@@ -310,7 +310,7 @@
 	f.start(0)
 	a := f.client("a")
 	f.acquire(a, "one")
-	backup, err := leaseholder.Backup(f.ctx, f.all)
+	backup, err := leaseholder.Backup(f.ctx, leaseholder.NewGroup(f.all...))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/coordinator/fleet.go
+++ b/internal/coordinator/fleet.go
@@ -49,6 +49,10 @@
 // Fleet implements the service: all that is known of units, permits, releases and drains, as it stands now.
 func (s service) Fleet(ctx context.Context, a *leasepb.FleetAsk) (out *leasepb.FleetView, err error) {
 	return out, s.leading(ctx, func(n *Node) error {
+		if a.Unit != "" {
+			out = &leasepb.FleetView{Fleet: encode(n.g.Fleet.Brief(a.Unit))}
+			return nil
+		}
 		view := *n.g.Fleet
 		from := slices.IndexFunc(view.Notes, func(note rollout.Note) bool { return note.Seq > a.Seq })
 		if view.Notes = nil; from >= 0 {
@@ -61,12 +65,12 @@
 
 // Change makes one change of the fleet wherever the group is led. A lost answer is asked for again: every command may
 // be said twice.
-func Change(ctx context.Context, coordinators []string, c rollout.Command) (rollout.Reply, error) {
+func Change(ctx context.Context, g *leaseholder.Group, c rollout.Command) (rollout.Reply, error) {
 	if err := c.Check(); err != nil {
 		return rollout.Reply{}, err
 	}
 	raw := encode(c)
-	out, err := leaseholder.Ask(ctx, coordinators, func(ctx context.Context, to leasepb.LeasesClient) (*leasepb.FleetReply, error) {
+	out, err := leaseholder.Ask(ctx, g, func(ctx context.Context, to leasepb.LeasesClient) (*leasepb.FleetReply, error) {
 		return to.Change(ctx, &leasepb.FleetCommand{Command: raw}, leaseholder.Trailer(ctx))
 	})
 	if err != nil {
@@ -75,17 +79,27 @@
 	return rollout.Reply{Error: out.Error, Token: out.Token, Waits: out.Waits}, nil
 }
 
+// Brief fetches what one unit's agent has to know.
+func Brief(ctx context.Context, g *leaseholder.Group, unit string) (b rollout.Brief, err error) {
+	err = fetch(ctx, g, &leasepb.FleetAsk{Unit: unit}, &b)
+	return b, err
+}
+
 // View fetches what is known of the fleet's changes, with the notes after one.
-func View(ctx context.Context, coordinators []string, after uint64) (*rollout.Fleet, error) {
-	out, err := leaseholder.Ask(ctx, coordinators, func(ctx context.Context, to leasepb.LeasesClient) (*leasepb.FleetView, error) {
-		return to.Fleet(ctx, &leasepb.FleetAsk{Seq: after}, leaseholder.Trailer(ctx))
-	})
-	if err != nil {
-		return nil, err
-	}
+func View(ctx context.Context, g *leaseholder.Group, after uint64) (*rollout.Fleet, error) {
 	f := rollout.NewFleet()
-	if err := decode(out.Fleet, f); err != nil {
+	if err := fetch(ctx, g, &leasepb.FleetAsk{Seq: after}, f); err != nil {
 		return nil, err
 	}
 	return f, nil
 }
+
+func fetch(ctx context.Context, g *leaseholder.Group, ask *leasepb.FleetAsk, into any) error {
+	out, err := leaseholder.Ask(ctx, g, func(ctx context.Context, to leasepb.LeasesClient) (*leasepb.FleetView, error) {
+		return to.Fleet(ctx, ask, leaseholder.Trailer(ctx))
+	})
+	if err != nil {
+		return err
+	}
+	return decode(out.Fleet, into)
+}
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -39,6 +39,9 @@
 // AgentKind is the kind of the members that speak for units: an agent's name is its unit's.
 const AgentKind = "agent"
 
+// WardenKind is the kind of the members that see table servers.
+const WardenKind = "warden"
+
 var errNotLeading = errors.New("this coordinator does not lead")
 
 // Options start a coordinator.
@@ -589,6 +592,9 @@
 		}
 		if x.Roll != nil {
 			r := n.g.Fleet.Apply(*x.Roll)
+			if x.Roll.Op == rollout.Claim {
+				delete(n.lates, x.Roll.Unit) // it has its whole time again
+			}
 			if then := n.rolls[x.ID]; then != nil {
 				delete(n.rolls, x.ID)
 				then(r, nil)
@@ -627,9 +633,13 @@
 			delete(n.streams, id)
 		}
 	}
-	for _, c := range e.Changes { // without its agent a unit is out of sight
-		if (c.Kind == lease.Silent || c.Kind == lease.Left) && c.Member.Kind == AgentKind && n.g.Fleet.Budget.Units[c.Member.Name] != nil {
-			n.roll(rollout.Command{Op: rollout.Lose, Unit: c.Member.Name}, nil)
+	for _, c := range e.Changes { // without who sees it a unit is out of sight
+		if (c.Kind == lease.Silent || c.Kind == lease.Left) && (c.Member.Kind == AgentKind || c.Member.Kind == WardenKind) {
+			for unit, u := range n.g.Fleet.Budget.Units {
+				if u.By == c.Member.Name {
+					n.roll(rollout.Command{Op: rollout.Lose, Unit: unit}, nil)
+				}
+			}
 		}
 	}
 	if len(e.Changes) > 0 {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -203,7 +203,7 @@
 func (c *Core) Count(f *telemetry.Figures) { c.figures = f }
 
 // tally counts a final answer by its kind. One that nobody reads counts as nothing.
-func (c *Core) tally(class int, k Kind) {
+func (c *Core) tally(class int, k Kind, late bool) {
 	n := c.figures.Class(class)
 	if n == nil {
 		return
@@ -211,6 +211,9 @@
 	switch k {
 	case Served:
 		n.Success.Add(1)
+		if late {
+			n.Late.Add(1)
+		}
 	case Refused:
 		n.Overload.Add(1)
 	case Failed:
@@ -230,7 +233,14 @@
 	if !whole {
 		k = Failed
 	}
-	c.tally(class, k)
+	c.tally(class, k, false) // how long it took is for its reader to say
+}
+
+// Name names the classes by their number, for the figures.
+func (c *Core) Name(names []string) {
+	if c.figures != nil {
+		c.figures.Classes(names)
+	}
 }
 
 // At tells the core of sites. It must be called before Run.
@@ -280,7 +290,7 @@
 	select {
 	case c.mailbox <- opened{h}:
 	default: // more than the core can take in: shed here, without waiting
-		c.tally(x.Class, Refused)
+		c.tally(x.Class, Refused, false)
 		return Answer{Kind: Refused, RetryAfter: busyPause}
 	}
 	select {
@@ -295,7 +305,7 @@
 			return Answer{Kind: Left, MayHaveRun: true}
 		}
 	case <-c.done:
-		c.tally(x.Class, Refused)
+		c.tally(x.Class, Refused, false)
 		return Answer{Kind: Refused, RetryAfter: busyPause}
 	}
 }
@@ -400,6 +410,7 @@
 			listed, avoided := c.gateway.Listed()
 			c.figures.Targets.Store(int64(listed))
 			c.figures.Disabled.Store(int64(avoided))
+			c.figures.Draining.Store(c.gateway.Draining())
 		case m := <-c.mailbox:
 			c.handle(m)
 		}
@@ -502,7 +513,7 @@
 	}
 	h.final = true
 	if s, ok := a.Reply.(Streamer); !ok || !s.Streaming() { // else it is counted when it has ended: Streamed
-		c.tally(h.Class, a.Kind)
+		c.tally(h.Class, a.Kind, time.Since(h.came).Seconds() > c.classes[h.Class].Aim)
 	}
 	a.MayHaveRun, a.RanAt = h.mayRan || h.out > 0, h.ranAt
 	h.answer <- a
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,9 +20,11 @@
 	"junctionring/internal/counter"
 	"junctionring/internal/egress"
 	"junctionring/internal/forwardauth"
+	"junctionring/internal/management"
 	"junctionring/internal/operations"
 	"junctionring/internal/routetable"
 	"junctionring/internal/snapshot"
+	"junctionring/internal/telemetry"
 	"junctionring/sites"
 )
 
@@ -36,6 +38,7 @@
 // Gateway is an operator's gateway.
 type Gateway struct {
 	Core    *core.Core
+	Figures *telemetry.Figures
 	Steward *configuration.Steward
 	front   *forwardauth.Front
 	o       *config.Operator
@@ -55,6 +58,8 @@
 	if err != nil {
 		return nil, err
 	}
+	figures := telemetry.New("svc")
+	c.Count(figures)
 	if len(o.Sites) > 0 {
 		o.Far.Seed = rand.New(rand.NewPCG(seed, 1)).Uint64()
 		router, err := sites.New(o.Far)
@@ -75,7 +80,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &Gateway{Core: c, fence: gate, front: front, o: o, tally: tally, log: log, roster: &routetable.Roster{Tell: c.Routes}}
+	g := &Gateway{Core: c, Figures: figures, fence: gate, front: front, o: o, tally: tally, log: log, roster: &routetable.Roster{Tell: c.Routes}}
 	g.Steward = configuration.New(base, o, number, content, c, front, g.targets, log)
 	g.roster.Known = g.Steward.Roster
 	return g, nil
@@ -121,8 +126,8 @@
 
 // Operations is the handler for operators. A call that carries a lease's token (fence.Header) is turned away once a
 // later holder has called.
-func (g *Gateway) Operations() http.Handler {
-	return g.fence.Guard(operations.New(g.o, g.Core, g.Steward))
+func (g *Gateway) Operations(hooks management.Hooks) http.Handler {
+	return g.fence.Guard(operations.New(g.o, g.Core, g.Steward, hooks, g.log))
 }
 
 // Start has the parts run until ctx ends, and returns once the route table is known; false: ready ended first.
--- a/internal/lab/leases/faults.go
+++ b/internal/lab/leases/faults.go
@@ -167,7 +167,7 @@
 		if err := r.settled(ctx, 20*time.Second); err != nil {
 			return false, err
 		}
-		old, err := leaseholder.Backup(ctx, r.listens)
+		old, err := leaseholder.Backup(ctx, leaseholder.NewGroup(r.listens...))
 		if err != nil {
 			return false, err
 		}
@@ -255,7 +255,7 @@
 func (r *Rig) admin(ctx context.Context, call func(context.Context, leasepb.LeasesClient, grpc.CallOption) (*leasepb.Coordinator, error)) (*leasepb.Coordinator, error) {
 	ctx, done := context.WithTimeout(ctx, 20*time.Second)
 	defer done()
-	return leaseholder.Ask(ctx, r.listens, func(ctx context.Context, to leasepb.LeasesClient) (*leasepb.Coordinator, error) {
+	return leaseholder.Ask(ctx, leaseholder.NewGroup(r.listens...), func(ctx context.Context, to leasepb.LeasesClient) (*leasepb.Coordinator, error) {
 		return call(ctx, to, leaseholder.Trailer(ctx))
 	})
 }
--- a/internal/lab/leases/measure.go
+++ b/internal/lab/leases/measure.go
@@ -246,7 +246,7 @@
 			got <- err
 		}()
 		r.eventually(ctx, 10*time.Second, func() bool { // it waits in the queue
-			a, err := leaseholder.Ask(ctx, r.listens, func(ctx context.Context, to leasepb.LeasesClient) (*leasepb.ListAnswer, error) {
+			a, err := leaseholder.Ask(ctx, leaseholder.NewGroup(r.listens...), func(ctx context.Context, to leasepb.LeasesClient) (*leasepb.ListAnswer, error) {
 				return to.List(ctx, &leasepb.ListAsk{}, leaseholder.Trailer(ctx))
 			})
 			return err == nil && slices.ContainsFunc(a.Leases, func(l *leasepb.Lease) bool { return l.Name == "freed" && len(l.Waiters) > 0 })
--- a/internal/leaseholder/ask.go
+++ b/internal/leaseholder/ask.go
@@ -1,10 +1,12 @@
 package leaseholder
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -16,36 +18,90 @@
 	"junctionring/internal/coordinator/leasepb"
 )
 
+// Group is a way to a group of coordinators. It keeps its connections, and whom it found leading, from call to call;
+// any number of goroutines may ask through it.
+type Group struct {
+	Coordinators []string          // host:port of all of them, in any order
+	Via          map[string]string // where to dial for an address; others are dialled as they are
+	Try          time.Duration     // for one coordinator's answer before the next is asked; 5 s where it is 0
+
+	mu     sync.Mutex
+	conns  map[string]*grpc.ClientConn
+	leader string
+	turn   int
+}
+
+// NewGroup is a way to some coordinators, each dialled at its address.
+func NewGroup(coordinators ...string) *Group { return &Group{Coordinators: coordinators} }
+
+// Close ends the connections. A group that is asked again opens new ones.
+func (g *Group) Close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, c := range g.conns {
+		c.Close()
+	}
+	g.conns = nil
+}
+
+// next is the coordinator to ask now: the one that led last, else each in turn.
+func (g *Group) next() (address string, c *grpc.ClientConn, err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if address = g.leader; address == "" {
+		if len(g.Coordinators) == 0 {
+			return "", nil, errors.New("no coordinator is named")
+		}
+		address = g.Coordinators[g.turn%len(g.Coordinators)]
+		g.turn++
+	}
+	if c = g.conns[address]; c == nil {
+		if c, err = leasepb.Dial(cmp.Or(g.Via[address], address)); err != nil {
+			return "", nil, err
+		}
+		if g.conns == nil {
+			g.conns = map[string]*grpc.ClientConn{}
+		}
+		g.conns[address] = c
+	}
+	return address, c, nil
+}
+
+// led notes who leads; empty: nobody known.
+func (g *Group) led(address string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.leader = address
+}
+
 // Ask makes one call at whichever coordinator leads, as long as ctx lasts.
-func Ask[T any](ctx context.Context, coordinators []string, call func(context.Context, leasepb.LeasesClient) (T, error)) (T, error) {
+func Ask[T any](ctx context.Context, g *Group, call func(context.Context, leasepb.LeasesClient) (T, error)) (T, error) {
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval, pause.MaxInterval = firstPause, longPause
-	turn, leader := 0, ""
 	var last error
 	t, err := backoff.Retry(ctx, func() (t T, err error) {
-		address := leader
-		if leader = ""; address == "" {
-			address = coordinators[turn%len(coordinators)]
-			turn++
-		}
-		conn, err := leasepb.Dial(address)
+		address, conn, err := g.next()
 		if err != nil {
 			return t, backoff.Permanent(err)
 		}
-		defer conn.Close()
-		one, done := context.WithTimeout(ctx, 5*time.Second)
+		one, done := context.WithTimeout(ctx, cmp.Or(g.Try, 5*time.Second))
 		defer done()
 		var trailer metadata.MD
 		t, err = call(withTrailer(one, &trailer), leasepb.NewLeasesClient(conn))
-		if at := trailer.Get("leader"); len(at) == 1 && at[0] != address {
-			leader = at[0]
+		leader := trailer.Get("leader")
+		switch code := status.Code(err); {
+		case code == codes.OK:
+			g.led(address)
+			return t, nil
+		case len(leader) == 1 && leader[0] != address:
+			g.led(leader[0])
+		case code != codes.ResourceExhausted:
+			g.led("")
 		}
 		switch status.Code(err) {
-		case codes.OK:
-			return t, nil
 		case codes.Unavailable, codes.DeadlineExceeded, codes.ResourceExhausted:
 		case codes.FailedPrecondition:
-			if len(trailer.Get("leader")) == 0 {
+			if len(leader) == 0 {
 				return t, backoff.Permanent(errors.New(status.Convert(err).Message()))
 			}
 		default:
@@ -75,8 +131,8 @@
 }
 
 // Backup fetches a whole backup of what the group keeps.
-func Backup(ctx context.Context, coordinators []string) ([]byte, error) {
-	return Ask(ctx, coordinators, func(ctx context.Context, to leasepb.LeasesClient) ([]byte, error) {
+func Backup(ctx context.Context, g *Group) ([]byte, error) {
+	return Ask(ctx, g, func(ctx context.Context, to leasepb.LeasesClient) ([]byte, error) {
 		s, err := to.Backup(ctx, &leasepb.BackupAsk{}, Trailer(ctx))
 		if err != nil {
 			return nil, err
--- a/internal/leaseholder/hold_test.go
+++ b/internal/leaseholder/hold_test.go
@@ -138,7 +138,7 @@
 			}
 			time.Sleep(5 * time.Millisecond)
 		}
-		if _, err := leaseholder.Ask(t.Context(), []string{address}, func(ctx context.Context, to leasepb.LeasesClient) (*leasepb.Outcome, error) {
+		if _, err := leaseholder.Ask(t.Context(), leaseholder.NewGroup(address), func(ctx context.Context, to leasepb.LeasesClient) (*leasepb.Outcome, error) {
 			return to.Revoke(ctx, &leasepb.RevokeAsk{Name: "sweep"}, leaseholder.Trailer(ctx))
 		}); err != nil {
 			t.Error(err)
--- a/internal/management/management.go
+++ b/internal/management/management.go
@@ -6,6 +6,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"log/slog"
 	"net"
 	"net/http"
@@ -24,10 +25,11 @@
 
 // Hooks are what the calls do; each returns at once.
 type Hooks struct {
-	Ready     func() bool         // this process takes clients
-	Telemetry func(*bytes.Buffer) // the figures
-	Evacuate  func()              // send clients away
-	Rejoin    func()              // back to work
+	Ready     func() bool           // this process takes clients
+	Telemetry func(*bytes.Buffer)   // the figures
+	Draining  func() map[string]int // work under way at targets that take nothing new; nil: the call is not there
+	Evacuate  func()                // send clients away
+	Rejoin    func()                // back to work
 }
 
 // Server serves the calls.
@@ -37,6 +39,23 @@
 func New(h Hooks, log *slog.Logger) *Server {
 	mux := http.NewServeMux()
 	gate, _ := fence.Open("") // as lasting as what the calls set: it ends with the process
+	Calls(mux, h, log)
+	guarded := gate.Guard(mux)
+	s := &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			r.Body = http.MaxBytesReader(w, r.Body, maxBody)
+			guarded.ServeHTTP(w, r)
+		}),
+		ReadHeaderTimeout: headWait, ReadTimeout: callWait, WriteTimeout: writeWait, IdleTimeout: headWait,
+		MaxHeaderBytes: maxHead,
+		ErrorLog:       slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+	}
+	s.SetKeepAlivesEnabled(false) // one call per connection
+	return &Server{http: s}
+}
+
+// Calls adds the calls to a handler.
+func Calls(mux *http.ServeMux, h Hooks, log *slog.Logger) {
 	mux.HandleFunc("GET /api/ready", func(w http.ResponseWriter, r *http.Request) {
 		if !h.Ready() {
 			http.Error(w, "not taking clients", http.StatusServiceUnavailable)
@@ -60,18 +79,13 @@
 		log.Info("rejoin: clients are taken again")
 		w.Write([]byte("done\n"))
 	})
-	guarded := gate.Guard(mux)
-	s := &http.Server{
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			r.Body = http.MaxBytesReader(w, r.Body, maxBody)
-			guarded.ServeHTTP(w, r)
-		}),
-		ReadHeaderTimeout: headWait, ReadTimeout: callWait, WriteTimeout: writeWait, IdleTimeout: headWait,
-		MaxHeaderBytes: maxHead,
-		ErrorLog:       slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+	if h.Draining == nil {
+		return
 	}
-	s.SetKeepAlivesEnabled(false) // one call per connection
-	return &Server{http: s}
+	mux.HandleFunc("GET /api/draining", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(w).Encode(h.Draining())
+	})
 }
 
 // Serve takes calls on l until Close.
--- a/internal/operations/operations.go
+++ b/internal/operations/operations.go
@@ -5,11 +5,13 @@
 
 import (
 	"encoding/json"
+	"log/slog"
 	"net/http"
 
 	"junctionring/internal/config"
 	"junctionring/internal/configuration"
 	"junctionring/internal/core"
+	"junctionring/internal/management"
 	"junctionring/sites"
 )
 
@@ -22,8 +24,8 @@
 	Config   *Config       `json:"config,omitempty"`
 }
 
-// New is the handler of the listener.
-func New(o *config.Operator, c *core.Core, steward *configuration.Steward) http.Handler {
+// New is the handler of the listener. It has the calls of package management too.
+func New(o *config.Operator, c *core.Core, steward *configuration.Steward, hooks management.Hooks, log *slog.Logger) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, r *http.Request) {
 		s := Status{Ordinal: o.Ordinal, Gateways: o.Gateways}
@@ -42,5 +44,6 @@
 		in.Encode(s)
 	})
 	serveConfig(mux, steward)
+	management.Calls(mux, hooks, log)
 	return mux
 }
--- a/internal/standin/registry.go
+++ b/internal/standin/registry.go
@@ -2,12 +2,15 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
 	"sync"
 	"time"
+
+	"junctionring/fence"
 )
 
 // Instance is an entry of the registry, in its own words.
@@ -34,6 +37,8 @@
 	changed  *sync.Cond
 	list     []Instance
 	log      [][]Instance // changes by generation, from 1
+	told     []Told
+	gate     *fence.Gate
 	closed   bool
 }
 
@@ -43,9 +48,16 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Registry{listener: l}
+	gate, err := fence.Open("")
+	if err != nil {
+		return nil, err
+	}
+	r := &Registry{listener: l, gate: gate}
 	r.changed = sync.NewCond(&r.mu)
-	r.server = serveHTTP(l, http.HandlerFunc(r.serve))
+	mux := http.NewServeMux()
+	mux.HandleFunc("/", r.serve)
+	mux.Handle("PUT /registry/instances/{id}/lifecycle", gate.Guard(http.HandlerFunc(r.change)))
+	r.server = serveHTTP(l, mux)
 	return r, nil
 }
 
@@ -80,6 +92,42 @@
 	r.Put(entries...)
 }
 
+// Told is one change of a lifecycle that somebody asked for.
+type Told struct {
+	At        time.Time
+	ID        string
+	Lifecycle string
+}
+
+// Told is every change that was asked for over the wire, in order.
+func (r *Registry) Told() []Told {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.told)
+}
+
+// change is a call that changes one instance's lifecycle. Callers with an overtaken token don't come so far.
+func (r *Registry) change(w http.ResponseWriter, req *http.Request) {
+	text, err := io.ReadAll(io.LimitReader(req.Body, 100))
+	to := string(text)
+	if err != nil || to != "SERVING" && to != "DRAINING" {
+		http.Error(w, "SERVING or DRAINING is due", http.StatusBadRequest)
+		return
+	}
+	r.mu.Lock()
+	i := slices.IndexFunc(r.list, func(e Instance) bool { return e.ID == req.PathValue("id") })
+	if i < 0 {
+		r.mu.Unlock()
+		http.NotFound(w, req)
+		return
+	}
+	e := r.list[i]
+	r.told = append(r.told, Told{time.Now(), e.ID, to})
+	r.mu.Unlock()
+	e.Lifecycle = to
+	r.Put(e)
+}
+
 // Close ends the registry.
 func (r *Registry) Close() {
 	r.mu.Lock()
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -13,6 +13,7 @@
 // Counts are one class's.
 type Counts struct {
 	Success    atomic.Int64 // served: a target's 200
+	Late       atomic.Int64 // of those, after the class's aim
 	Overload   atomic.Int64 // refused: shed or beyond the quota
 	Error      atomic.Int64 // failed
 	Dispatches atomic.Int64 // attempts written whole to a target
@@ -25,7 +26,8 @@
 	Disabled      atomic.Int64 // of those, avoided now
 	ReloadSuccess atomic.Int64
 	ReloadFailure atomic.Int64
-	Prefix        string // of every name
+	Draining      atomic.Pointer[map[string]int] // attempts out at each target that takes nothing new; nil: none does so
+	Prefix        string                         // of every name
 	mu            sync.Mutex
 	names         []string           // in the order written: each class once, dropped ones too
 	byName        map[string]*Counts // never removed: a count runs from the start
@@ -89,7 +91,7 @@
 		for _, x := range []struct {
 			what string
 			v    int64
-		}{{"success", c.Success.Load()}, {"overload", c.Overload.Load()}, {"error", c.Error.Load()}, {"dispatches", c.Dispatches.Load()}} {
+		}{{"success", c.Success.Load()}, {"overload", c.Overload.Load()}, {"error", c.Error.Load()}, {"dispatches", c.Dispatches.Load()}, {"late", c.Late.Load()}} {
 			if err := line("replies."+name+"."+x.what, x.v, "c"); err != nil {
 				return written, err
 			}
--- /dev/null
+++ b/internal/warden/registry.go
@@ -0,0 +1,134 @@
+package warden
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"junctionring/fence"
+)
+
+// Server is a table server as its registry lists it.
+type Server struct {
+	ID       string
+	Address  string // host:port
+	Zone     string
+	Weight   float64
+	Draining bool
+	Started  time.Time // zero: not said; it counts as warm
+}
+
+// Registry is what a warden needs of a registry. A driver for another kind of registry implements it.
+type Registry interface {
+	// List is every server there is now.
+	List(ctx context.Context) ([]Server, error)
+	// Drain has a server listed as draining, or as serving again. It carries the token of the warden's lease: a registry
+	// that can checks it (package fence), so that a warden that was stopped for long changes nothing any more.
+	Drain(ctx context.Context, id string, draining bool, lease string, token uint64) error
+}
+
+const (
+	listMost = 16 << 20 // bytes of a list
+	listPath = "/registry/instances"
+)
+
+// HTTP is the driver for a registry that publishes its list as the platform's does, and takes
+// PUT /registry/instances/ID/lifecycle with DRAINING or SERVING for a body.
+type HTTP struct {
+	Address string // host:port
+	client  http.Client
+}
+
+func (h *HTTP) do(ctx context.Context, method, path, body string, head http.Header) ([]byte, error) {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+h.Address+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	for name, values := range head {
+		r.Header[name] = values
+	}
+	a, err := h.client.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	defer a.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(a.Body, listMost+1))
+	switch {
+	case err != nil:
+		return nil, err
+	case a.StatusCode != http.StatusOK:
+		return nil, fmt.Errorf("the registry answers %s: %.200s", a.Status, strings.TrimSpace(string(text)))
+	case len(text) > listMost:
+		return nil, errors.New("the registry's list is too large")
+	}
+	return text, nil
+}
+
+// List implements Registry.
+func (h *HTTP) List(ctx context.Context) ([]Server, error) {
+	text, err := h.do(ctx, http.MethodGet, listPath, "", nil)
+	if err != nil {
+		return nil, err
+	}
+	return decodeList(text)
+}
+
+// decodeList reads a whole list. One that is wrong in any entry is not used at all: a server that is missing from what
+// was understood would count as gone.
+func decodeList(text []byte) (all []Server, err error) {
+	var list struct {
+		Reset     bool `json:"reset"`
+		Instances []struct {
+			ID        string  `json:"instanceId"`
+			HostPort  string  `json:"hostPort"`
+			Zone      string  `json:"zone"`
+			Lifecycle string  `json:"lifecycle"`
+			Weight    float64 `json:"weight"`
+			Started   int64   `json:"startedAtMs"`
+		} `json:"instances"`
+	}
+	if err := json.Unmarshal(text, &list); err != nil {
+		return nil, fmt.Errorf("the registry's list can't be read: %w", err)
+	}
+	if !list.Reset {
+		return nil, errors.New("the registry's list is not whole")
+	}
+	known := map[string]bool{}
+	for _, e := range list.Instances {
+		switch {
+		case e.ID == "" || e.HostPort == "" || known[e.ID]:
+			return nil, fmt.Errorf("the registry's list: %q has no name or address, or stands there twice", e.ID)
+		case !(e.Weight >= 0) || e.Started < 0:
+			return nil, fmt.Errorf("the registry's list: %s: weight %g or start %d is none", e.ID, e.Weight, e.Started)
+		}
+		known[e.ID] = true
+		s := Server{ID: e.ID, Address: e.HostPort, Zone: e.Zone, Weight: e.Weight, Draining: e.Lifecycle == "DRAINING"}
+		if e.Started > 0 {
+			s.Started = time.UnixMilli(e.Started)
+		}
+		switch e.Lifecycle {
+		case "SERVING", "DRAINING":
+			all = append(all, s)
+		case "DELETED":
+		default:
+			return nil, fmt.Errorf("the registry's list: %s: there is no lifecycle %q", e.ID, e.Lifecycle)
+		}
+	}
+	return all, nil
+}
+
+// Drain implements Registry.
+func (h *HTTP) Drain(ctx context.Context, id string, draining bool, lease string, token uint64) error {
+	to := "SERVING"
+	if draining {
+		to = "DRAINING"
+	}
+	_, err := h.do(ctx, http.MethodPut, listPath+"/"+url.PathEscape(id)+"/lifecycle", to, http.Header{fence.Header: {fmt.Sprintf("%s %d", lease, token)}})
+	return err
+}
--- a/rollout/budget.go
+++ b/rollout/budget.go
@@ -8,7 +8,6 @@
 package rollout
 
 import (
-	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -23,9 +22,11 @@
 	Capacity float64 `msgpack:"c"` // requests a second that it can serve once warm
 	Load     float64 `msgpack:"l"` // that it serves now, as last reported
 	Version  string  `msgpack:"v"` // that it runs
+	Config   string  `msgpack:"g"` // configuration that is in force there; empty: the one that it started with
 	Instance string  `msgpack:"i"` // of its process: another one under the same name is not it
 	Up       bool    `msgpack:"u"` // seen ready
 	Warm     bool    `msgpack:"w"` // and able to serve its capacity
+	By       string  `msgpack:"b"` // member that sees it: when that falls silent, the unit is out of sight
 }
 
 // in tells whether a unit serves as it should.
@@ -39,7 +40,7 @@
 	Zone  string  `msgpack:"z"`
 	Most  int     `msgpack:"m"` // units; 0: not bounded so
 	Share float64 `msgpack:"h"` // of the units there are, rounded down, but one at least; 0: not bounded so
-	Spare float64 `msgpack:"p"` // what stays in can serve the load so many times; 0: not bounded so
+	Spare float64 `msgpack:"p"` // what stays in, of each kind there is, can serve the load so many times; 0: not bounded so
 }
 
 // Check names what is wrong with a rule.
@@ -155,27 +156,36 @@
 // Room tells whether a unit may leave now, or what stands against it. One that is seen out uses room already, but no
 // more may be out for its sake: it may be back before that is seen.
 func (b *Budget) Room(id string) *Refusal {
-	u := b.Units[id]
-	switch {
-	case u == nil:
+	if b.Units[id] == nil {
 		return &Refusal{Rule: fmt.Sprintf("%s is not known", id)}
+	}
+	if no := b.stands(); no != nil {
+		return no
+	}
+	return b.room(id, b.parts(b.out), b.out)
+}
+
+// stands is the refusal of all planned work; nil: it goes on.
+func (b *Budget) stands() *Refusal {
+	switch {
 	case b.Halted != "":
 		return &Refusal{Rule: "planned work is halted: " + b.Halted}
 	case len(b.Rules) == 0:
 		return &Refusal{Rule: "the budget has no rule: nothing may leave"}
 	}
-	if late := b.overdue(); late != nil {
-		return late
-	}
+	return b.overdue()
+}
+
+// room looks at the rules that speak of a unit.
+func (b *Budget) room(id string, parts map[string]*part, out func(string) bool) *Refusal {
 	bounded := false
 	for i := range b.Rules {
-		r := &b.Rules[i]
-		key, ok := r.group(u)
+		key, ok := b.Rules[i].group(b.Units[id])
 		if !ok {
 			continue
 		}
 		bounded = true
-		if refused := b.against(r, key, id, b.out); refused != nil {
+		if refused := b.against(&b.Rules[i], key, id, parts, out); refused != nil {
 			return refused
 		}
 	}
@@ -195,37 +205,86 @@
 	return nil
 }
 
-// against looks at one rule with a unit out besides those that are.
-func (b *Budget) against(r *Rule, key, id string, out func(string) bool) *Refusal {
-	n, after := 0, 0
-	var used []string
-	load, stays := 0.0, 0.0
-	for _, other := range sortedKeys(b.Units) {
-		u := b.Units[other]
-		if k, ok := r.group(u); !ok || k != key {
-			continue
-		}
-		n++
-		load += u.Load
-		switch {
-		case out(other):
-			after++
-			used = append(used, b.cause(other))
-		case other == id:
-			after++
-		default:
-			stays += u.Capacity
+// part is one part of the fleet that a rule bounds, added up.
+type part struct {
+	n, out      int
+	load, stays map[string]float64 // by kind
+}
+
+// asked is the load on a part: every request passes a unit of each kind, so kinds are not added up.
+func (p *part) asked() (load float64) {
+	for _, l := range p.load {
+		load = max(load, l)
+	}
+	return load
+}
+
+// parts adds up all parts of the fleet, by rule and part. Units are gone through in order: sums of floats have to come
+// out alike at every coordinator.
+func (b *Budget) parts(out func(string) bool) map[string]*part {
+	all := map[string]*part{}
+	for _, id := range sortedKeys(b.Units) {
+		u := b.Units[id]
+		gone := out(id)
+		for i := range b.Rules {
+			key, ok := b.Rules[i].group(u)
+			if !ok {
+				continue
+			}
+			room := b.Rules[i].Name + "\x00" + key
+			p := all[room]
+			if p == nil {
+				p = &part{load: map[string]float64{}, stays: map[string]float64{}}
+				all[room] = p
+			}
+			p.n++
+			p.load[u.Kind] += u.Load
+			p.stays[u.Kind] += 0 // a kind of which all are out stands at nothing
+			if gone {
+				p.out++
+			} else {
+				p.stays[u.Kind] += u.Capacity
+			}
 		}
 	}
+	return all
+}
+
+// against looks at one rule with a unit out besides those that are.
+func (b *Budget) against(r *Rule, key, id string, parts map[string]*part, out func(string) bool) *Refusal {
+	room := r.Name + "\x00" + key
+	p, u := parts[room], b.Units[id]
+	after, leaves := p.out, 0.0
+	if !out(id) {
+		after, leaves = after+1, u.Capacity
+	}
 	where := ""
 	if key != "" {
 		where = " in " + key
 	}
-	if limit := r.limit(n); limit >= 0 && after > limit {
-		return &Refusal{room: r.Name + "\x00" + key, Used: used, Rule: fmt.Sprintf("rule %s: at most %d of %d may be out%s", r.Name, limit, n, where)}
+	refused := func(why string, args ...any) *Refusal {
+		no := &Refusal{room: room, Rule: fmt.Sprintf("rule %s: ", r.Name) + fmt.Sprintf(why, args...)}
+		for _, other := range sortedKeys(b.Units) {
+			if k, ok := r.group(b.Units[other]); ok && k == key && out(other) {
+				no.Used = append(no.Used, b.cause(other))
+			}
+		}
+		return no
 	}
-	if r.Spare > 0 && stays < r.Spare*load {
-		return &Refusal{room: r.Name + "\x00" + key, Used: used, Rule: fmt.Sprintf("rule %s: what would stay%s can serve %.0f a second, and %.0f is asked with %.2f times that to be kept", r.Name, where, stays, load, r.Spare)}
+	if limit := r.limit(p.n); limit >= 0 && after > limit {
+		return refused("at most %d of %d may be out%s", limit, p.n, where)
+	}
+	if r.Spare > 0 {
+		load := p.asked()
+		for _, kind := range sortedKeys(p.stays) {
+			stays := p.stays[kind]
+			if kind == u.Kind {
+				stays -= leaves
+			}
+			if stays < r.Spare*load {
+				return refused("what would stay%s can serve %.0f a second (%ss), and %.0f is asked with %.2f times that to be kept", where, stays, kind, load, r.Spare)
+			}
+		}
 	}
 	return nil
 }
@@ -273,8 +332,13 @@
 // Give gives permits to those who wait, in their order. One that has to wait keeps those behind it from the room that
 // it lacks, so that many small changes can't starve it, and from no other.
 func (b *Budget) Give() (given []Ask) {
+	if len(b.Waiting) == 0 {
+		return nil
+	}
 	kept := b.Waiting[:0:0]
 	lacked := map[string]bool{}
+	held := b.stands()
+	var parts map[string]*part
 	for _, a := range b.Waiting {
 		u := b.Units[a.Unit]
 		if u == nil {
@@ -284,7 +348,13 @@
 			kept = append(kept, a)
 			continue
 		}
-		refused := b.Room(a.Unit)
+		refused := held
+		if refused == nil {
+			if parts == nil {
+				parts = b.parts(b.out)
+			}
+			refused = b.room(a.Unit, parts, b.out)
+		}
 		for i := range b.Rules {
 			if key, ok := b.Rules[i].group(u); ok && refused == nil && lacked[b.Rules[i].Name+"\x00"+key] && b.without != earlierFirst {
 				refused = &Refusal{Rule: "others asked before", room: b.Rules[i].Name + "\x00" + key}
@@ -296,7 +366,7 @@
 		}
 		b.Token++
 		b.Permits[a.Unit] = &Permit{Change: a.Change, Token: b.Token}
-		given = append(given, a)
+		given, parts = append(given, a), nil // added up anew, with this one out
 	}
 	b.Waiting = kept
 	return given
@@ -313,21 +383,17 @@
 		return nil
 	case p.Returned || p.Overdue:
 		return &Refusal{Rule: fmt.Sprintf("%s: its permit was given back, or is overdue", unit)}
-	case b.Halted != "":
-		return &Refusal{Rule: "planned work is halted: " + b.Halted}
 	}
-	if late := b.overdue(); late != nil {
-		return late
+	if no := b.stands(); no != nil {
+		return no
 	}
 	out := func(id string) bool {
 		other := b.Permits[id]
 		return other != nil && other.Left || !b.Units[id].in() && b.without != crashesCount
 	}
-	for i := range b.Rules {
-		if key, ok := b.Rules[i].group(b.Units[unit]); ok && b.without != leaveAskedAgain {
-			if refused := b.against(&b.Rules[i], key, unit, out); refused != nil {
-				return refused
-			}
+	if b.without != leaveAskedAgain {
+		if refused := b.room(unit, b.parts(out), out); refused != nil {
+			return refused
 		}
 	}
 	p.Left = true
@@ -384,42 +450,30 @@
 type Use struct {
 	Rule, Where string
 	Out, Of     int
-	Limit       int // -1: not by count
-	Stays, Load float64
+	Limit       int     // -1: not by count
+	Stays, Load float64 // a second; of the kind of which the least stays
 	Spare       float64
 	Who         []string
 }
 
 // Uses lists the room of all rules.
 func (b *Budget) Uses() (all []Use) {
-	for i := range b.Rules {
-		r := &b.Rules[i]
-		by := map[string]*Use{}
+	parts := b.parts(b.out)
+	for _, room := range sortedKeys(parts) {
+		name, key, _ := strings.Cut(room, "\x00")
+		r := &b.Rules[slices.IndexFunc(b.Rules, func(r Rule) bool { return r.Name == name })]
+		p := parts[room]
+		use := Use{Rule: name, Where: key, Out: p.out, Of: p.n, Limit: r.limit(p.n), Load: p.asked(), Spare: r.Spare, Stays: math.Inf(1)}
+		for _, kind := range sortedKeys(p.stays) {
+			use.Stays = min(use.Stays, p.stays[kind])
+		}
 		for _, id := range sortedKeys(b.Units) {
-			u := b.Units[id]
-			key, ok := r.group(u)
-			if !ok {
-				continue
-			}
-			if by[key] == nil {
-				by[key] = &Use{Rule: r.Name, Where: key, Spare: r.Spare}
-			}
-			use := by[key]
-			use.Of++
-			use.Load += u.Load
-			if b.out(id) {
-				use.Out++
+			if k, ok := r.group(b.Units[id]); ok && k == key && b.out(id) {
 				use.Who = append(use.Who, b.cause(id))
-			} else {
-				use.Stays += u.Capacity
 			}
 		}
-		for _, key := range sortedKeys(by) {
-			by[key].Limit = r.limit(by[key].Of)
-			all = append(all, *by[key])
-		}
+		all = append(all, use)
 	}
-	slices.SortStableFunc(all, func(a, b Use) int { return cmp.Compare(a.Rule, b.Rule) })
 	return all
 }
 
--- a/rollout/fleet.go
+++ b/rollout/fleet.go
@@ -39,6 +39,8 @@
 	Unit     string           `msgpack:"u,omitempty"`
 	Seen     *Unit            `msgpack:"s,omitempty"`
 	Figures  map[string]Count `msgpack:"f,omitempty"`
+	Held     map[string]int   `msgpack:"h,omitempty"` // See: work under way at servers that drain
+	Config   bool             `msgpack:"g,omitempty"` // Begin: the version is one of the configuration
 	Rules    []Rule           `msgpack:"r,omitempty"`
 	Change   string           `msgpack:"c,omitempty"`
 	Token    uint64           `msgpack:"k,omitempty"`
@@ -69,7 +71,7 @@
 			return fmt.Errorf("%s: %.20q... has over %d bytes", what, word, wordMost)
 		}
 	}
-	if len(c.Why) > 5*wordMost || len(c.Units) > unitsMost || len(c.Rules) > rulesMost || len(c.Figures) > classMost {
+	if len(c.Why) > 5*wordMost || len(c.Units) > unitsMost || len(c.Rules) > rulesMost || len(c.Figures) > classMost || len(c.Held) > unitsMost {
 		return errors.New("the command is too large")
 	}
 	need := func(ok bool, what string) error {
@@ -142,8 +144,15 @@
 	By    string        `msgpack:"b"`
 	Life  time.Duration `msgpack:"l"`
 	Back  bool          `msgpack:"r"` // it is being restored
+	Quiet bool          `msgpack:"q"` // nothing was under way there any more
 }
 
+// The kinds of units that are spoken of by name.
+const (
+	Gateways = "gateway"
+	Tables   = "table"
+)
+
 // Fleet is all that the coordinators' log builds about changes of the fleet.
 type Fleet struct {
 	Budget  *Budget                     `msgpack:"b"`
@@ -151,6 +160,8 @@
 	Drains  map[string]*Taken           `msgpack:"d"`
 	Lives   map[string]time.Duration    `msgpack:"l"` // of the permits, by unit
 	Figures map[string]map[string]Count `msgpack:"f"` // by unit and class, since its process began
+	Held    map[string]map[string]int   `msgpack:"h"` // by gateway: work under way at servers that drain
+	Seers   map[string]uint64           `msgpack:"s"` // by lease: the highest token under which units were seen
 	Notes   []Note                      `msgpack:"n"`
 	Seq     uint64                      `msgpack:"q"`
 }
@@ -158,7 +169,7 @@
 // NewFleet is a fleet of which nothing is known yet.
 func NewFleet() *Fleet {
 	return &Fleet{Budget: NewBudget(), Plans: map[string]*Plan{}, Drains: map[string]*Taken{}, Lives: map[string]time.Duration{},
-		Figures: map[string]map[string]Count{}}
+		Figures: map[string]map[string]Count{}, Held: map[string]map[string]int{}}
 }
 
 func (f *Fleet) note(by, format string, args ...any) {
@@ -179,6 +190,15 @@
 		b.Rules = c.Rules
 		f.note(c.By, "sets %d rules", len(c.Rules))
 	case See:
+		if f.Seers == nil {
+			f.Seers = map[string]uint64{}
+		}
+		if c.Token < f.Seers[c.By] { // it was stopped, and another one sees by now
+			return Reply{Error: fmt.Sprintf("%s: token %d is overtaken by %d", c.By, c.Token, f.Seers[c.By])}
+		}
+		if c.Token != 0 {
+			f.Seers[c.By] = c.Token
+		}
 		seen := *c.Seen
 		if old := b.Units[c.Unit]; old == nil {
 			f.note(c.Unit, "is there: a %s at %s that runs %s", seen.Kind, seen.Site, seen.Version)
@@ -187,6 +207,12 @@
 		}
 		b.See(c.Unit, seen)
 		f.Figures[c.Unit] = c.Figures
+		if f.Held == nil { // a snapshot of before there were any
+			f.Held = map[string]map[string]int{}
+		}
+		if delete(f.Held, c.Unit); len(c.Held) > 0 {
+			f.Held[c.Unit] = c.Held
+		}
 	case Lose:
 		if u := b.Units[c.Unit]; u != nil && u.Up {
 			u.Up, u.Warm = false, false
@@ -197,6 +223,7 @@
 			return refusal(err)
 		}
 		delete(f.Figures, c.Unit)
+		delete(f.Held, c.Unit)
 		f.note(c.By, "forgets %s", c.Unit)
 	case Want:
 		p, refused := b.Want(Ask{c.Change, c.Unit})
@@ -278,12 +305,12 @@
 
 func (f *Fleet) begin(c Command) (r Reply) {
 	if old := f.Plans[c.Change]; old != nil {
-		if old.To == c.Version && !old.Over() {
+		if old.To == c.Version && old.Config == c.Config && !old.Over() {
 			return r // asked again
 		}
 		return Reply{Error: fmt.Sprintf("there was a release %s already", c.Change)}
 	}
-	p, err := NewPlan(c.Change, c.Version, f.Budget, c.Units, *c.Settings)
+	p, err := NewPlan(c.Change, c.Version, c.Config, f.Budget, c.Units, *c.Settings)
 	if err != nil {
 		return refusal(err)
 	}
@@ -328,6 +355,10 @@
 		d := f.Drains[id]
 		if d.Back && !slices.ContainsFunc(d.Units, func(u string) bool { p := f.Budget.Permits[u]; return p != nil && p.Change == id }) {
 			delete(f.Drains, id)
+			f.note(id, "is over: all of it serves again")
+		} else if quiet := f.quiet(id, d); quiet && !d.Quiet && !d.Back {
+			f.note(id, "is quiet: nothing is under way at %s", strings.Join(d.Units, ", "))
+			d.Quiet = quiet
 		}
 	}
 	for over := 0; len(f.Plans) > plansMost && over < len(f.Plans); over++ {
@@ -344,6 +375,7 @@
 type Task struct {
 	Change  string // release or drain; empty: nothing
 	Version string // to run; empty: to be out
+	Config  bool   // the version is one of the configuration
 	Restore bool   // to serve again, after a drain
 }
 
@@ -363,7 +395,59 @@
 	}
 	for _, id := range sortedKeys(f.Plans) {
 		if v, ok := f.Plans[id].Due(f.Budget, unit); ok {
-			return Task{Change: id, Version: v}
+			return Task{Change: id, Version: v, Config: f.Plans[id].Config}
+		}
+	}
+	return t
+}
+
+// Busy tells what still stands against a drained unit's being quiet: how much work the gateways have under way there,
+// and the gateways that have not said, or are out of sight.
+func (f *Fleet) Busy(unit string) (held int, unknown []string) {
+	for _, id := range sortedKeys(f.Budget.Units) {
+		if g := f.Budget.Units[id]; g.Kind != Gateways {
+			continue
+		}
+		n, said := f.Held[id][unit]
+		if held += n; !said {
+			unknown = append(unknown, id)
+		}
+	}
+	return held, unknown
+}
+
+// quiet tells whether all of a drain has left, and nothing is under way there.
+func (f *Fleet) quiet(id string, d *Taken) bool {
+	for _, unit := range d.Units {
+		if p := f.Budget.Permits[unit]; p == nil || p.Change != id || !p.Left {
+			return false
+		}
+		if held, unknown := f.Busy(unit); held > 0 || len(unknown) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Brief is what one unit's agent has to know.
+type Brief struct {
+	Task    Task
+	Permit  *Permit  // of the unit; nil: none
+	Planned bool     // the permit is a release's
+	Waits   bool     // an ask for the task stands
+	Drains  []string // table servers that have left under a permit: gateways say what they have under way there
+}
+
+// Brief is the part of the fleet that one unit's agent has to know. It grows with what is under way, not with the fleet.
+func (f *Fleet) Brief(unit string) Brief {
+	t := Brief{Task: f.Task(unit), Permit: f.Budget.Permits[unit]}
+	t.Planned = t.Permit != nil && f.Plans[t.Permit.Change] != nil
+	t.Waits = slices.Contains(f.Budget.Waiting, Ask{t.Task.Change, unit})
+	for _, id := range sortedKeys(f.Drains) {
+		for _, u := range f.Drains[id].Units {
+			if p := f.Budget.Permits[u]; p != nil && p.Change == id && p.Left && f.Budget.Units[u] != nil && f.Budget.Units[u].Kind == Tables {
+				t.Drains = append(t.Drains, u)
+			}
 		}
 	}
 	return t
--- a/rollout/model_test.go
+++ b/rollout/model_test.go
@@ -45,7 +45,7 @@
 		w.real[id] = u
 		w.b.See(id, u)
 	}
-	p, err := NewPlan("release", "2", w.b, []string{"a", "b", "c"}, Settings{Canary: 1, Growth: 2, Patience: time.Hour, Limits: Limits{Enough: 1}})
+	p, err := NewPlan("release", "2", false, w.b, []string{"a", "b", "c"}, Settings{Canary: 1, Growth: 2, Patience: time.Hour, Limits: Limits{Enough: 1}})
 	if err != nil {
 		panic(err)
 	}
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -74,6 +74,7 @@
 type Plan struct {
 	ID        string            `msgpack:"i"`
 	To        string            `msgpack:"t"` // version
+	Config    bool              `msgpack:"q"` // of the configuration; else of the program
 	From      map[string]string `msgpack:"f"` // by unit: the version that it ran before
 	Waves     [][]string        `msgpack:"w"`
 	Settings  Settings          `msgpack:"s"`
@@ -88,14 +89,14 @@
 }
 
 // NewPlan is a release that is about to begin.
-func NewPlan(id, to string, b *Budget, units []string, s Settings) (*Plan, error) {
+func NewPlan(id, to string, config bool, b *Budget, units []string, s Settings) (*Plan, error) {
 	if id == "" || to == "" || len(units) == 0 {
 		return nil, fmt.Errorf("release: it needs a name, a version and a unit at least")
 	}
 	if err := s.Check(); err != nil {
 		return nil, fmt.Errorf("release %s: %w", id, err)
 	}
-	p := &Plan{ID: id, To: to, From: map[string]string{}, Settings: s, Stage: Going, Failed: map[string]string{}}
+	p := &Plan{ID: id, To: to, Config: config, From: map[string]string{}, Settings: s, Stage: Going, Failed: map[string]string{}}
 	for _, u := range units {
 		known := b.Units[u]
 		if known == nil {
@@ -104,12 +105,20 @@
 		if _, twice := p.From[u]; twice {
 			return nil, fmt.Errorf("release %s: %s is named twice", id, u)
 		}
-		p.From[u] = known.Version
+		p.From[u] = p.Runs(known)
 	}
 	p.Waves = Waves(units, func(u string) string { return b.Units[u].Site }, s.Canary, s.Growth)
 	return p, nil
 }
 
+// Runs is the version that a unit runs, of what this release changes.
+func (p *Plan) Runs(u *Unit) string {
+	if p.Config {
+		return u.Config
+	}
+	return u.Version
+}
+
 // Over tells whether nothing is left to do.
 func (p *Plan) Over() bool { return p.Stage == Done || p.Stage == Undone }
 
@@ -132,7 +141,7 @@
 	}
 	switch p.Stage {
 	case Going:
-		if slices.Contains(p.Waves[p.Wave], unit) && u.Version != p.To && p.Failed[unit] == "" {
+		if slices.Contains(p.Waves[p.Wave], unit) && p.Runs(u) != p.To && p.Failed[unit] == "" {
 			return p.To, true
 		}
 	case Backing:
@@ -150,7 +159,7 @@
 		slices.Reverse(order)
 	}
 	for _, unit := range order {
-		if u := b.Units[unit]; u != nil && u.Version != p.From[unit] {
+		if u := b.Units[unit]; u != nil && p.Runs(u) != p.From[unit] {
 			return unit
 		}
 	}
@@ -244,7 +253,7 @@
 			return to(Halted, "%s runs the new version and is not seen ready", unit)
 		}
 		for _, unit := range p.Waves[p.Wave] {
-			if u := b.Units[unit]; u != nil && (u.Version != p.To || !u.in() || b.Permits[unit] != nil) {
+			if u := b.Units[unit]; u != nil && (p.Runs(u) != p.To || !u.in() || b.Permits[unit] != nil) {
 				if l.Since > p.Settings.Patience && b.Permits[unit] != nil {
 					return to(Halted, "%s is not back after %v", unit, p.Settings.Patience)
 				}
@@ -294,7 +303,7 @@
 func (p *Plan) fallen(b *Budget, before int) string {
 	for _, wave := range p.Waves[:before] {
 		for _, unit := range wave {
-			if u := b.Units[unit]; u != nil && u.Version == p.To && !u.in() && b.Permits[unit] == nil {
+			if u := b.Units[unit]; u != nil && p.Runs(u) == p.To && !u.in() && b.Permits[unit] == nil {
 				return unit
 			}
 		}
