--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -148,6 +148,7 @@
 	var cli struct {
 		Try      tryCommand      `cmd:"" help:"Play a scenario between two sites with real gateways, and measure it."`
 		Plays    playsCommand    `cmd:"" help:"List the plays."`
+		Fleet    fleetCommand    `cmd:"" help:"Play a whole fleet: releases and drains under a load, with faults between its processes."`
 		Lease    leaseCommand    `cmd:"" help:"Play coordinators, holders and faults between them, and judge by what they did."`
 		Load     loadCommand     `cmd:"" help:"Offer an open-loop load to gateways on loopback."`
 		Tables   tablesCommand   `cmd:"" help:"Start stand-in table servers."`
--- a/internal/lab/leases/faults.go
+++ b/internal/lab/leases/faults.go
@@ -17,6 +17,7 @@
 
 	"junctionring/internal/coordinator"
 	"junctionring/internal/coordinator/leasepb"
+	"junctionring/internal/lab/proc"
 	"junctionring/internal/leaseholder"
 	"junctionring/internal/standin"
 )
@@ -38,15 +39,15 @@
 	{"follower killed", func(ctx context.Context, r *Rig) (bool, error) {
 		i := r.follower(ctx)
 		r.kill(r.nodes[i])
-		wait(ctx, r.between(50*time.Millisecond, time.Second))
-		return !r.nodes[i].running(), r.start(ctx, r.nodes[i])
+		proc.Wait(ctx, r.between(50*time.Millisecond, time.Second))
+		return !r.nodes[i].Running(), r.start(ctx, r.nodes[i])
 	}},
 	{"all coordinators killed", func(ctx context.Context, r *Rig) (bool, error) {
 		for _, p := range r.nodes {
 			r.kill(p)
 		}
 		struck := r.leader(ctx) < 0
-		wait(ctx, r.between(0, r.o.Life/2))
+		proc.Wait(ctx, r.between(0, r.o.Life/2))
 		for _, p := range r.nodes {
 			if err := r.start(ctx, p); err != nil {
 				return struck, err
@@ -65,18 +66,18 @@
 	{"holder paused between its look and its act", func(ctx context.Context, r *Rig) (bool, error) {
 		p := r.holder()
 		if record, _ := readEvents(r.judge.role.Log); len(record) > 0 { // one that acts just now
-			if i := slices.IndexFunc(r.holders, func(p *process) bool { return p.name == record[len(record)-1].Who }); i >= 0 {
+			if i := slices.IndexFunc(r.holders, func(p *process) bool { return p.Name == record[len(record)-1].Who }); i >= 0 {
 				p = r.holders[i]
 			}
 		}
-		if err := p.cmd.Process.Signal(syscall.SIGUSR1); err != nil {
+		if err := p.Cmd.Process.Signal(syscall.SIGUSR1); err != nil {
 			return false, err
 		}
-		if !r.eventually(ctx, 20*time.Second, func() bool { return p.state() == "T" }) {
+		if !r.eventually(ctx, 20*time.Second, func() bool { return p.State() == "T" }) {
 			go func() { // it stops in its next act, whenever that is, and must go on
-				for p.running() {
-					if at := now(); p.state() == "T" && !p.stopped {
-						p.cmd.Process.Signal(syscall.SIGCONT)
+				for p.Running() {
+					if at := now(); p.State() == "T" && !p.Stopped {
+						p.Cmd.Process.Signal(syscall.SIGCONT)
 						r.gone(p, at, now())
 						return
 					}
@@ -86,21 +87,21 @@
 			return false, nil
 		}
 		at := now()
-		p.stopped = true
-		wait(ctx, r.o.Life*2+r.between(0, r.o.Life))
-		p.stopped = false
-		err := p.cmd.Process.Signal(syscall.SIGCONT)
+		p.Stopped = true
+		proc.Wait(ctx, r.o.Life*2+r.between(0, r.o.Life))
+		p.Stopped = false
+		err := p.Cmd.Process.Signal(syscall.SIGCONT)
 		r.gone(p, at, now())
 		return r.eventually(ctx, 5*time.Second, func() bool { // its late act, turned away, or let in since nobody came after it
 			record, _ := readEvents(r.judge.role.Log)
-			return slices.ContainsFunc(record, func(e Event) bool { return e.Who == p.name && e.At >= at })
+			return slices.ContainsFunc(record, func(e Event) bool { return e.Who == p.Name && e.At >= at })
 		}), err
 	}},
 	{"holder killed", func(ctx context.Context, r *Rig) (bool, error) {
 		p := r.holder()
 		r.kill(p)
-		wait(ctx, r.between(0, r.o.Life))
-		return !p.running(), r.start(ctx, p)
+		proc.Wait(ctx, r.between(0, r.o.Life))
+		return !p.Running(), r.start(ctx, p)
 	}},
 	{"one way between two coordinators cut", func(ctx context.Context, r *Rig) (bool, error) {
 		i, j := r.two()
@@ -134,17 +135,17 @@
 	}},
 	{"a full disk", func(ctx context.Context, r *Rig) (bool, error) {
 		i := r.rng.IntN(len(r.nodes))
-		mark := filepath.Join(r.o.Dir, "full-"+r.nodes[i].name)
+		mark := filepath.Join(r.o.Dir, "full-"+r.nodes[i].Name)
 		if err := os.WriteFile(mark, nil, 0o644); err != nil {
 			return false, err
 		}
 		struck := false
 		select {
-		case <-r.nodes[i].ended:
+		case <-r.nodes[i].Ended:
 			struck = true
 		case <-time.After(10 * time.Second):
 		}
-		wait(ctx, r.between(0, time.Second))
+		proc.Wait(ctx, r.between(0, time.Second))
 		if err := os.Remove(mark); err != nil || !struck {
 			return struck, err
 		}
@@ -204,7 +205,7 @@
 		}
 		for i, p := range r.nodes[1:] {
 			if _, err := r.admin(ctx, func(ctx context.Context, to leasepb.LeasesClient, o grpc.CallOption) (*leasepb.Coordinator, error) {
-				return to.AddCoordinator(ctx, &leasepb.Coordinator{Name: p.name, Address: r.listens[i+1]}, o)
+				return to.AddCoordinator(ctx, &leasepb.Coordinator{Name: p.Name, Address: r.listens[i+1]}, o)
 			}); err != nil {
 				return false, err
 			}
@@ -229,17 +230,17 @@
 			return false, err
 		}
 		if err := r.start(ctx, p); err == nil { // as its old self it must not come back
-			return false, fmt.Errorf("%s came back without its disk", p.name)
+			return false, fmt.Errorf("%s came back without its disk", p.Name)
 		}
-		<-p.ended
+		<-p.Ended
 		old, err := r.admin(ctx, func(ctx context.Context, to leasepb.LeasesClient, o grpc.CallOption) (*leasepb.Coordinator, error) {
-			return to.RemoveCoordinator(ctx, &leasepb.Coordinator{Name: p.name}, o)
+			return to.RemoveCoordinator(ctx, &leasepb.Coordinator{Name: p.Name}, o)
 		})
 		if err != nil {
 			return false, err
 		}
 		anew, err := r.admin(ctx, func(ctx context.Context, to leasepb.LeasesClient, o grpc.CallOption) (*leasepb.Coordinator, error) {
-			return to.AddCoordinator(ctx, &leasepb.Coordinator{Name: p.name, Address: r.listens[i]}, o)
+			return to.AddCoordinator(ctx, &leasepb.Coordinator{Name: p.Name, Address: r.listens[i]}, o)
 		})
 		if err != nil {
 			return false, err
@@ -313,7 +314,7 @@
 		before += r.links[n].Met()
 		fault(r.links[n])
 	}
-	wait(ctx, d)
+	proc.Wait(ctx, d)
 	after := 0
 	for _, n := range names {
 		if failed := r.links[n].Heal(); failed != nil {
@@ -330,7 +331,7 @@
 		if so() {
 			return true
 		}
-		wait(ctx, 20*time.Millisecond)
+		proc.Wait(ctx, 20*time.Millisecond)
 	}
 	return false
 }
@@ -379,7 +380,7 @@
 		if err := r.Throw(ctx, f); err != nil {
 			return err
 		}
-		wait(ctx, r.between(0, r.o.Life/2))
+		proc.Wait(ctx, r.between(0, r.o.Life/2))
 		if progress != nil {
 			progress(i+1, f.Name)
 		}
--- a/internal/lab/leases/leases_test.go
+++ b/internal/lab/leases/leases_test.go
@@ -36,7 +36,7 @@
 			t.Log(strings.Join(r.Log, "\n"))
 			for _, p := range r.nodes {
 				text, _ := os.ReadFile(p.log)
-				t.Logf("%s:\n%s", p.name, text)
+				t.Logf("%s:\n%s", p.Name, text)
 			}
 		}
 	})
--- a/internal/lab/leases/measure.go
+++ b/internal/lab/leases/measure.go
@@ -17,6 +17,7 @@
 	"google.golang.org/grpc"
 
 	"junctionring/internal/coordinator/leasepb"
+	"junctionring/internal/lab/proc"
 	"junctionring/internal/leaseholder"
 	"junctionring/lease"
 )
@@ -71,7 +72,7 @@
 
 // usage is the processor time and resident memory of a process.
 func (p *process) usage() (cpu time.Duration, resident int) {
-	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.Cmd.Process.Pid))
 	if _, rest, ok := strings.Cut(string(text), ") "); ok {
 		f := strings.Fields(rest)
 		user, _ := strconv.Atoi(f[11])
@@ -93,7 +94,7 @@
 func (r *Rig) Crowd(ctx context.Context, sessions int, life time.Duration) error {
 	const processes = 10
 	for i := range processes {
-		p := &process{name: fmt.Sprintf("crowd%d", i+1), role: role{Kind: "crowd", Name: fmt.Sprintf("crowd%d", i+1), Coordinators: r.listens,
+		p := &process{Process: proc.Process{Name: fmt.Sprintf("crowd%d", i+1)}, role: role{Kind: "crowd", Name: fmt.Sprintf("crowd%d", i+1), Coordinators: r.listens,
 			Via: r.holders[0].role.Via, Life: life, Sessions: sessions / processes, Rate: 1, Log: filepath.Join(r.o.Dir, fmt.Sprintf("crowd%d.jsonl", i+1))}}
 		r.holders = append(r.holders, p)
 		if err := r.start(ctx, p); err != nil {
@@ -135,7 +136,7 @@
 	from, begun := now(), time.Now()
 	cpu0, _ := r.nodes[i].usage()
 	bytes0 := r.bytes("g")
-	wait(ctx, peace)
+	proc.Wait(ctx, peace)
 	cpu1, resident := r.nodes[i].usage()
 	bytes1, spent := r.bytes("g"), time.Since(begun).Seconds()
 	var took []time.Duration
@@ -153,7 +154,7 @@
 	for _, p := range r.nodes {
 		r.kill(p)
 	}
-	wait(ctx, without)
+	proc.Wait(ctx, without)
 	for _, p := range r.nodes {
 		if err := r.start(ctx, p); err != nil {
 			return nil, err
--- a/internal/lab/leases/rig.go
+++ b/internal/lab/leases/rig.go
@@ -7,17 +7,16 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
 
 	"junctionring/internal/coordinator/leasepb"
+	"junctionring/internal/lab/proc"
 	"junctionring/internal/standin"
 )
 
@@ -39,13 +38,10 @@
 
 // process is one role at work.
 type process struct {
-	name    string
-	role    role
-	cmd     *exec.Cmd
-	stdin   io.Closer
-	ended   chan struct{}
-	stopped bool // SIGSTOP
-	log     string
+	proc.Process
+	role  role
+	stdin io.Closer
+	log   string
 }
 
 // Rig is a play's processes and the links between them.
@@ -84,7 +80,7 @@
 		return nil, err
 	}
 	for range o.Coordinators + 1 {
-		l, err := listen()
+		l, err := proc.Listen()
 		if err != nil {
 			return nil, err
 		}
@@ -107,10 +103,10 @@
 		if err := r.writeConfig(i); err != nil {
 			return fail(err)
 		}
-		r.nodes = append(r.nodes, &process{name: fmt.Sprintf("c%d", i+1), role: role{Kind: "coordinator", Via: via, Rate: r.rate(), Config: r.config(i)}})
+		r.nodes = append(r.nodes, &process{Process: proc.Process{Name: fmt.Sprintf("c%d", i+1)}, role: role{Kind: "coordinator", Via: via, Rate: r.rate(), Config: r.config(i)}})
 	}
 	var err error
-	r.judge = &process{name: "resource", role: role{Kind: "resource", Listen: resource, Rate: 1, Log: filepath.Join(o.Dir, "record.jsonl")}}
+	r.judge = &process{Process: proc.Process{Name: "resource"}, role: role{Kind: "resource", Listen: resource, Rate: 1, Log: filepath.Join(o.Dir, "record.jsonl")}}
 	var names []string
 	for i := range o.Leases {
 		names = append(names, fmt.Sprintf("task-%d", i+1))
@@ -124,23 +120,13 @@
 		}
 		for i := g; i < o.Contenders; i += max(1, o.Groups) {
 			name := fmt.Sprintf("h%d", i+1)
-			r.holders = append(r.holders, &process{name: name, role: role{Kind: "contender", Name: name, Coordinators: r.listens, Via: via,
+			r.holders = append(r.holders, &process{Process: proc.Process{Name: name}, role: role{Kind: "contender", Name: name, Coordinators: r.listens, Via: via,
 				Leases: names, Life: o.Life, Hold: o.Hold, Resource: resource, Rate: r.rate(), Seed: o.Seed + uint64(i), Log: filepath.Join(o.Dir, name+".jsonl")}})
 		}
 	}
 	return r, nil
 }
 
-// listen takes a port that the kernel gives to no outgoing connection: one that was killed has to get it again.
-func listen() (l net.Listener, err error) {
-	for range 100 {
-		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 10_000+rand.IntN(20_000))); err == nil {
-			break
-		}
-	}
-	return l, err
-}
-
 // Run starts the processes, once the addresses are free for them.
 func (r *Rig) Run(ctx context.Context) error {
 	for _, p := range append(append([]*process{r.judge}, r.nodes...), r.holders...) {
@@ -177,108 +163,70 @@
 	if err != nil {
 		return err
 	}
-	p.log = filepath.Join(r.o.Dir, p.name+".log")
+	p.log = filepath.Join(r.o.Dir, p.Name+".log")
 	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return err
 	}
 	defer out.Close()
-	p.cmd = exec.Command(r.o.Program[0], r.o.Program[1:]...)
-	p.cmd.Env = append(os.Environ(), roleEnv+"="+string(text))
-	p.cmd.Stderr = out
-	if p.stdin, err = p.cmd.StdinPipe(); err != nil {
+	p.Cmd = exec.Command(r.o.Program[0], r.o.Program[1:]...)
+	p.Cmd.Env = append(os.Environ(), roleEnv+"="+string(text))
+	p.Cmd.Stderr = out
+	if p.stdin, err = p.Cmd.StdinPipe(); err != nil {
 		return err
 	}
-	ready, err := p.cmd.StdoutPipe()
+	ready, err := p.Cmd.StdoutPipe()
 	if err != nil {
 		return err
 	}
-	if err := p.cmd.Start(); err != nil {
+	if err := p.Cmd.Start(); err != nil {
 		return err
 	}
-	p.ended, p.stopped = make(chan struct{}), false
+	p.Ended, p.Stopped = make(chan struct{}), false
 	first := make(chan bool, 1)
 	go func() {
 		in := bufio.NewScanner(ready)
 		first <- in.Scan()
 		io.Copy(io.Discard, ready)
-		p.cmd.Wait()
-		close(p.ended)
+		p.Cmd.Wait()
+		close(p.Ended)
 	}()
 	select {
 	case ok := <-first:
 		if !ok {
 			tail, _ := os.ReadFile(p.log)
-			return fmt.Errorf("%s does not start: %s", p.name, tail[max(0, len(tail)-400):])
+			return fmt.Errorf("%s does not start: %s", p.Name, tail[max(0, len(tail)-400):])
 		}
 	case <-time.After(30 * time.Second):
-		return fmt.Errorf("%s is not ready after 30 s", p.name)
+		return fmt.Errorf("%s is not ready after 30 s", p.Name)
 	case <-ctx.Done():
 		return ctx.Err()
 	}
 	return nil
 }
 
-func (p *process) running() bool {
-	if p.cmd == nil {
-		return false
-	}
-	select {
-	case <-p.ended:
-		return false
-	default:
-		return true
-	}
-}
-
 // kill is kill -9; what a contender did after it is for the judge.
 func (r *Rig) kill(p *process) {
 	at := now()
-	p.cmd.Process.Kill()
-	<-p.ended
+	p.Cmd.Process.Kill()
+	<-p.Ended
 	r.gone(p, at, 1<<62)
 }
 
 func (r *Rig) gone(p *process, from, to time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.away = append(r.away, span{p.name, from, to})
+	r.away = append(r.away, span{p.Name, from, to})
 }
 
 // freeze stops a process for a time (SIGSTOP, SIGCONT), and tells whether it stood still until the end.
 func (r *Rig) freeze(ctx context.Context, p *process, d time.Duration) (stood bool, err error) {
 	at := now()
-	if err := p.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
-		return false, err
-	}
-	p.stopped = true
-	wait(ctx, d)
-	stood = p.state() == "T"
-	p.stopped = false
-	err = p.cmd.Process.Signal(syscall.SIGCONT)
+	stood, err = p.Freeze(ctx, d)
 	r.gone(p, at, now())
 	return stood, err
 }
 
-// state is the kernel's word on a process: R, S, T, ...
-func (p *process) state() string {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
-	if err != nil {
-		return ""
-	}
-	if _, rest, ok := strings.Cut(string(text), ") "); ok && len(rest) > 0 {
-		return rest[:1]
-	}
-	return ""
-}
-
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // status asks each coordinator past all links.
 func (r *Rig) status(ctx context.Context, i int) (*leasepb.StatusAnswer, error) {
 	conn, err := leasepb.Dial(r.listens[i])
@@ -295,7 +243,7 @@
 func (r *Rig) leader(ctx context.Context) int {
 	at, term := -1, uint64(0)
 	for i, p := range r.nodes {
-		if !p.running() || p.stopped {
+		if !p.Running() || p.Stopped {
 			continue
 		}
 		if s, err := r.status(ctx, i); err == nil && s.Leader == s.Id && s.Term > term {
@@ -321,7 +269,7 @@
 		if leads == 1 && follow == len(r.nodes) {
 			return nil
 		}
-		wait(ctx, 50*time.Millisecond)
+		proc.Wait(ctx, 50*time.Millisecond)
 	}
 	return fmt.Errorf("the coordinators did not settle within %v", within)
 }
@@ -332,10 +280,10 @@
 // Close ends all processes and links.
 func (r *Rig) Close() {
 	for _, p := range append(append([]*process{}, r.holders...), append(r.nodes, r.judge)...) {
-		if p != nil && p.running() {
+		if p != nil && p.Running() {
 			p.stdin.Close()
-			p.cmd.Process.Kill()
-			<-p.ended
+			p.Cmd.Process.Kill()
+			<-p.Ended
 		}
 	}
 	for _, l := range r.links {
@@ -346,18 +294,18 @@
 // Judge ends the contenders in good order, then reads the record.
 func (r *Rig) Judge() (Verdict, error) {
 	for _, p := range r.holders {
-		if p.running() {
-			p.cmd.Process.Signal(syscall.SIGTERM)
+		if p.Running() {
+			p.Cmd.Process.Signal(syscall.SIGTERM)
 		}
 	}
 	for _, p := range r.holders {
-		if p.cmd == nil {
+		if p.Cmd == nil {
 			continue
 		}
 		select {
-		case <-p.ended:
+		case <-p.Ended:
 		case <-time.After(10 * time.Second):
-			return Verdict{}, fmt.Errorf("%s does not end", p.name)
+			return Verdict{}, fmt.Errorf("%s does not end", p.Name)
 		}
 	}
 	record, err := readEvents(r.judge.role.Log)
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -65,6 +65,7 @@
 	Class    int
 	Status   int    // 0: no answer, or not a whole one
 	Server   string // that served it
+	Gateway  string // that was asked
 	Key      string
 }
 
@@ -121,6 +122,7 @@
 			s.Key = fmt.Sprintf("%s-%d", l.Name, n)
 		}
 		gateway, account := l.Gateways[rng.IntN(len(l.Gateways))], rng.IntN(max(1, l.Accounts))
+		s.Gateway = gateway
 		samples = append(samples, s)
 		out.Add(1)
 		go func() {
--- /dev/null
+++ b/internal/lab/proc/proc.go
@@ -0,0 +1,121 @@
+// Package proc starts the processes of a play, and kills and stops them. It signals only what it was given the number
+// of.
+package proc
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// Process is one process of a play; its parts but Name are there once it was started.
+type Process struct {
+	Name    string
+	Cmd     *exec.Cmd
+	Ended   chan struct{}
+	Stopped bool // by SIGSTOP
+}
+
+// Start starts a command as this process.
+func (p *Process) Start(cmd *exec.Cmd) error {
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("%s: %w", p.Name, err)
+	}
+	ended := make(chan struct{})
+	p.Cmd, p.Ended, p.Stopped = cmd, ended, false
+	go func() {
+		cmd.Wait()
+		close(ended)
+	}()
+	return nil
+}
+
+// Running tells whether it was started and has not ended.
+func (p *Process) Running() bool {
+	if p.Cmd == nil {
+		return false
+	}
+	select {
+	case <-p.Ended:
+		return false
+	default:
+		return true
+	}
+}
+
+// Kill is kill -9.
+func (p *Process) Kill() {
+	p.Cmd.Process.Kill()
+	<-p.Ended
+}
+
+// Freeze stops it for a time (SIGSTOP, SIGCONT), and tells whether it stood still until the end.
+func (p *Process) Freeze(ctx context.Context, d time.Duration) (stood bool, err error) {
+	p.Stopped = true
+	defer func() { p.Stopped = false }()
+	return Freeze(ctx, p.Cmd.Process.Pid, d)
+}
+
+// State is the kernel's word on it: R, S, T, ...; empty: it is gone.
+func (p *Process) State() string { return State(p.Cmd.Process.Pid) }
+
+// Freeze stops a process for a time, and tells whether it stood still until the end.
+func Freeze(ctx context.Context, pid int, d time.Duration) (stood bool, err error) {
+	if err := syscall.Kill(pid, syscall.SIGSTOP); err != nil {
+		return false, err
+	}
+	Wait(ctx, d)
+	stood = State(pid) == "T"
+	return stood, syscall.Kill(pid, syscall.SIGCONT)
+}
+
+// State is the kernel's word on a process.
+func State(pid int) string {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return ""
+	}
+	if _, rest, ok := strings.Cut(string(text), ") "); ok && len(rest) > 0 {
+		return rest[:1]
+	}
+	return ""
+}
+
+// Wait waits until ctx ends, but so long at most.
+func Wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// Listen takes a port that the kernel gives to no outgoing connection: one that was killed has to get it again.
+func Listen() (l net.Listener, err error) {
+	for range 100 {
+		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 10_000+rand.IntN(20_000))); err == nil {
+			break
+		}
+	}
+	return l, err
+}
+
+// Addresses are so many addresses that were free a moment ago.
+func Addresses(n int) (all []string, err error) {
+	for range n {
+		l, err := Listen()
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close() // all are held until each is known, so that none comes twice
+		all = append(all, l.Addr().String())
+	}
+	return all, nil
+}
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -168,24 +168,7 @@
 // startGate starts one gateway process and waits until it serves.
 func (w *World) startGate(ctx context.Context, site string, ordinal, all int) (*gate, error) {
 	var b strings.Builder
-	fmt.Fprintf(&b, `listen = "127.0.0.1:0"
-ordinal = %d
-gateways = %d
-trusted_proxies = ["127.0.0.0/8"]
-max_attempts = 3
-drain = "2s"
-[limits]
-cores = 1.0
-memory_mb = 192
-sockets = 2048
-[redis]
-address = "%s"
-timeout = "100ms"
-[discovery]
-address = "%s"
-[operations]
-listen = "127.0.0.1:0"
-`, ordinal, all, w.store.Addr(), w.registries[site].Addr())
+	writeHead(&b, "127.0.0.1:0", ordinal, all, w.store.Addr(), w.registries[site].Addr())
 	for _, s := range []string{"near", "far"} {
 		if s == site {
 			fmt.Fprintf(&b, "[[site]]\nname = %q\nhere = true\ngateways = %d\n", s, map[string]int{"near": w.NearGates, "far": w.FarGates}[s])
@@ -245,6 +228,36 @@
 	}
 }
 
+// GatewayConfig is the operator's file of a gateway at one site, with the lab's classes and plan.
+func GatewayConfig(listen string, ordinal, all int, store, discovery string) string {
+	var b strings.Builder
+	writeHead(&b, listen, ordinal, all, store, discovery)
+	writeClasses(&b)
+	b.WriteString(plans)
+	return b.String()
+}
+
+func writeHead(b *strings.Builder, listen string, ordinal, all int, store, discovery string) {
+	fmt.Fprintf(b, `listen = %q
+ordinal = %d
+gateways = %d
+trusted_proxies = ["127.0.0.0/8"]
+max_attempts = 3
+drain = "2s"
+[limits]
+cores = 1.0
+memory_mb = 192
+sockets = 2048
+[redis]
+address = %q
+timeout = "100ms"
+[discovery]
+address = %q
+[operations]
+listen = "127.0.0.1:0"
+`, listen, ordinal, all, store, discovery)
+}
+
 // writeClasses writes the lab's classes in the operator's form.
 func writeClasses(b *strings.Builder) {
 	for _, c := range Classes {
