--- a/cmd/fleet/changes.go
+++ b/cmd/fleet/changes.go
@@ -102,7 +102,7 @@
 	printFleet(f)
 	if c.Notes {
 		for _, n := range f.Notes {
-			fmt.Printf("%d  %s %s\n", n.Seq, n.By, n.What)
+			printNote(n)
 		}
 	}
 	newest, before := f.Seq, map[string]string{}
@@ -117,7 +117,7 @@
 			continue
 		}
 		for _, n := range f.Notes {
-			fmt.Printf("%d  %s %s\n", n.Seq, n.By, n.What)
+			printNote(n)
 			newest = n.Seq
 		}
 		for _, id := range sorted(f.Plans) {
@@ -130,6 +130,10 @@
 	return nil
 }
 
+func printNote(n rollout.Note) {
+	fmt.Printf("%d  %s  %s %s\n", n.Seq, time.UnixMilli(n.At).Format(time.DateTime), n.By, n.What)
+}
+
 func printFleet(f *rollout.Fleet) {
 	if f.Budget.Halted != "" {
 		fmt.Println("planned work is halted:", f.Budget.Halted)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -481,12 +481,15 @@
 		o.why = err.Error()
 	} else if o.why = waitReady(next, a.c.Program.Ready.Duration); o.why != "" {
 		next.end(time.Second)
+	} else if next.Config = old.Config; a.c.Configuration.Folder != "" { // before it serves alone
+		if o.why = a.c.give(next, old.Config); o.why != "" {
+			next.end(a.c.Program.Drain.Duration)
+		}
 	}
 	if o.why == "" {
 		if old.alive() {
 			old.end(a.c.Program.Drain.Duration)
 		}
-		next.Config = old.Config
 		o.next = next
 	}
 	a.done <- o
@@ -499,20 +502,26 @@
 	p := *a.now // the actor's own stays as it is until this has ended
 	go func() {
 		o := outcome{task: task, permit: permit}
-		text, err := a.c.document(task.Version)
-		if err == nil {
-			err = p.offer(text)
-		}
-		if err != nil {
-			o.why = fmt.Sprintf("configuration %s: %v", task.Version, err)
-		} else {
-			p.Config, p.configured = task.Version, true
+		if o.why = a.c.give(&p, task.Version); o.why == "" {
 			o.next = &p
 		}
 		a.done <- o
 	}()
 }
 
+// give has a process take a configuration, or returns why not.
+func (c *Config) give(p *process, name string) (why string) {
+	text, err := c.document(name)
+	if err == nil {
+		err = p.offer(text)
+	}
+	if err != nil {
+		return fmt.Sprintf("configuration %s: %v", name, err)
+	}
+	p.Config, p.configured = name, true
+	return ""
+}
+
 // waitReady returns why a process does not take clients in time; empty: it does.
 func waitReady(p *process, within time.Duration) (why string) {
 	by := time.After(within)
--- /dev/null
+++ b/internal/coordinator/grouptest/grouptest.go
@@ -0,0 +1,118 @@
+// Package grouptest runs a group of one coordinator in a test's own process.
+package grouptest
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"junctionring/internal/coordinator"
+	"junctionring/internal/leaseholder"
+	"junctionring/internal/standin"
+	"junctionring/rollout"
+)
+
+// Group is the coordinator, and a way to it.
+type Group struct {
+	*leaseholder.Group
+	At   string
+	t    testing.TB
+	ctx  context.Context
+	path string
+	stop func()
+}
+
+// Start starts a new group whose sessions live for so long at the most. It ends with the test.
+func Start(ctx context.Context, t testing.TB, life time.Duration) *Group {
+	t.Helper()
+	g := &Group{t: t, ctx: ctx, At: Free(t), path: filepath.Join(t.TempDir(), "c.toml")}
+	g.Group = leaseholder.NewGroup(g.At)
+	if err := os.WriteFile(g.path, []byte(fmt.Sprintf("listen = %q\ndata = \"data\"\nlongest_life = %q\n", g.At, life)), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	g.Run()
+	t.Cleanup(func() { g.Stop(); g.Group.Close() })
+	return g
+}
+
+// Run runs the coordinator, again after Stop.
+func (g *Group) Run() {
+	g.t.Helper()
+	c, err := coordinator.LoadConfig(g.path)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	if made, _ := coordinator.Made(c.Data); !made {
+		if _, err := coordinator.Init(g.ctx, c); err != nil {
+			g.t.Fatal(err)
+		}
+	}
+	ctx, end := context.WithCancel(context.Background())
+	ready, ended := make(chan struct{}), make(chan error, 1)
+	go func() {
+		ended <- coordinator.Serve(ctx, coordinator.Options{Config: c, Log: slog.New(slog.DiscardHandler)}, func(string) { close(ready) })
+	}()
+	select {
+	case <-ready:
+	case err := <-ended:
+		g.t.Fatal(err)
+	}
+	g.stop = func() { end(); <-ended }
+}
+
+// Stop ends the coordinator; what is in its log stays.
+func (g *Group) Stop() {
+	if g.stop != nil {
+		g.stop()
+		g.stop = nil
+	}
+}
+
+// Change makes a change that must be taken.
+func (g *Group) Change(c rollout.Command) {
+	g.t.Helper()
+	if r, err := coordinator.Change(g.ctx, g.Group, c); err != nil || r.Error != "" && !r.Waits {
+		g.t.Fatalf("%s: %s %v", c.Op, r.Error, err)
+	}
+}
+
+// Await waits until the fleet is so.
+func (g *Group) Await(what string, so func(*rollout.Fleet) bool) *rollout.Fleet {
+	g.t.Helper()
+	for {
+		v, err := coordinator.View(g.ctx, g.Group, 0)
+		if err == nil && so(v) {
+			return v
+		}
+		select {
+		case <-g.ctx.Done():
+			g.t.Fatalf("never: %s: %v\n%s", what, err, Told(v))
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// Told is what a fleet's log tells, for a failed test.
+func Told(f *rollout.Fleet) (text string) {
+	if f == nil {
+		return "nothing is known of the fleet"
+	}
+	for _, n := range f.Notes {
+		text += fmt.Sprintf("%d %s %s\n", n.Seq, n.By, n.What)
+	}
+	return text
+}
+
+// Free is an address for something that a test starts.
+func Free(t testing.TB) string {
+	t.Helper()
+	a, err := standin.Free()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
--- a/internal/coordinator/node.go
+++ b/internal/coordinator/node.go
@@ -362,6 +362,7 @@
 func (n *Node) roll(c rollout.Command, then func(rollout.Reply, error)) {
 	n.proposals++
 	id := n.proposals
+	c.At = time.Now().UnixMilli()
 	if err := n.raft.Propose(encode(entry{ID: id, Roll: &c})); err != nil {
 		if then != nil {
 			then(rollout.Reply{}, err)
--- a/internal/lab/fleet/judge.go
+++ b/internal/lab/fleet/judge.go
@@ -258,6 +258,15 @@
 	return len(j.ran[version])
 }
 
+// excuse counts what clients lost at the gateways that ran a version as struck.
+func (j *Judge) excuse(version string, from time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for id := range j.ran[version] {
+		j.units[id].spans = append(j.units[id].spans, span{from, time.Now()})
+	}
+}
+
 // Verdict is what a play comes to.
 type Verdict struct {
 	Looks    int
--- a/internal/lab/fleet/plays.go
+++ b/internal/lab/fleet/plays.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"junctionring/internal/lab"
+	"junctionring/internal/lab/proc"
 	"junctionring/rollout"
 )
 
@@ -24,7 +25,9 @@
 	Stage  rollout.Stage
 	Why    string
 	Took   time.Duration
-	Saw    int // gateways that ran the new version, by the judge's record
+	Chain  time.Duration // the shortest time that the budget permits
+	One    time.Duration // that one gateway is out
+	Saw    int           // gateways that ran the new version, by the judge's record
 	Thrown int
 	Stands string // what is wrong in the end; empty: nothing
 }
@@ -84,6 +87,9 @@
 	s := <-samples
 	// Requests that were under way when the load ended have no answer, and prove nothing.
 	s = slices.DeleteFunc(s, func(x lab.Sample) bool { return x.Status == 0 && begun.Add(x.At+x.Took).After(ended) })
+	if version == "crashes" { // what it held is lost with it, and who runs it is what the check limits
+		r.Judge.excuse(version, begun)
+	}
 	out.Verdict = r.Verdict(s, begun)
 	out.Stage, out.Why = p.Stage, p.Why
 	out.Saw = r.Judge.saw(version)
@@ -93,6 +99,8 @@
 	if err != nil {
 		return out, err
 	}
+	out.One = One(f)
+	out.Chain = r.Chain(p.Waves, out.One, p.Settings)
 	for _, g := range r.gateways {
 		due := want
 		if due == "" {
@@ -125,3 +133,156 @@
 	}
 	return all
 }
+
+// Calm offers the load without any release, for as long as one took.
+func (r *Rig) Calm(ctx context.Context, d time.Duration) (Verdict, error) {
+	begun := time.Now()
+	s, err := r.Offer(ctx, r.o.Rate, d)
+	return r.Verdict(s, begun), err
+}
+
+// Chain is the shortest time that a release may take under the budget: in each wave, so many one after the other as
+// the budget permits at once, each for as long as one takes alone, and the pause after each wave.
+func (r *Rig) Chain(waves [][]string, one time.Duration, s rollout.Settings) (d time.Duration) {
+	for _, w := range waves {
+		d += time.Duration((len(w)+r.o.Most-1)/r.o.Most)*one + s.Pause
+	}
+	return d
+}
+
+// One is how long one gateway is out for a release, from its leave until it is back, by the notes of the fleet's log: the
+// middle one of those that were.
+func One(f *rollout.Fleet) time.Duration {
+	left, all := map[string]int64{}, []int64{}
+	for _, n := range f.Notes {
+		if strings.HasPrefix(n.What, "leaves for") {
+			left[n.By] = n.At
+		} else if at, ok := left[n.By]; ok && strings.HasPrefix(n.What, "is back") {
+			all = append(all, n.At-at)
+		}
+	}
+	if len(all) == 0 {
+		return 0
+	}
+	slices.Sort(all)
+	return time.Duration(all[len(all)/2]) * time.Millisecond
+}
+
+// Cost is what the coordinators spent.
+type Cost struct {
+	CPU     time.Duration
+	Bytes   int64  // read and written, sockets and disk
+	Entries uint64 // of the log
+}
+
+// Cost is what the coordinators have spent so far.
+func (r *Rig) Cost(ctx context.Context) (c Cost) {
+	for i, p := range r.nodes {
+		cpu, bytes := proc.Spent(p.Cmd.Process.Pid)
+		c.CPU, c.Bytes = c.CPU+cpu, c.Bytes+bytes
+		if s, err := r.status(ctx, i); err == nil {
+			c.Entries = max(c.Entries, s.Applied)
+		}
+	}
+	return c
+}
+
+// Less is what was spent since an earlier look.
+func (c Cost) Less(was Cost) Cost {
+	return Cost{c.CPU - was.CPU, c.Bytes - was.Bytes, c.Entries - was.Entries}
+}
+
+// DrainOutcome is what taking a zone of table servers out came to.
+type DrainOutcome struct {
+	Before, During lab.Summary
+	Late           int           // requests that reached a server later than 1 s after its registry was told
+	Quiet          time.Duration // from the command until the fleet says that nothing is under way there
+	StillHeld      int           // requests that ended there after that, by the servers' record
+	Out            int           // servers out at once, at the most
+	Refused        string        // why a second zone may not leave meanwhile
+	Back           time.Duration // from the restore until all serve again
+	Lost           []string
+}
+
+// Drain takes a zone of table servers out under load, and back again.
+func (r *Rig) Drain(ctx context.Context, span time.Duration) (o DrainOutcome, err error) {
+	zone := func(n int) (units []string) {
+		for i := range r.tables {
+			if i%zones == n {
+				units = append(units, fmt.Sprintf("t%d", i))
+			}
+		}
+		return units
+	}
+	loadCtx, enough := context.WithCancel(ctx)
+	defer enough()
+	begun := time.Now()
+	samples := make(chan []lab.Sample, 1)
+	go func() {
+		s, _ := r.Offer(loadCtx, r.o.Rate, 20*time.Minute)
+		samples <- s
+	}()
+	proc.Wait(ctx, span)
+	asked := time.Now()
+	if err := r.change(ctx, rollout.Command{Op: rollout.Drain, Change: "hall-0", Units: zone(0), Life: time.Hour}); err != nil {
+		return o, err
+	}
+	if err := r.Await(ctx, 30*time.Second, "the drain is quiet", func(f *rollout.Fleet) bool { return f.Drains["hall-0"].Quiet }); err != nil {
+		return o, err
+	}
+	quiet := time.Now()
+	o.Quiet = quiet.Sub(asked)
+	if err := r.change(ctx, rollout.Command{Op: rollout.Drain, Change: "hall-1", Units: zone(1), Life: time.Hour}); err != nil {
+		return o, err
+	}
+	proc.Wait(ctx, span)
+	f, err := r.View(ctx)
+	if err != nil {
+		return o, err
+	}
+	for i := range r.tables {
+		if p := f.Budget.Permits[fmt.Sprintf("t%d", i)]; p != nil && p.Left {
+			o.Out++
+		}
+	}
+	if no := f.Budget.Room("t1"); no != nil {
+		o.Refused = no.Error()
+	}
+	if err := r.change(ctx, rollout.Command{Op: rollout.Restore, Change: "hall-1"}); err != nil {
+		return o, err
+	}
+	drained := time.Now()
+	if err := r.change(ctx, rollout.Command{Op: rollout.Restore, Change: "hall-0"}); err != nil {
+		return o, err
+	}
+	if err := r.Await(ctx, 30*time.Second, "the zone serves again", func(f *rollout.Fleet) bool { return len(f.Drains) == 0 }); err != nil {
+		return o, err
+	}
+	o.Back = time.Since(drained)
+	proc.Wait(ctx, 2*time.Second)
+	ended := time.Now()
+	enough()
+	s := slices.DeleteFunc(<-samples, func(x lab.Sample) bool { return x.Status == 0 && begun.Add(x.At+x.Took).After(ended) })
+	o.Before = lab.Summarise(lab.Between(s, time.Second, asked.Sub(begun)), "")
+	o.During = lab.Summarise(lab.Between(s, asked.Sub(begun), drained.Sub(begun)), "")
+	o.Lost = r.Verdict(s, begun).Lost
+	told := map[string]time.Time{}
+	for _, t := range r.registry.Told() {
+		if t.Lifecycle == "DRAINING" {
+			told[t.ID] = t.At
+		}
+	}
+	for _, a := range r.Record.All() {
+		at, ok := told[a.Server]
+		if !ok {
+			continue
+		}
+		if a.At.After(at.Add(time.Second)) && a.At.Before(drained) {
+			o.Late++
+		}
+		if a.At.Before(quiet) && (a.Ended.IsZero() || a.Ended.After(quiet)) {
+			o.StillHeld++
+		}
+	}
+	return o, nil
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -5,9 +5,13 @@
 package standin
 
 import (
+	"errors"
+	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -36,3 +40,32 @@
 	}))
 	return l.Addr().String(), func() { s.Close() }, nil
 }
+
+var given struct {
+	sync.Mutex
+	addresses map[string]bool
+}
+
+// Free is an address that nobody listens at, for a process that will. It is on a loopback address of this process's own,
+// and given once: neither another test nor a connection going out takes it before, or while nobody listens there.
+func Free() (string, error) {
+	given.Lock()
+	defer given.Unlock()
+	if given.addresses == nil {
+		given.addresses = map[string]bool{}
+	}
+	pid := os.Getpid()
+	for range 1000 {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:0", 64+pid>>8&63, pid&255))
+		if err != nil {
+			return "", err
+		}
+		address := l.Addr().String()
+		l.Close()
+		if !given.addresses[address] {
+			given.addresses[address] = true
+			return address, nil
+		}
+	}
+	return "", errors.New("no address is free")
+}
--- a/rollout/fleet.go
+++ b/rollout/fleet.go
@@ -50,6 +50,7 @@
 	Version  string           `msgpack:"v,omitempty"`
 	Settings *Settings        `msgpack:"t,omitempty"`
 	Move     *Move            `msgpack:"m,omitempty"`
+	At       int64            `msgpack:"a,omitempty"` // when the leader took it in, by its wall clock: ms since 1970, for the notes only
 }
 
 // Bounds of what one command may carry.
@@ -134,6 +135,7 @@
 // Note is one line of the fleet's own log: who asked what, and what came of it.
 type Note struct {
 	Seq  uint64 `msgpack:"q"`
+	At   int64  `msgpack:"a"` // by the wall clock of who led then: ms since 1970
 	By   string `msgpack:"b"`
 	What string `msgpack:"w"`
 }
@@ -164,6 +166,7 @@
 	Seers   map[string]uint64           `msgpack:"s"` // by lease: the highest token under which units were seen
 	Notes   []Note                      `msgpack:"n"`
 	Seq     uint64                      `msgpack:"q"`
+	at      int64
 }
 
 // NewFleet is a fleet of which nothing is known yet.
@@ -174,7 +177,7 @@
 
 func (f *Fleet) note(by, format string, args ...any) {
 	f.Seq++
-	f.Notes = append(f.Notes, Note{f.Seq, by, fmt.Sprintf(format, args...)})
+	f.Notes = append(f.Notes, Note{f.Seq, f.at, by, fmt.Sprintf(format, args...)})
 	if len(f.Notes) > notesMost {
 		f.Notes = slices.Clone(f.Notes[len(f.Notes)-notesMost:])
 	}
@@ -185,6 +188,7 @@
 // Apply takes one command of the log in. It was checked before.
 func (f *Fleet) Apply(c Command) (r Reply) {
 	b := f.Budget
+	f.at = c.At
 	switch c.Op {
 	case SetRules:
 		b.Rules = c.Rules
@@ -205,7 +209,10 @@
 		} else if old.Up != seen.Up || old.Version != seen.Version {
 			f.note(c.Unit, "is seen: ready %v, runs %s", seen.Up, seen.Version)
 		}
-		b.See(c.Unit, seen)
+		out := b.Permits[c.Unit]
+		if b.See(c.Unit, seen); out != nil && b.Permits[c.Unit] == nil {
+			f.note(c.Unit, "is back from %s", out.Change)
+		}
 		f.Figures[c.Unit] = c.Figures
 		if f.Held == nil { // a snapshot of before there were any
 			f.Held = map[string]map[string]int{}
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -105,6 +105,9 @@
 		if _, twice := p.From[u]; twice {
 			return nil, fmt.Errorf("release %s: %s is named twice", id, u)
 		}
+		if config && known.Config == "" {
+			return nil, fmt.Errorf("release %s: %s names no configuration that it could go back to", id, u)
+		}
 		p.From[u] = p.Runs(known)
 	}
 	p.Waves = Waves(units, func(u string) string { return b.Units[u].Site }, s.Canary, s.Growth)
