Find the second process of a killed agent whatever the order of its environment; more fleet tests

The next agent logged "started" where it should have gone on with the new process, which ran. Ruled out: the process had ended (its pid was there at the end), the state path (alike). Cause: strays (process.go) looked for "\0NAME=STATE\0" in the environment, and the shell that starts a version puts the environment in an order of its own, in which the name can stand first, with no NUL before it. The words are compared one by one now; a test has it first.

--- a/internal/agent/faults_test.go
+++ b/internal/agent/faults_test.go
@@ -271,4 +271,7 @@
 	if all := strays("/elsewhere/stat", nil); len(all) != 0 {
 		t.Errorf("%d processes of another state", len(all))
 	}
+	if all := strays("/elsewhere/state", nil); len(all) != 1 || all[0].PID != cmd.Process.Pid || all[0].Version != "1" {
+		t.Errorf("of its own state, first in its environment: %+v", all)
+	}
 }
--- a/internal/agent/process.go
+++ b/internal/agent/process.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -79,8 +80,8 @@
 func strays(state string, but *process) (all []*process) {
 	found, _ := filepath.Glob("/proc/[0-9]*/environ")
 	for _, path := range found {
-		text, err := os.ReadFile(path) // of others' processes, or of those that ended just now: not ours
-		if err != nil || !bytes.Contains(text, []byte("\x00"+ownEnv+"="+state+"\x00")) {
+		text, err := os.ReadFile(path)                                                             // of others' processes, or of those that ended just now: not ours
+		if err != nil || !slices.Contains(strings.Split(string(text), "\x00"), ownEnv+"="+state) { // in any order: a shell between puts it in its own
 			continue
 		}
 		r := running{}
--- /dev/null
+++ b/internal/lab/fleet/fleet_test.go
@@ -0,0 +1,133 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"junctionring/internal/lab"
+	"junctionring/rollout"
+)
+
+// programs builds the gateway and the program fleet.
+func programs(t *testing.T) (gateway, fleet string) {
+	t.Helper()
+	dir := t.TempDir()
+	build := exec.Command("go", "build", "-o", dir, "junctionring/cmd/junctionring", "junctionring/cmd/fleet")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return filepath.Join(dir, "junctionring"), filepath.Join(dir, "fleet")
+}
+
+func play(ctx context.Context, t *testing.T, o Options) *Rig {
+	t.Helper()
+	o.Program, o.Fleet = programs(t)
+	dir, err := os.MkdirTemp("", "fleet") // a short path: sockets are named below it
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if !t.Failed() {
+			os.RemoveAll(dir)
+		}
+	})
+	o.Dir, o.Seed = dir, 7
+	r, err := Start(ctx, o)
+	if err != nil {
+		t.Fatalf("%v; logs: %s", err, dir)
+	}
+	t.Cleanup(r.Close)
+	return r
+}
+
+// Every fault strikes a fleet of real processes while releases go out and come back under load, one after the other.
+// The judge is the kernel's list of processes, the front's look at readiness, and the clients' own record.
+func TestEachFaultWhileReleasesGoOut(t *testing.T) {
+	if testing.Short() {
+		t.Skip("many processes")
+	}
+	ctx, done := context.WithTimeout(t.Context(), 4*time.Minute)
+	defer done()
+	r := play(ctx, t, Options{Gateways: 9, Groups: 3, Tables: 6, Rate: 40, Most: 2, Life: 1500 * time.Millisecond, Learn: 200 * time.Millisecond})
+	loadCtx, enough := context.WithCancel(ctx)
+	begun := time.Now()
+	samples := make(chan []lab.Sample, 1)
+	go func() {
+		s, _ := r.Offer(loadCtx, r.o.Rate, 4*time.Minute)
+		samples <- s
+	}()
+	defer enough()
+	s := rollout.Settings{Canary: 1, Growth: 2, Pause: 500 * time.Millisecond, Patience: 30 * time.Second, Limits: rollout.DefaultLimits, GoBack: true}
+	s.Limits.Enough = 5
+	releases, version := 0, "1"
+	going := func() { // a release is under way
+		f, err := r.View(ctx)
+		if err != nil {
+			return // the fault is among the coordinators, and the release goes on
+		}
+		id := fmt.Sprintf("r%d", releases)
+		if p := f.Plans[id]; p != nil && !p.Over() {
+			return
+		} else if p != nil && p.Stage == rollout.Done {
+			version = p.To
+		}
+		releases++
+		to := map[string]string{"1": "2", "2": "1"}[version]
+		if err := r.begin(ctx, fmt.Sprintf("r%d", releases), to, s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	missed := map[string]int{}
+	for round := range 2 { // one that found nothing to strike is thrown once more
+		for _, f := range Faults {
+			if round > 0 && r.Met[f.Name] > 0 {
+				continue
+			}
+			going()
+			struck, err := f.Run(ctx, r)
+			if err != nil {
+				t.Fatalf("%s: %v", f.Name, err)
+			}
+			r.met(f.Name, struck)
+			if !struck {
+				missed[f.Name]++
+			}
+		}
+	}
+	for _, f := range Faults {
+		if r.Met[f.Name] == 0 {
+			t.Errorf("%s: never seen to strike", f.Name)
+		}
+	}
+	p, err := r.over(ctx, fmt.Sprintf("r%d", releases), 90*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := r.rests(ctx, time.Minute); err != nil {
+		t.Error(err)
+	}
+	ended := time.Now()
+	enough()
+	o := Outcome{Stage: p.Stage, Verdict: r.Verdict(answered(<-samples, begun, ended), begun)}
+	if p.Stage == rollout.Done {
+		version = p.To
+	}
+	o.Stands = r.stands(ctx, func(string) string { return version })
+	for _, b := range r.Broken(o) {
+		t.Error(b)
+	}
+	t.Logf("%d releases, the last %s (%s); %d faults struck, %v missed once; %d requests, %d more at struck gateways, in time %.3f; at most %d out by plan, at least %d in",
+		releases, p.Stage, p.Why, len(r.Met), missed, o.Asked, o.Struck, o.InTime, o.Most, o.Least)
+	if o.Asked < 100 || o.Looks < 100 {
+		t.Errorf("%d requests and %d looks prove nothing", o.Asked, o.Looks)
+	}
+	if t.Failed() {
+		t.Log(strings.Join(r.Log, "\n"))
+	}
+}
--- a/internal/lab/fleet/plays.go
+++ b/internal/lab/fleet/plays.go
@@ -70,52 +70,66 @@
 		return out, err
 	}
 	r.say("release %s is %s: %s", id, p.Stage, p.Why)
-	// What faults broke is mended by now: the fleet comes to rest.
-	err = r.Await(ctx, 2*time.Minute, "every unit serves again, with no permit out", func(f *rollout.Fleet) bool {
-		for _, g := range r.gateways {
-			if u := f.Budget.Units[g.id]; u == nil || !u.Up || !u.Warm {
-				return false
-			}
-		}
-		return len(f.Budget.Permits) == 0
-	})
-	if err != nil {
+	if err := r.rests(ctx, 2*time.Minute); err != nil {
 		out.Stands = err.Error()
 	}
 	ended := time.Now()
 	enough()
-	s := <-samples
-	// Requests that were under way when the load ended have no answer, and prove nothing.
-	s = slices.DeleteFunc(s, func(x lab.Sample) bool { return x.Status == 0 && begun.Add(x.At+x.Took).After(ended) })
+	s := answered(<-samples, begun, ended)
 	if version == "crashes" { // what it held is lost with it, and who runs it is what the check limits
 		r.Judge.excuse(version, begun)
 	}
 	out.Verdict = r.Verdict(s, begun)
 	out.Stage, out.Why = p.Stage, p.Why
 	out.Saw = r.Judge.saw(version)
-	want := map[rollout.Stage]string{rollout.Done: version}[p.Stage]
-	var wrong []string
 	f, err := r.View(ctx)
 	if err != nil {
 		return out, err
 	}
 	out.One = One(f)
 	out.Chain = r.Chain(p.Waves, out.One, p.Settings)
-	for _, g := range r.gateways {
-		due := want
-		if due == "" {
-			due = p.From[g.id]
-		}
-		if now := r.Judge.pids(g.id); len(now) != 1 || now[0].version != due {
-			wrong = append(wrong, fmt.Sprintf("%s runs %v, %s is due (the log says %s)", g.id, now, due, f.Budget.Units[g.id].Version))
+	wrong := r.stands(ctx, func(id string) string {
+		if p.Stage == rollout.Done {
+			return version
 		}
-	}
-	if len(wrong) > 0 {
-		out.Stands = strings.TrimSpace(out.Stands + " " + strings.Join(wrong, "; "))
-	}
+		return p.From[id]
+	})
+	out.Stands = strings.TrimSpace(out.Stands + " " + wrong)
 	return out, nil
 }
 
+// rests waits until what faults broke is mended: every gateway serves, and nobody is out under a permit.
+func (r *Rig) rests(ctx context.Context, within time.Duration) error {
+	return r.Await(ctx, within, "every unit serves again, with no permit out", func(f *rollout.Fleet) bool {
+		for _, g := range r.gateways {
+			if u := f.Budget.Units[g.id]; u == nil || !u.Up || !u.Warm {
+				return false
+			}
+		}
+		return len(f.Budget.Permits) == 0
+	})
+}
+
+// stands says which gateways do not run what they should, by the kernel's word; empty: all do.
+func (r *Rig) stands(ctx context.Context, due func(id string) string) string {
+	var wrong []string
+	r.eventually(ctx, 3*time.Second, func() bool { // the judge looks ten times a second
+		wrong = nil
+		for _, g := range r.gateways {
+			if now := r.Judge.pids(g.id); len(now) != 1 || now[0].version != due(g.id) {
+				wrong = append(wrong, fmt.Sprintf("%s runs %v, %s is due", g.id, now, due(g.id)))
+			}
+		}
+		return len(wrong) == 0
+	})
+	return strings.Join(wrong, "; ")
+}
+
+// answered leaves out the requests that were under way when the load ended: they have no answer, and prove nothing.
+func answered(s []lab.Sample, begun, ended time.Time) []lab.Sample {
+	return slices.DeleteFunc(s, func(x lab.Sample) bool { return x.Status == 0 && begun.Add(x.At+x.Took).After(ended) })
+}
+
 // Broken lists what a release broke, of what has to hold whatever fails.
 func (r *Rig) Broken(o Outcome) (all []string) {
 	if o.Verdict.Most > r.o.Most {
@@ -262,7 +276,7 @@
 	proc.Wait(ctx, 2*time.Second)
 	ended := time.Now()
 	enough()
-	s := slices.DeleteFunc(<-samples, func(x lab.Sample) bool { return x.Status == 0 && begun.Add(x.At+x.Took).After(ended) })
+	s := answered(<-samples, begun, ended)
 	o.Before = lab.Summarise(lab.Between(s, time.Second, asked.Sub(begun)), "")
 	o.During = lab.Summarise(lab.Between(s, asked.Sub(begun), drained.Sub(begun)), "")
 	o.Lost = r.Verdict(s, begun).Lost
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -101,6 +101,98 @@
 	}
 }
 
+// What a site can serve is the least of what its gateways and its table servers can: none of either leaves when that
+// would be too little for the load, which passes through both.
+func TestSpareRoomCountsEachKind(t *testing.T) {
+	f := fleetOf(t, 4, Rule{Name: "room", Spare: 1.2}) // gateways: 40 a second at a load of 20
+	life := time.Minute
+	for i, capacity := range []float64{15, 15, 4} {
+		apply(t, f, Command{Op: See, Unit: fmt.Sprintf("t%d", i), Seen: &Unit{Kind: Tables, Site: "east", Capacity: capacity, Up: true, Warm: true}}, "")
+	}
+	apply(t, f, Command{Op: Want, Unit: "t0", Change: "d", Life: life}, "what would stay can serve 19 a second (tables), and 20 is asked with 1.20 times that")
+	apply(t, f, Command{Op: Withdraw, Change: "d"}, "")
+	apply(t, f, Command{Op: Want, Unit: "t2", Change: "e", Life: life}, "")
+	apply(t, f, Command{Op: Want, Unit: "g0", Change: "r", Life: life}, "")
+	apply(t, f, Command{Op: See, Unit: "t1", Seen: &Unit{Kind: Tables, Site: "east", Capacity: 15}}, "") // it fell
+	apply(t, f, Command{Op: Want, Unit: "g1", Change: "r", Life: life}, "can serve 20 a second (gateways)")
+	if no := f.Budget.Room("t0"); no == nil || !strings.Contains(no.Error(), "can serve 0 a second (tables)") {
+		t.Errorf("t0 may leave: %v", no)
+	}
+}
+
+// A drain is quiet when all of it has left and every gateway has said that it has nothing under way there, and no
+// longer when another gateway comes that has not said so.
+func TestADrainIsQuietOnceAllHaveSaidSo(t *testing.T) {
+	f := fleetOf(t, 2, Rule{Name: "tables", Kind: Tables, Most: 2})
+	see := func(unit string, held map[string]int) {
+		t.Helper()
+		apply(t, f, Command{Op: See, Unit: unit, Seen: f.Budget.Units[unit], Held: held}, "")
+	}
+	for _, id := range []string{"t0", "t1"} {
+		apply(t, f, Command{Op: See, Unit: id, Seen: &Unit{Kind: Tables, Up: true, Warm: true}}, "")
+	}
+	apply(t, f, Command{Op: Drain, Change: "d", Units: []string{"t0", "t1"}, Life: time.Minute}, "")
+	if b := f.Brief("g0"); len(b.Drains) != 0 {
+		t.Errorf("gateways are asked about %v, which have not left", b.Drains)
+	}
+	for _, id := range []string{"t0", "t1"} {
+		apply(t, f, Command{Op: Leave, Unit: id, Token: f.Budget.Permits[id].Token}, "")
+	}
+	if b := f.Brief("g0"); fmt.Sprint(b.Drains) != "[t0 t1]" || b.Task.Change != "" {
+		t.Errorf("brief: %+v", b)
+	}
+	see("g0", map[string]int{"t0": 0, "t1": 0})
+	see("g1", map[string]int{"t0": 0, "t1": 3})
+	if f.Drains["d"].Quiet {
+		t.Error("quiet with work under way")
+	}
+	see("g1", map[string]int{"t0": 0})
+	if f.Drains["d"].Quiet {
+		t.Error("quiet, and a gateway has not said so of one server")
+	}
+	see("g1", map[string]int{"t0": 0, "t1": 0})
+	if !f.Drains["d"].Quiet {
+		t.Error("not quiet, and all have said so")
+	}
+	apply(t, f, Command{Op: See, Unit: "g2", Seen: &Unit{Kind: Gateways, Up: true, Warm: true}}, "")
+	if _, who := f.Busy("t0"); fmt.Sprint(who) != "[g2]" {
+		t.Errorf("not heard from: %v", who)
+	}
+}
+
+// Whoever was stopped while another one came to see the same units is not listened to any more.
+func TestTheLatestSeerCounts(t *testing.T) {
+	f := fleetOf(t, 1)
+	up, down := &Unit{Kind: Tables, Up: true, Warm: true, By: "b"}, &Unit{Kind: Tables, By: "a"}
+	apply(t, f, Command{Op: See, By: "tables:x", Token: 5, Unit: "t0", Seen: up}, "")
+	apply(t, f, Command{Op: See, By: "tables:x", Token: 4, Unit: "t0", Seen: down}, "token 4 is overtaken by 5")
+	apply(t, f, Command{Op: See, By: "tables:y", Token: 4, Unit: "t1", Seen: down}, "")
+	if !f.Budget.Units["t0"].Up {
+		t.Error("a late word counted")
+	}
+}
+
+// A configuration's release compares and goes back by the configurations, and begins with no unit that names none.
+func TestAConfigurationsReleaseGoesByConfigurations(t *testing.T) {
+	f := fleetOf(t, 2, Rule{Name: "one", Most: 1})
+	s := DefaultSettings
+	apply(t, f, Command{Op: Begin, Change: "r", Version: "c2", Config: true, Units: []string{"g0"}, Settings: &s}, "g0 names no configuration that it could go back to")
+	seen := *f.Budget.Units["g0"]
+	seen.Config = "c1"
+	apply(t, f, Command{Op: See, Unit: "g0", Seen: &seen}, "")
+	apply(t, f, Command{Op: Begin, Change: "r", Version: "c2", Config: true, Units: []string{"g0"}, Settings: &s}, "")
+	if task := f.Task("g0"); !task.Config || task.Version != "c2" {
+		t.Errorf("task %+v", task)
+	}
+	seen.Config = "c2"
+	f.Plans["r"].Began("g0")
+	apply(t, f, Command{Op: See, Unit: "g0", Seen: &seen}, "")
+	apply(t, f, Command{Op: Step, Move: &Move{Plan: "r", Stage: Going, To: Backing}}, "")
+	if task := f.Task("g0"); !task.Config || task.Version != "c1" {
+		t.Errorf("task on the way back %+v", task)
+	}
+}
+
 func TestJudgedOnEnoughRequestsByClass(t *testing.T) {
 	l := DefaultLimits
 	one := func(asked, failed, late uint64) map[string]Count {
