Wait for a changed gateway that is out of sight instead of taking the release back at once

Cause: Lose marks a unit as not up (fleet.go), and Plan.fallen (plan.go) took that for a fall.

A unit says now whether it is out of sight (Unit.Lost). It counts as out, its wave isn't judged before it is seen again, and the release halts when that outlasts the patience; one that is seen down halts at once, as before, so a version that crashes again and again is still caught. Before, a unit that never came back into sight left the release going for ever.

--- a/cmd/fleet/changes.go
+++ b/cmd/fleet/changes.go
@@ -130,6 +130,9 @@
 	return nil
 }
 
+// ruleOf names a rule and the part of the fleet that it bounds.
+func ruleOf(u rollout.Use) string { return strings.TrimSpace("rule " + u.Rule + " " + u.Where) }
+
 func printNote(n rollout.Note) {
 	fmt.Printf("%d  %s  %s %s\n", n.Seq, time.UnixMilli(n.At).Format(time.DateTime), n.By, n.What)
 }
@@ -139,7 +142,7 @@
 		fmt.Println("planned work is halted:", f.Budget.Halted)
 	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "UNIT\tKIND\tSITE\tVERSION\tREADY\tWARM\tLOAD\tPERMIT")
+	fmt.Fprintln(w, "UNIT\tKIND\tSITE\tZONE\tVERSION\tREADY\tWARM\tLOAD\tPERMIT")
 	for _, id := range sorted(f.Budget.Units) {
 		u := f.Budget.Units[id]
 		permit := ""
@@ -149,11 +152,11 @@
 				permit += ", overdue: 'fleet claim " + id + "' once somebody has looked"
 			}
 		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%v\t%v\t%.0f of %.0f\t%s\n", id, u.Kind, u.Site, u.Version, u.Up, u.Warm, u.Load, u.Capacity, permit)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%v\t%v\t%.0f of %.0f\t%s\n", id, u.Kind, u.Site, u.Zone, u.Version, u.Up, u.Warm, u.Load, u.Capacity, permit)
 	}
 	w.Flush()
 	for _, u := range f.Budget.Uses() {
-		fmt.Printf("rule %s %s: %d of %d out", u.Rule, u.Where, u.Out, u.Of)
+		fmt.Printf("%s: %d of %d out", ruleOf(u), u.Out, u.Of)
 		if u.Limit >= 0 {
 			fmt.Printf(", %d may be", u.Limit)
 		}
@@ -351,7 +354,7 @@
 		fmt.Println("the budget has no rule: nothing may leave")
 	}
 	for _, u := range f.Budget.Uses() {
-		fmt.Printf("rule %s %s: %d of %d out, %d may be (-1: not counted) %s\n", u.Rule, u.Where, u.Out, u.Of, u.Limit, strings.Join(u.Who, ", "))
+		fmt.Printf("%s: %d of %d out, %d may be (-1: not counted) %s\n", ruleOf(u), u.Out, u.Of, u.Limit, strings.Join(u.Who, ", "))
 	}
 	return nil
 }
--- a/cmd/fleet/drains.go
+++ b/cmd/fleet/drains.go
@@ -124,7 +124,7 @@
 		alone.Permits[id] = &rollout.Permit{Change: "this drain"}
 	}
 	for _, u := range alone.Uses() {
-		fmt.Printf("rule %s %s: %d of %d out, what stays can serve %.0f a second at a load of %.0f now\n", u.Rule, u.Where, u.Out, u.Of, u.Stays, u.Load)
+		fmt.Printf("%s: %d of %d out, what stays can serve %.0f a second at a load of %.0f now\n", ruleOf(u), u.Out, u.Of, u.Stays, u.Load)
 	}
 	return nil
 }
--- a/cmd/lab/fleet.go
+++ b/cmd/lab/fleet.go
@@ -14,7 +14,7 @@
 )
 
 type fleetCommand struct {
-	Play     string        `arg:"" optional:"" default:"faults" enum:"faults,good,bad,drain" help:"faults: a release with random faults meanwhile; good: one without, beside the same load without any, and what it costs the coordinators; bad: the four kinds of bad versions; drain: a zone of table servers taken out."`
+	Play     string        `arg:"" optional:"" default:"faults" enum:"faults,good,bad,gone,drain" help:"faults: a release with random faults meanwhile; good: one without, beside the same load without any, and what it costs the coordinators; bad: the four kinds of bad versions; gone: one in whose middle all coordinators are gone for a minute; drain: a zone of table servers taken out."`
 	Out      string        `default:"lab-out/fleet" help:"Folder for data, records and logs."`
 	Program  string        `help:"The gateway; default: junctionring beside this program."`
 	Gateways int           `default:"100"`
@@ -101,6 +101,13 @@
 		idle := r.Cost(ctx).Less(was)
 		fmt.Printf("coordinators at rest, a second: %.3f s CPU, %.3f MB, %.1f entries\n", idle.CPU.Seconds()/20, float64(idle.Bytes)/2e7, float64(idle.Entries)/20)
 		return nil
+	case "gone":
+		o, held, during, err := r.Gone(ctx, time.Minute)
+		if err := verdict("coordinators gone for 60 s", o, err); err != nil {
+			return err
+		}
+		fmt.Printf("%d permits were out when they went; %d gateways were begun while they were gone\n", held, during)
+		return nil
 	case "bad":
 		for _, version := range []string{"never-ready", "crashes", "slow", "fails-moves", "spoilt"} {
 			o, err := r.Release(ctx, "to-"+version, version, 0)
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -109,6 +109,9 @@
 	look := rollout.Look{Since: time.Since(s.since), Changed: map[string]rollout.Count{}, Others: map[string]rollout.Count{}, Sight: true}
 	for unit, u := range f.Budget.Units {
 		_, mine := p.From[unit]
+		if mine && u.Lost && p.Runs(u) == p.To {
+			look.Sight = false
+		}
 		figures, known := f.Figures[unit]
 		if !known {
 			look.Sight = look.Sight && !(mine && p.Runs(u) == p.To)
--- a/internal/lab/fleet/plays.go
+++ b/internal/lab/fleet/plays.go
@@ -148,6 +148,37 @@
 	return all
 }
 
+// Gone plays a release in whose middle all coordinators are gone for a time, with permits out. It tells how many units
+// were changed meanwhile by the judge's record, and how many were being changed when they went.
+func (r *Rig) Gone(ctx context.Context, d time.Duration) (o Outcome, held, during int, err error) {
+	went := make(chan error, 1)
+	go func() {
+		r.eventually(ctx, 3*time.Minute, func() bool {
+			f, err := r.View(ctx)
+			if err != nil {
+				return false
+			}
+			held = 0
+			for _, p := range f.Budget.Permits {
+				if p.Left && !p.Returned {
+					held++
+				}
+			}
+			return held >= min(5, r.o.Most)
+		})
+		before := r.Judge.saw("2")
+		struck, err := r.withoutCoordinators(ctx, d)
+		during = r.Judge.saw("2") - before
+		r.met("all coordinators gone", struck)
+		went <- err
+	}()
+	o, err = r.Release(ctx, "release", "2", 0)
+	if e := <-went; err == nil {
+		err = e
+	}
+	return o, held, during, err
+}
+
 // Calm offers the load without any release, for as long as one took.
 func (r *Rig) Calm(ctx context.Context, d time.Duration) (Verdict, error) {
 	begun := time.Now()
--- a/rollout/budget.go
+++ b/rollout/budget.go
@@ -26,6 +26,7 @@
 	Instance string  `msgpack:"i"` // of its process: another one under the same name is not it
 	Up       bool    `msgpack:"u"` // seen ready
 	Warm     bool    `msgpack:"w"` // and able to serve its capacity
+	Lost     bool    `msgpack:"t"` // whoever sees it is silent: it counts as out, and may be as it was
 	By       string  `msgpack:"b"` // member that sees it: when that falls silent, the unit is out of sight
 }
 
@@ -147,6 +148,8 @@
 		return fmt.Sprintf("%s (%s, overdue)", id, p.Change)
 	case p != nil:
 		return fmt.Sprintf("%s (%s)", id, p.Change)
+	case u.Lost:
+		return id + " (out of sight)"
 	case !u.Up:
 		return id + " (not seen ready)"
 	}
--- a/rollout/fleet.go
+++ b/rollout/fleet.go
@@ -222,7 +222,7 @@
 		}
 	case Lose:
 		if u := b.Units[c.Unit]; u != nil && u.Up {
-			u.Up, u.Warm = false, false
+			u.Up, u.Warm, u.Lost = false, false, true
 			f.note(c.Unit, "is silent: it counts as out")
 		}
 	case Forget:
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -260,6 +260,9 @@
 				if l.Since > p.Settings.Patience && b.Permits[unit] != nil {
 					return to(Halted, "%s is not back after %v", unit, p.Settings.Patience)
 				}
+				if l.Since > p.Settings.Patience && u.Lost {
+					return to(Halted, "%s is out of sight for %v", unit, p.Settings.Patience)
+				}
 				return m, false
 			}
 		}
@@ -302,11 +305,12 @@
 
 func (p *Plan) last() bool { return p.Wave+1 == len(p.Waves) }
 
-// fallen is a unit of the waves before one that runs the new version, has no permit, and is not in.
+// fallen is a unit of the waves before one that runs the new version, has no permit, and is seen not to be in. One that
+// is out of sight for a while is no sign of a bad version: its wave isn't judged before it is seen again.
 func (p *Plan) fallen(b *Budget, before int) string {
 	for _, wave := range p.Waves[:before] {
 		for _, unit := range wave {
-			if u := b.Units[unit]; u != nil && p.Runs(u) == p.To && !u.in() && b.Permits[unit] == nil {
+			if u := b.Units[unit]; u != nil && p.Runs(u) == p.To && !u.in() && !u.Lost && b.Permits[unit] == nil {
 				return unit
 			}
 		}
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -172,6 +172,42 @@
 	}
 }
 
+// A changed unit that is out of sight is no sign of a bad version: the release waits, and halts when that lasts.
+func TestLostSightWaitsAndThenHalts(t *testing.T) {
+	f := fleetOf(t, 3, Rule{Name: "one", Most: 1})
+	s := DefaultSettings
+	apply(t, f, Command{Op: Begin, Change: "r", Version: "2", Units: []string{"g0", "g1"}, Settings: &s}, "")
+	p := f.Plans["r"]
+	see := func(version string, up bool) {
+		apply(t, f, Command{Op: See, Unit: "g0", Seen: &Unit{Kind: Gateways, Site: "east", Capacity: 10, Version: version, Up: up, Warm: up}}, "")
+	}
+	see("2", true)
+	apply(t, f, Command{Op: Step, Move: &Move{Plan: "r", Stage: Going, To: Looking}}, "")
+	apply(t, f, Command{Op: Lose, Unit: "g0"}, "")
+	blind := Look{Since: time.Second}
+	if m, ok := p.Next(f.Budget, blind); ok {
+		t.Errorf("out of sight for a second: %+v", m)
+	}
+	if no := f.Budget.Room("g1"); no == nil || !strings.Contains(no.Error(), "g0 (out of sight)") {
+		t.Errorf("g1 may leave meanwhile: %v", no)
+	}
+	blind.Since = s.Patience + time.Second
+	if m, ok := p.Next(f.Budget, blind); !ok || m.To != Halted {
+		t.Errorf("out of sight for longer than it may: %+v", m)
+	}
+	see("2", false)
+	if m, ok := p.Next(f.Budget, Look{Since: time.Second}); !ok || m.To != Halted || !strings.Contains(m.Why, "g0 runs the new version and is not seen ready") {
+		t.Errorf("seen down: %+v", m)
+	}
+	// One that is to be changed and is out of sight is not waited for without an end either.
+	see("1", true)
+	p.Stage = Going
+	apply(t, f, Command{Op: Lose, Unit: "g0"}, "")
+	if m, ok := p.Next(f.Budget, Look{Since: s.Patience + time.Second}); !ok || !strings.Contains(m.Why, "out of sight") {
+		t.Errorf("never changed, and out of sight: %+v", m)
+	}
+}
+
 // A configuration's release compares and goes back by the configurations, and begins with no unit that names none.
 func TestAConfigurationsReleaseGoesByConfigurations(t *testing.T) {
 	f := fleetOf(t, 2, Rule{Name: "one", Most: 1})
