Measure how evenly many gateways spread a thin load: lab spread (figures, faults, raw data)

`lab spread` starts hundreds of real gateways and their table servers, deals a load thinly and unevenly, throws a fault, and takes from the servers' own record: load over capacity by server in windows of 0.1, 1 and 10 s beside chance and a perfect spread at the same counts, herds beyond one in a million, servers without work, connections, requests refused while a server stood idle.

--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -149,6 +149,7 @@
 		Try      tryCommand      `cmd:"" help:"Play a scenario between two sites with real gateways, and measure it."`
 		Plays    playsCommand    `cmd:"" help:"List the plays."`
 		Fleet    fleetCommand    `cmd:"" help:"Play a whole fleet: releases and drains under a load, with faults between its processes."`
+		Spread   spreadCommand   `cmd:"" help:"Measure how evenly many gateways spread a thin load over table servers, and under faults."`
 		Lease    leaseCommand    `cmd:"" help:"Play coordinators, holders and faults between them, and judge by what they did."`
 		Load     loadCommand     `cmd:"" help:"Offer an open-loop load to gateways on loopback."`
 		Tables   tablesCommand   `cmd:"" help:"Start stand-in table servers."`
--- a/internal/lab/fleet/plays.go
+++ b/internal/lab/fleet/plays.go
@@ -125,8 +125,10 @@
 	return strings.Join(wrong, "; ")
 }
 
-// answered leaves out the requests that were under way when the load ended: they have no answer, and prove nothing.
+// answered leaves out the requests that were under way when the load ended: they have no answer, and prove nothing. The
+// load counts its times from a little after begun.
 func answered(s []lab.Sample, begun, ended time.Time) []lab.Sample {
+	ended = ended.Add(-100 * time.Millisecond)
 	return slices.DeleteFunc(s, func(x lab.Sample) bool { return x.Status == 0 && begun.Add(x.At+x.Took).After(ended) })
 }
 
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -49,8 +50,9 @@
 // Load is an open-loop load: requests are sent at their times, whatever became of those before.
 type Load struct {
 	Name     string
-	Gateways []string // addresses, on loopback
-	Rate     float64  // requests a second, Poisson
+	Gateways []string  // addresses, on loopback
+	Weights  []float64 // by gateway: its part of the load; none: all alike
+	Rate     float64   // requests a second, Poisson
 	For      time.Duration
 	Accounts int
 	Plan     string
@@ -98,6 +100,12 @@
 		l.Most = 1_000_000
 	}
 	rng := rand.New(rand.NewPCG(l.Seed, 0x2545f4914f6cdd1d))
+	var sums []float64
+	for i, w := range l.Weights {
+		if sums = append(sums, w); i > 0 {
+			sums[i] += sums[i-1]
+		}
+	}
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512, IdleConnTimeout: 30 * time.Second}}
 	defer client.CloseIdleConnections()
 	var samples []*Sample
@@ -121,7 +129,7 @@
 		if c.carriesMoveKey {
 			s.Key = fmt.Sprintf("%s-%d", l.Name, n)
 		}
-		gateway, account := l.Gateways[rng.IntN(len(l.Gateways))], rng.IntN(max(1, l.Accounts))
+		gateway, account := l.Gateways[l.dealt(rng, sums)], rng.IntN(max(1, l.Accounts))
 		s.Gateway = gateway
 		samples = append(samples, s)
 		out.Add(1)
@@ -137,6 +145,15 @@
 	return values(samples), nil
 }
 
+// dealt is the number of the gateway that a request goes to.
+func (l *Load) dealt(rng *rand.Rand, sums []float64) int {
+	if len(sums) != len(l.Gateways) {
+		return rng.IntN(len(l.Gateways))
+	}
+	i, _ := slices.BinarySearch(sums, rng.Float64()*sums[len(sums)-1])
+	return min(i, len(sums)-1)
+}
+
 func values(samples []*Sample) []Sample {
 	all := make([]Sample, len(samples))
 	for i, s := range samples {
--- a/internal/standin/tables.go
+++ b/internal/standin/tables.go
@@ -138,6 +138,8 @@
 	silent   chan struct{} // not nil: nothing is answered until it is closed
 	down     bool
 	recent   []coldWork // asked of it while it is cold
+	open     int        // connections
+	opened   int
 }
 
 type coldWork struct {
@@ -162,13 +164,32 @@
 		o.Record = &Record{}
 	}
 	t := &Table{o: o, listener: l, free: o.Cores, started: time.Now(), rng: rand.New(rand.NewPCG(o.Seed, 7))}
-	t.server = serveHTTP(l, http.HandlerFunc(t.serve))
+	t.server = &http.Server{Handler: http.HandlerFunc(t.serve), ReadHeaderTimeout: 5 * time.Second, ConnState: t.connection}
+	go t.server.Serve(l)
 	return t, nil
 }
 
 // Addr is where the server listens.
 func (t *Table) Addr() string { return t.listener.Addr().String() }
 
+// Connections tells how many connections are open, and how many ever were.
+func (t *Table) Connections() (open, opened int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.open, t.opened
+}
+
+func (t *Table) connection(_ net.Conn, state http.ConnState) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		t.open, t.opened = t.open+1, t.opened+1
+	case http.StateClosed, http.StateHijacked:
+		t.open--
+	}
+}
+
 // Instance is the server's entry for a registry; address may be a link's.
 func (t *Table) Instance(address string) Instance {
 	e := Instance{ID: t.o.ID, HostPort: address, Zone: t.o.Site, Lifecycle: "SERVING", Weight: 1}
