--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -10,7 +10,6 @@
 	"testing"
 	"time"
 
-	"junctionring/internal/lab"
 	"junctionring/rollout"
 )
 
@@ -56,8 +55,7 @@
 	defer done()
 	r := play(ctx, t, Options{Gateways: 9, Groups: 3, Tables: 6, Rate: 40, Most: 2, Life: 1500 * time.Millisecond, Learn: 200 * time.Millisecond})
 	loadCtx, enough := context.WithCancel(ctx)
-	begun := time.Now()
-	samples := make(chan []lab.Sample, 1)
+	samples := make(chan Offered, 1)
 	go func() {
 		s, _ := r.Offer(loadCtx, r.o.Rate, 4*time.Minute)
 		samples <- s
@@ -114,7 +112,7 @@
 	}
 	ended := time.Now()
 	enough()
-	o := Outcome{Stage: p.Stage, Verdict: r.Verdict(answered(<-samples, begun, ended), begun)}
+	o := Outcome{Stage: p.Stage, Verdict: r.Verdict(answered(<-samples, ended))}
 	if p.Stage == rollout.Done {
 		version = p.To
 	}
--- a/internal/lab/fleet/plays.go
+++ b/internal/lab/fleet/plays.go
@@ -25,6 +25,7 @@
 	Stage  rollout.Stage
 	Why    string
 	Took   time.Duration
+	Span   time.Duration // of the load
 	Chain  time.Duration // the shortest time that the budget permits
 	One    time.Duration // that one gateway is out
 	Saw    int           // gateways that ran the new version, by the judge's record
@@ -36,8 +37,7 @@
 func (r *Rig) Release(ctx context.Context, id, version string, faults int) (out Outcome, err error) {
 	loadCtx, enough := context.WithCancel(ctx)
 	defer enough()
-	begun := time.Now()
-	samples := make(chan []lab.Sample, 1)
+	samples := make(chan Offered, 1)
 	go func() {
 		s, _ := r.Offer(loadCtx, r.o.Rate, 20*time.Minute)
 		samples <- s
@@ -75,7 +75,8 @@
 	}
 	ended := time.Now()
 	enough()
-	s := answered(<-samples, begun, ended)
+	s, begun := answered(<-samples, ended)
+	out.Span = ended.Sub(begun)
 	if version == "crashes" { // what it held is lost with it, and who runs it is what the check limits
 		r.Judge.excuse(version, begun)
 	}
@@ -125,11 +126,9 @@
 	return strings.Join(wrong, "; ")
 }
 
-// answered leaves out the requests that were under way when the load ended: they have no answer, and prove nothing. The
-// load counts its times from a little after begun.
-func answered(s []lab.Sample, begun, ended time.Time) []lab.Sample {
-	ended = ended.Add(-100 * time.Millisecond)
-	return slices.DeleteFunc(s, func(x lab.Sample) bool { return x.Status == 0 && begun.Add(x.At+x.Took).After(ended) })
+// answered leaves out the requests that were under way when the load ended: they have no answer, and prove nothing.
+func answered(o Offered, ended time.Time) ([]lab.Sample, time.Time) {
+	return slices.DeleteFunc(o.Samples, func(x lab.Sample) bool { return x.Status == 0 && o.Begun.Add(x.At+x.Took).After(ended) }), o.Begun
 }
 
 // Broken lists what a release broke, of what has to hold whatever fails.
@@ -142,7 +141,7 @@
 		all = append(all, o.Stands)
 	}
 	if len(o.Lost) > 0 {
-		all = append(all, fmt.Sprintf("%d requests lost at gateways that no fault had struck, the first %s", len(o.Lost), o.Lost[0]))
+		all = append(all, fmt.Sprintf("%d requests lost at gateways that no fault had struck, within %.2f s: %s", len(o.Lost), o.Span.Seconds(), strings.Join(o.Lost[:min(8, len(o.Lost))], "; ")))
 	}
 	if len(o.Twice) > 0 {
 		all = append(all, fmt.Sprintf("%d moves ran twice, the first %s", len(o.Twice), o.Twice[0]))
@@ -183,9 +182,8 @@
 
 // Calm offers the load without any release, for as long as one took.
 func (r *Rig) Calm(ctx context.Context, d time.Duration) (Verdict, error) {
-	begun := time.Now()
 	s, err := r.Offer(ctx, r.o.Rate, d)
-	return r.Verdict(s, begun), err
+	return r.Verdict(s.Samples, s.Begun), err
 }
 
 // Chain is the shortest time that a release may take under the budget: in each wave, so many one after the other as
@@ -263,8 +261,7 @@
 	}
 	loadCtx, enough := context.WithCancel(ctx)
 	defer enough()
-	begun := time.Now()
-	samples := make(chan []lab.Sample, 1)
+	samples := make(chan Offered, 1)
 	go func() {
 		s, _ := r.Offer(loadCtx, r.o.Rate, 20*time.Minute)
 		samples <- s
@@ -309,7 +306,7 @@
 	proc.Wait(ctx, 2*time.Second)
 	ended := time.Now()
 	enough()
-	s := answered(<-samples, begun, ended)
+	s, begun := answered(<-samples, ended)
 	o.Before = lab.Summarise(lab.Between(s, time.Second, asked.Sub(begun)), "")
 	o.During = lab.Summarise(lab.Between(s, asked.Sub(begun), drained.Sub(begun)), "")
 	o.Lost = r.Verdict(s, begun).Lost
--- a/internal/lab/fleet/rig.go
+++ b/internal/lab/fleet/rig.go
@@ -443,8 +443,14 @@
 	}
 }
 
+// Offered is what became of a load, and when it began.
+type Offered struct {
+	Samples []lab.Sample
+	Begun   time.Time
+}
+
 // Offer offers the play's load for a time, or until ctx ends.
-func (r *Rig) Offer(ctx context.Context, rate float64, d time.Duration) ([]lab.Sample, error) {
+func (r *Rig) Offer(ctx context.Context, rate float64, d time.Duration) (Offered, error) {
 	r.offers++
 	load := lab.Load{Name: fmt.Sprintf("load%d", r.offers), Rate: rate, For: d, Accounts: 400, Plan: "club", Seed: r.o.Seed}
 	for _, g := range r.gateways {
@@ -454,7 +460,7 @@
 	if ctx.Err() != nil {
 		err = nil
 	}
-	return samples, err
+	return Offered{samples, load.Begun}, err
 }
 
 // begin begins a release over all gateways.
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -56,7 +56,8 @@
 	For      time.Duration
 	Accounts int
 	Plan     string
-	Most     int // requests, at the most
+	Most     int       // requests, at the most
+	Begun    time.Time // set by Run: what samples' times count from
 	Seed     uint64
 }
 
@@ -111,6 +112,7 @@
 	var samples []*Sample
 	var out sync.WaitGroup
 	start, at := time.Now(), time.Duration(0)
+	l.Begun = start
 	for n := 0; n < l.Most; n++ {
 		at += time.Duration(rng.ExpFloat64() / l.Rate * float64(time.Second))
 		if at > l.For {
