Give permits without naming who uses the room, so that many who wait don't stall the coordinators

Ruled out: memory, the links. Cause: with each entry of the log Budget.Give looked at everyone who waits, and each refusal named who uses the room (budget.go, against): a sorted walk over all units for each of 150, for each of 150 entries a second, at all three coordinators.

Give asks without words now; they are made where somebody reads them. Notes are no longer copied with each one past their bound.

--- a/internal/lab/fleet/plays.go
+++ b/internal/lab/fleet/plays.go
@@ -187,10 +187,19 @@
 }
 
 // Chain is the shortest time that a release may take under the budget: in each wave, so many one after the other as
-// the budget permits at once, each for as long as one takes alone, and the pause after each wave.
+// the budget permits at once, each for as long as one takes alone, and after each wave the pause, or as long as the
+// changed gateways take to get enough requests of the rarest class to be judged by.
 func (r *Rig) Chain(waves [][]string, one time.Duration, s rollout.Settings) (d time.Duration) {
+	rarest := 1.0
+	for _, c := range lab.Classes {
+		rarest = min(rarest, c.Share)
+	}
+	changed := 0
 	for _, w := range waves {
-		d += time.Duration((len(w)+r.o.Most-1)/r.o.Most)*one + s.Pause
+		changed += len(w)
+		rate := r.o.Rate / float64(len(r.gateways)) * float64(changed) * rarest
+		judged := time.Duration(float64(s.Limits.Enough) / rate * float64(time.Second))
+		d += time.Duration((len(w)+r.o.Most-1)/r.o.Most)*one + max(s.Pause, judged)
 	}
 	return d
 }
--- a/rollout/budget.go
+++ b/rollout/budget.go
@@ -165,7 +165,7 @@
 	if no := b.stands(); no != nil {
 		return no
 	}
-	return b.room(id, b.parts(b.out), b.out)
+	return b.room(id, b.parts(b.out), b.out, true)
 }
 
 // stands is the refusal of all planned work; nil: it goes on.
@@ -179,8 +179,9 @@
 	return b.overdue()
 }
 
-// room looks at the rules that speak of a unit.
-func (b *Budget) room(id string, parts map[string]*part, out func(string) bool) *Refusal {
+// room looks at the rules that speak of a unit. Without words a refusal says only which room is lacking: to name who uses
+// it takes a walk over all units, too much for each of many that wait, with each entry of the log.
+func (b *Budget) room(id string, parts map[string]*part, out func(string) bool, words bool) *Refusal {
 	bounded := false
 	for i := range b.Rules {
 		key, ok := b.Rules[i].group(b.Units[id])
@@ -188,7 +189,7 @@
 			continue
 		}
 		bounded = true
-		if refused := b.against(&b.Rules[i], key, id, parts, out); refused != nil {
+		if refused := b.against(&b.Rules[i], key, id, parts, out, words); refused != nil {
 			return refused
 		}
 	}
@@ -254,7 +255,7 @@
 }
 
 // against looks at one rule with a unit out besides those that are.
-func (b *Budget) against(r *Rule, key, id string, parts map[string]*part, out func(string) bool) *Refusal {
+func (b *Budget) against(r *Rule, key, id string, parts map[string]*part, out func(string) bool, words bool) *Refusal {
 	room := r.Name + "\x00" + key
 	p, u := parts[room], b.Units[id]
 	after, leaves := p.out, 0.0
@@ -266,6 +267,9 @@
 		where = " in " + key
 	}
 	refused := func(why string, args ...any) *Refusal {
+		if !words {
+			return &Refusal{room: room}
+		}
 		no := &Refusal{room: room, Rule: fmt.Sprintf("rule %s: ", r.Name) + fmt.Sprintf(why, args...)}
 		for _, other := range sortedKeys(b.Units) {
 			if k, ok := r.group(b.Units[other]); ok && k == key && out(other) {
@@ -356,7 +360,7 @@
 			if parts == nil {
 				parts = b.parts(b.out)
 			}
-			refused = b.room(a.Unit, parts, b.out)
+			refused = b.room(a.Unit, parts, b.out, false)
 		}
 		for i := range b.Rules {
 			if key, ok := b.Rules[i].group(u); ok && refused == nil && lacked[b.Rules[i].Name+"\x00"+key] && b.without != earlierFirst {
@@ -395,7 +399,7 @@
 		return other != nil && other.Left || !b.Units[id].in() && b.without != crashesCount
 	}
 	if b.without != leaveAskedAgain {
-		if refused := b.room(unit, b.parts(out), out); refused != nil {
+		if refused := b.room(unit, b.parts(out), out, true); refused != nil {
 			return refused
 		}
 	}
--- a/rollout/fleet.go
+++ b/rollout/fleet.go
@@ -55,14 +55,15 @@
 
 // Bounds of what one command may carry.
 const (
-	wordMost  = 200
-	unitsMost = 10_000
-	rulesMost = 100
-	notesMost = 2_000
-	plansMost = 100
-	classMost = 64
-	lifeLeast = time.Second
-	lifeMost  = 24 * time.Hour
+	wordMost   = 200
+	unitsMost  = 10_000
+	rulesMost  = 100
+	notesMost  = 2_000
+	notesSlack = 200 // more, so that they are not copied with each one
+	plansMost  = 100
+	classMost  = 64
+	lifeLeast  = time.Second
+	lifeMost   = 24 * time.Hour
 )
 
 // Check names what is wrong with a command, whatever the state.
@@ -178,7 +179,7 @@
 func (f *Fleet) note(by, format string, args ...any) {
 	f.Seq++
 	f.Notes = append(f.Notes, Note{f.Seq, f.at, by, fmt.Sprintf(format, args...)})
-	if len(f.Notes) > notesMost {
+	if len(f.Notes) > notesMost+notesSlack {
 		f.Notes = slices.Clone(f.Notes[len(f.Notes)-notesMost:])
 	}
 }
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -266,3 +266,26 @@
 		}
 	}
 }
+
+// One entry of the log costs with many waiting what it costs with few: the coordinators take hundreds a second.
+func BenchmarkSee(b *testing.B) {
+	for _, waiting := range []int{0, 20, 200} {
+		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
+			f := NewFleet()
+			f.Apply(Command{Op: SetRules, Rules: []Rule{{Name: "g", Kind: Gateways, Most: 10}, {Name: "room", Spare: 0.1}}})
+			u := Unit{Kind: Gateways, Capacity: 10, Load: 5, Up: true, Warm: true}
+			for i := range 300 {
+				seen := u
+				f.Apply(Command{Op: See, Unit: fmt.Sprint("g", i), Seen: &seen})
+			}
+			for i := range waiting + 10*min(1, waiting) {
+				f.Apply(Command{Op: Want, Unit: fmt.Sprint("g", i), Change: "r", Life: time.Minute})
+			}
+			b.ResetTimer()
+			for b.Loop() {
+				seen := u
+				f.Apply(Command{Op: See, Unit: "g299", Seen: &seen})
+			}
+		})
+	}
+}
