--- a/internal/warden/warden.go
+++ b/internal/warden/warden.go
@@ -187,6 +187,9 @@
 		return false, set(false)
 	case d.Back && !p.Returned:
 		of.Op = rollout.Return
+		if k := w.seen[s.ID]; k != nil {
+			k.toldAt = time.Time{} // the permit ends with the next word that it serves, though nothing changes by then
+		}
 		_, err := coordinator.Change(ctx, w.group, of)
 		return false, err
 	}
