Ask a coordinator's status in one place; a warden knows its servers by one look-up

Found on reading the change over: the same call stood in cmd/fleet, lab/leases and lab/fleet (leasepb.Status now), the warden made its record of a server in two places, and a test had a field that nothing read. Checked: vet, and the tests of warden, agent, coordinator, lab/leases and lab/fleet.

--- a/cmd/fleet/coordinator.go
+++ b/cmd/fleet/coordinator.go
@@ -150,14 +150,7 @@
 }
 
 func status(ctx context.Context, address string) (*leasepb.StatusAnswer, error) {
-	conn, err := leasepb.Dial(address)
-	if err != nil {
-		return nil, err
-	}
-	defer conn.Close()
-	ctx, done := context.WithTimeout(ctx, 2*time.Second)
-	defer done()
-	return leasepb.NewLeasesClient(conn).Status(ctx, &leasepb.StatusAsk{})
+	return leasepb.Status(ctx, address, 2*time.Second)
 }
 
 type snapshotCommand struct {
--- a/internal/agent/faults_test.go
+++ b/internal/agent/faults_test.go
@@ -191,17 +191,16 @@
 func TestAnAgentFindsBothProcesses(t *testing.T) {
 	t.Parallel()
 	for _, c := range []struct {
-		name       string
-		old        string // version that the state names
-		oldRuns    bool
-		other      string
-		stays      string
-		bothRunFor time.Duration
+		name    string
+		old     string // version that the state names
+		oldRuns bool
+		other   string
+		stays   string
 	}{
-		{"both take clients", "1", true, "2", "1", 0},
-		{"the old one has ended", "1", false, "2", "2", 0},
-		{"the new one never got ready", "1", true, "never-ready", "1", 0},
-		{"the old one takes nobody any more", "never-ready", true, "2", "2", 0},
+		{"both take clients", "1", true, "2", "1"},
+		{"the old one has ended", "1", false, "2", "2"},
+		{"the new one never got ready", "1", true, "never-ready", "1"},
+		{"the old one takes nobody any more", "never-ready", true, "2", "2"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -246,15 +245,13 @@
 			if r, ok, err := loadRunning(o.State); err != nil || !ok || r != a.now.running {
 				t.Errorf("kept %+v (%v), goes on with %+v", r, err, a.now.running)
 			}
-			if second := New(o, quiet); true {
-				l, err := lock(o.State + ".lock")
-				if err != nil {
-					t.Fatal(err)
-				}
-				defer l.Close()
-				if err := second.Run(t.Context()); err == nil || !strings.Contains(err.Error(), "another agent keeps this gateway") {
-					t.Errorf("a second agent on one state: %v", err)
-				}
+			l, err := lock(o.State + ".lock")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			if err := New(o, quiet).Run(t.Context()); err == nil || !strings.Contains(err.Error(), "another agent keeps this gateway") {
+				t.Errorf("a second agent on one state: %v", err)
 			}
 		})
 	}
--- a/internal/coordinator/leasepb/dial.go
+++ b/internal/coordinator/leasepb/dial.go
@@ -1,6 +1,7 @@
 package leasepb
 
 import (
+	"context"
 	"time"
 
 	"google.golang.org/grpc"
@@ -20,3 +21,15 @@
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 10 * time.Second, Timeout: 3 * time.Second}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MessageMost), grpc.MaxCallSendMsgSize(MessageMost)))
 }
+
+// Status asks one coordinator how it is, whoever leads. Its answer may take so long at the most.
+func Status(ctx context.Context, address string, within time.Duration) (*StatusAnswer, error) {
+	conn, err := Dial(address)
+	if err != nil {
+		return nil, err
+	}
+	defer conn.Close()
+	ctx, done := context.WithTimeout(ctx, within)
+	defer done()
+	return NewLeasesClient(conn).Status(ctx, &StatusAsk{})
+}
--- a/internal/lab/fleet/faults.go
+++ b/internal/lab/fleet/faults.go
@@ -255,14 +255,7 @@
 }
 
 func (r *Rig) status(ctx context.Context, i int) (*leasepb.StatusAnswer, error) {
-	conn, err := leasepb.Dial(r.listens[i])
-	if err != nil {
-		return nil, err
-	}
-	defer conn.Close()
-	ctx, done := context.WithTimeout(ctx, 500*time.Millisecond)
-	defer done()
-	return leasepb.NewLeasesClient(conn).Status(ctx, &leasepb.StatusAsk{})
+	return leasepb.Status(ctx, r.listens[i], 500*time.Millisecond)
 }
 
 // Throw throws random faults, one after the other, until ctx ends or so many were thrown.
--- a/internal/lab/leases/rig.go
+++ b/internal/lab/leases/rig.go
@@ -228,14 +228,7 @@
 
 // status asks each coordinator past all links.
 func (r *Rig) status(ctx context.Context, i int) (*leasepb.StatusAnswer, error) {
-	conn, err := leasepb.Dial(r.listens[i])
-	if err != nil {
-		return nil, err
-	}
-	defer conn.Close()
-	ctx, done := context.WithTimeout(ctx, 500*time.Millisecond)
-	defer done()
-	return leasepb.NewLeasesClient(conn).Status(ctx, &leasepb.StatusAsk{})
+	return leasepb.Status(ctx, r.listens[i], 500*time.Millisecond)
 }
 
 // leader is the coordinator that leads in the highest term; -1: none.
--- a/internal/warden/warden.go
+++ b/internal/warden/warden.go
@@ -198,11 +198,7 @@
 
 // unit is a server as it is seen now.
 func (w *Warden) unit(s Server, alive, draining bool) rollout.Unit {
-	k := w.seen[s.ID]
-	if k == nil {
-		k = &seen{misses: missesOut}
-		w.seen[s.ID] = k
-	}
+	k := w.know(s.ID)
 	if k.misses++; alive {
 		k.misses = 0
 	}
@@ -215,6 +211,16 @@
 	return u
 }
 
+// know is what is known of a server; one that was not seen yet counts as out until it answers.
+func (w *Warden) know(id string) *seen {
+	k := w.seen[id]
+	if k == nil {
+		k = &seen{misses: missesOut}
+		w.seen[id] = k
+	}
+	return k
+}
+
 func (w *Warden) alive(ctx context.Context, address string) bool {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+w.c.Health, nil)
 	if err != nil {
@@ -229,11 +235,7 @@
 }
 
 func (w *Warden) tell(ctx context.Context, l *leaseholder.Lease, id string, u rollout.Unit) error {
-	k := w.seen[id]
-	if k == nil {
-		k = &seen{}
-		w.seen[id] = k
-	}
+	k := w.know(id)
 	if k.told == u && time.Since(k.toldAt) < tellEvery {
 		return nil
 	}
