End a process by the deadlines of its settings, in an order that leaves no request behind

Cause: cmd/junctionring/serve.go ended by constants (served on 2.5 s, closed for 0.4 s, shed 3.3 s after SIGTERM), which fit a longest deadline of 3 s and more. SIGKILL comes at the longest deadline plus 0.7 s.

Also at fault there, found by reading: the time ran from when serve noticed SIGTERM, not from the signal; after the shed new requests on open connections were sent on and cut off; net/http's Shutdown ended the taking back of connections with a request unread on them (slots.arrive fails from then on); connections at rest were closed as the listener closed, so that a request that crossed found no way in; the counter's last add waited for the last words.

Change: the pure module `ending` plans each step from the deadlines in force, and those that held requests came under. Drain closes connections at rest shortly before it stops taking new ones, and returns only once none is left or the time is up; Shutdown finds none. After the shed the core sheds what still comes as it comes. Units are added meanwhile.

--- a/cmd/junctionring/serve.go
+++ b/cmd/junctionring/serve.go
@@ -14,11 +14,13 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"junctionring/control"
+	"junctionring/ending"
 	"junctionring/internal/config"
 	"junctionring/internal/core"
 	"junctionring/internal/counter"
@@ -34,14 +36,7 @@
 	"junctionring/internal/telemetry"
 )
 
-const (
-	servesOn    = 2500 * time.Millisecond // after SIGTERM: connections keep coming, and open ones are used
-	closesFor   = 400 * time.Millisecond  // after that: each answer closes its connection
-	drainFor    = 3300 * time.Millisecond // SIGKILL comes 3.7 s after SIGTERM at the earliest
-	lastUnits   = 150 * time.Millisecond  // for the counter to take what is not added yet
-	lastWords   = 200 * time.Millisecond  // for the answers of what is shed at the end of a drain
-	memoryShare = 0.7                     // of the limit: the runtime's own, the sockets' buffers and files count too
-)
+const memoryShare = 0.7 // of the limit: the runtime's own, the sockets' buffers and files count too
 
 type serveCommand struct {
 	Config   string `env:"EDGE_CONFIG" type:"existingfile" xor:"front" required:"" help:"The platform's configuration: serve its protocol."`
@@ -50,8 +45,7 @@
 
 func (s serveCommand) Run() error {
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
+	ctx := untilTold()
 	// Caught before anything else: a gateway that is told of new addresses must not end by it.
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
@@ -63,6 +57,32 @@
 	return servePlatform(ctx, work, hup, s.Config, log)
 }
 
+// toldAt is the cause of a context that ends when the process is told to end: the time to end runs from there,
+// however far the process has come by then.
+type toldAt struct{ time.Time }
+
+func (t toldAt) Error() string { return "told to end" }
+
+// untilTold is a context that ends with the first SIGTERM or SIGINT; later ones change nothing.
+func untilTold() context.Context {
+	ctx, end := context.WithCancelCause(context.Background())
+	term := make(chan os.Signal, 1)
+	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-term
+		end(toldAt{time.Now()})
+	}()
+	return ctx
+}
+
+// longestWait is the longest deadline among classes.
+func longestWait(classes []control.Class) (longest time.Duration) {
+	for _, c := range classes {
+		longest = max(longest, seconds(c.Deadline))
+	}
+	return longest
+}
+
 func servePlatform(ctx, work context.Context, hup <-chan os.Signal, path string, log *slog.Logger) error {
 	p, err := config.LoadPlatform(path)
 	if err != nil {
@@ -104,6 +124,12 @@
 	table := retune.Start(set.Classes, set.Module.Classes, set.Plans, set.Module.Plans, set.Module.Limits.MaxAttempts)
 	var names atomic.Pointer[front.Names]
 	names.Store(platformNames(table, set))
+	deadlines := struct { // of all settings that requests are held under
+		sync.Mutex
+		ending.Deadlines
+		since time.Time
+	}{since: time.Now()}
+	deadlines.Set(0, longestWait(set.Module.Classes))
 	go eachHangup(work, hup, func() {
 		p, err := config.ReadPlatform(path)
 		if err == nil {
@@ -135,6 +161,9 @@
 		figures.Classes(retune.All(next.Classes))
 		names.Store(platformNames(next, p.Settings))
 		table = next
+		deadlines.Lock()
+		deadlines.Set(time.Since(deadlines.since), longestWait(p.Settings.Module.Classes))
+		deadlines.Unlock()
 		log.Info("new settings", "classes", retune.Names(next.Classes), "plans", retune.Names(next.Plans), "attempts", next.Attempts)
 	})
 
@@ -150,7 +179,11 @@
 		go m.Serve(l)
 		log.Info("management", "listen", l.Addr().String())
 	}
-	return serve(ctx, work, c, server, doors, ingressConns(p.Sockets), drainFor, log)
+	return serve(ctx, work, c, server, doors, ingressConns(p.Sockets), log, func(told time.Time) ending.Plan {
+		deadlines.Lock()
+		defer deadlines.Unlock()
+		return ending.Before(ending.Time(deadlines.Shortest(told.Sub(deadlines.since))))
+	})
 }
 
 func serveOperator(ctx, work context.Context, hup <-chan os.Signal, path string, log *slog.Logger) error {
@@ -182,7 +215,8 @@
 	if !g.Start(work, ctx) {
 		return nil // told to end before the route table was known
 	}
-	return serve(ctx, work, g.Core, server, doors, ingressConns(o.Limits.Sockets), o.Drain.Duration, log)
+	return serve(ctx, work, g.Core, server, doors, ingressConns(o.Limits.Sockets), log,
+		func(time.Time) ending.Plan { return ending.Within(o.Drain.Duration) })
 }
 
 // hooks are what the management calls do.
@@ -259,8 +293,11 @@
 	return l, nil
 }
 
-// serve takes connections until ctx ends, then hands them to a successor, or drains.
-func serve(ctx, work context.Context, c *core.Core, server *front.Server, d *doors, conns int, drainFor time.Duration, log *slog.Logger) error {
+// serve takes connections until ctx ends, then hands them to a successor, or drains by the plan.
+func serve(ctx, work context.Context, c *core.Core, server *front.Server, d *doors, conns int, log *slog.Logger, plan func(told time.Time) ending.Plan) error {
+	if ctx.Err() != nil {
+		return nil // told to end before anything was taken
+	}
 	l, err := d.listen(d.addresses[0])
 	if err != nil {
 		return err
@@ -284,48 +321,57 @@
 		return err
 	case <-ctx.Done():
 	}
-	log.Info("draining")
-	defer finish(c, log)
-	drain, done := context.WithTimeout(context.Background(), drainFor)
+	told := time.Now()
+	if at, ok := context.Cause(ctx).(toldAt); ok {
+		told = at.Time
+	}
+	due := plan(told)
+	log.Info("draining", "close", due.Close, "stop", due.Stop, "shed", due.Shed)
+	drain, done := context.WithDeadline(context.Background(), told.Add(due.Shed))
 	defer done()
-	goesOn := min(servesOn, drainFor*3/4)
 	begun, alone, lost := elder.Told()
-	wait, waited := context.WithTimeout(drain, goesOn) // a successor that asked, and does not serve yet
+	wait, waited := context.WithDeadline(drain, told.Add(due.Close)) // a successor that asked, and does not serve yet
 	defer waited()
 	select {
 	case <-begun:
 		if err = server.HandOver(drain, elder.Give, lost); err == nil {
 			log.Info("handover: done")
+			finish(c, log)
 			return nil
 		}
 		log.Warn("handover: not all could be handed over", "err", err)
 	case <-alone:
 	case <-wait.Done():
 	}
-	if err := server.Drain(drain, time.Until(deadline(wait)), min(closesFor, drainFor/8)); err != nil {
-		log.Warn("not all held exchanges ended in time: the rest is shed", "err", err)
-		c.Shed()
-		last, done := context.WithTimeout(context.Background(), lastWords)
-		defer done()
-		return server.Drain(last, 0, 0)
+	if err := server.Drain(drain, told.Add(due.Close), told.Add(due.Stop)); err == nil {
+		finish(c, log)
+		return nil
+	}
+	log.Warn("not all held exchanges ended in time: the rest is shed")
+	c.Shed()
+	added := make(chan struct{})
+	go func() { // no more is used from here on
+		defer close(added)
+		finish(c, log)
+	}()
+	last, over := context.WithTimeout(context.Background(), ending.LastWords)
+	defer over()
+	if err := server.Drain(last, told, told); err != nil {
+		log.Warn("connections are cut: their clients neither read nor went", "err", err)
 	}
+	<-added
 	return nil
 }
 
 // finish adds to the counter what this process has used, before it ends.
 func finish(c *core.Core, log *slog.Logger) {
-	last, done := context.WithTimeout(context.Background(), lastUnits)
+	last, done := context.WithTimeout(context.Background(), ending.LastUnits)
 	defer done()
 	if err := c.Finish(last); err != nil {
 		log.Warn("quota", "err", err)
 	}
 }
 
-func deadline(ctx context.Context) time.Time {
-	d, _ := ctx.Deadline()
-	return d
-}
-
 // ingressConns is how many of the descriptors may be connections of clients.
 func ingressConns(sockets int) int { return max(16, sockets*9/20) }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -182,6 +182,7 @@
 	actions []control.Action
 	figures *telemetry.Figures // nil: not counted
 	adding  []chan struct{}    // closed once the counter holds every unit
+	ending  bool               // all was shed, and what still comes is too
 }
 
 // New makes the actor of a gateway.
@@ -323,7 +324,7 @@
 	}
 }
 
-// Shed gives every held exchange its final answer now: the program is about to end.
+// Shed gives every held exchange its final answer now, and every later one as it comes: the program is about to end.
 func (c *Core) Shed() {
 	c.post(shedAll{})
 	c.Settle()
@@ -356,6 +357,7 @@
 }
 
 func (c *Core) shed() {
+	c.ending = true
 	for _, h := range c.held {
 		if h.final {
 			continue
@@ -488,7 +490,7 @@
 	c.lastID++
 	h.id = c.lastID
 	rest := time.Until(h.Deadline)
-	if rest <= 0 {
+	if rest <= 0 || c.ending {
 		c.end(h, Answer{Kind: Refused, RetryAfter: busyPause})
 		return
 	}
--- a/internal/forwardauth/forwardauth_test.go
+++ b/internal/forwardauth/forwardauth_test.go
@@ -142,7 +142,7 @@
 	t.Cleanup(func() {
 		now, stop := context.WithCancel(context.Background())
 		stop()
-		s.Drain(now, 0, 0)
+		s.Drain(now, time.Time{}, time.Time{})
 		f.Close()
 		cancel()
 	})
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -21,7 +21,8 @@
 	headerWait = 2500 * time.Millisecond // from the accept on: who sends no whole head holds a slot for nothing
 	idleWait   = 2 * time.Minute         // clients that went away without a word must not hold descriptors for ever
 
-	idleLook      = 2 * time.Millisecond   // at the end of a drain, between looks at idle connections
+	sweepFor      = 100 * time.Millisecond // before a drain takes nothing new: connections at rest are closed
+	sweepEach     = 10 * time.Millisecond  // between looks at them, then and until none is left
 	evacuateSweep = 100 * time.Millisecond // between closes of resting connections while evacuated
 	evacuateRest  = 250 * time.Millisecond // rested at least: a client that just connected sends at once
 )
@@ -112,24 +113,29 @@
 // Ready lets the readiness path answer 200.
 func (s *Server) Ready() { s.ready.Store(true) }
 
-// Drain serves on for a while, since clients keep to the connections that they have: those find no other way
-// in while the gateway is away. Then it closes each connection with its next answer, lest a close cross a
-// request, takes nothing new, and waits until all that is held has its answer, or ctx ends.
-func (s *Server) Drain(ctx context.Context, serve, closing time.Duration) error {
+// Drain serves on until closing, since clients keep to the connections that they have: those find no other way
+// in while the gateway is away. From then on each answer closes its connection, and shortly before stop those at rest
+// are closed, while a request that crosses such a close still finds the way in. At stop nothing new is taken. It
+// returns nil once no connection is left, or an error when ctx ends; a later Drain goes on from there.
+func (s *Server) Drain(ctx context.Context, closing, stop time.Time) error {
 	s.draining.Store(true)
-	pause(ctx, serve)
+	pause(ctx, time.Until(closing))
 	s.closing.Store(true)
-	pause(ctx, closing)
-	if l := s.slots.Load(); l != nil {
-		// Shutdown closes idle connections, again and again, without a look for a request come in on them:
-		// none may be left to it. Those with a request unread are served on, and their answers close them.
-		for l.closeResting(0) > 0 && ctx.Err() == nil {
-			pause(ctx, idleLook)
-		}
-		select { // Shutdown would close the listener with connections that wait in it
-		case <-l.stop():
-		case <-ctx.Done():
-		}
+	<-s.serving
+	l := s.slots.Load()
+	pause(ctx, time.Until(stop)-sweepFor)
+	for ctx.Err() == nil && time.Now().Before(stop) {
+		l.closeResting(0)
+		pause(ctx, sweepEach)
+	}
+	select { // a listener that is closed with connections waiting in it resets them
+	case <-l.stop():
+	case <-ctx.Done():
+	}
+	// net/http's Shutdown closes idle connections with no look for a request come in on them, and none that is taken
+	// back with one unread could be served any more: it has to find none.
+	if !l.clear(ctx) {
+		return ctx.Err()
 	}
 	return s.http.Shutdown(ctx)
 }
--- a/internal/front/slots.go
+++ b/internal/front/slots.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -236,7 +237,29 @@
 	}
 }
 
-// change wakes those that wait in empty. s.mu is held.
+// clear closes each connection as it comes to rest, and returns once none is left; false: ctx has ended.
+func (s *slots) clear(ctx context.Context) bool {
+	for {
+		s.closeResting(0)
+		s.mu.Lock()
+		left, changed := len(s.conns)+s.parting, s.changed
+		s.mu.Unlock()
+		if left == 0 {
+			return true
+		}
+		look := time.NewTimer(sweepEach)
+		select {
+		case <-changed:
+		case <-look.C: // one comes to rest, or had no request yet
+		case <-ctx.Done():
+			look.Stop()
+			return false
+		}
+		look.Stop()
+	}
+}
+
+// change wakes those that wait in empty or clear. s.mu is held.
 func (s *slots) change() {
 	close(s.changed)
 	s.changed = make(chan struct{})
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -681,7 +681,7 @@
 	c.ask(t, ready)
 	serving, closing := make(chan error, 1), make(chan error, 1)
 	ctx, cancel := context.WithCancel(context.Background())
-	go func() { serving <- s.Drain(ctx, time.Hour, 0) }()
+	go func() { serving <- s.Drain(ctx, time.Now().Add(time.Hour), time.Now().Add(time.Hour)) }()
 	for {
 		resp, _ := c.ask(t, ready)
 		if resp.Close {
@@ -696,7 +696,7 @@
 	if resp, _ := c.read(t); resp.StatusCode != 200 || resp.Close {
 		t.Errorf("while it drains: answered %d, closed %t", resp.StatusCode, resp.Close)
 	}
-	go func() { closing <- s.Drain(ctx, 0, time.Hour) }()
+	go func() { closing <- s.Drain(ctx, time.Now(), time.Now().Add(time.Hour)) }()
 	for closed := false; !closed; {
 		resp, _ := c.ask(t, ready)
 		closed = resp.Close
