Read lists as JSON and not by lines, and replace a silent watch before what it misses counts

Causes, each confirmed by a test on the code before (internal/routetable/discovery.go): an indented list failed at its first "{", ended the watch, and was fetched again for ever while nothing was learnt (bufio.Scanner, Decode by line). Silence was 5 s, also for the next watch, so that a watch that fell silent and whose successor was silent from the start learnt of a drain 10 s after, where it counts after 6; with 300 gateways that ask one discovery the pause behind the silence let 273 of 300 be too late. `{"reset":true}` without instances was taken as the end of all targets, and `[]` set the version to 0. An older list (an agent that moved and is behind) made drained targets ready again.

Change: values are told apart by json.Decoder, whatever the white space and the reads; a value that is no list ends the watch, and is logged. Silence is 2.8 s (an empty line comes every 2 s), and 5 s for the first word only where calls wait in turn; where all may fall silent together the next watch comes within the time that is left. An agent of one's own is asked again within 0.1 s: what it has at its return counts at once. heed keeps a newer drain over an older list.

Without the mend: indented and spoilt lists: test timed out, nothing told; older list: "told: a ready b ready c ready d ready"; silence: "0 of 3", "0 of 300" and "27 of 300 have learnt of the drain".

--- a/internal/routetable/discovery.go
+++ b/internal/routetable/discovery.go
@@ -3,8 +3,9 @@
 package routetable
 
 import (
-	"bufio"
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -22,14 +23,21 @@
 )
 
 const (
-	silent       = 5 * time.Second        // an empty line comes every 2 s while the watch lives
+	// An empty line comes every 2 s while a watch lives. What one that has fallen silent misses counts as told 6 s after
+	// its last word: that is time for one more watch that says nothing, and for a third.
+	silent       = 2800 * time.Millisecond
+	toldAnyway   = 6 * time.Second
+	inTurn       = 5 * time.Second        // for the first word where calls wait for their turn
+	agentPause   = 20 * time.Millisecond  // between watches of an agent of its own: calls cost nothing, and what it
+	agentMost    = 100 * time.Millisecond // has at its return counts as told at once
 	pauseEach    = 50 * time.Millisecond  // between watches, for each gateway that asks the same discovery
 	pauseGrows   = 2                      // times the one before, where the watch did not come about
 	pauseMost    = 500 * time.Millisecond // or two first pauses, if that is longer
 	pauseScatter = 0.8                    // of a pause, both ways
 	askShare     = 0.5                    // of the time in which it must ask, for the longest pause
 	askAfterFail = 4                      // times as long is allowed after a call that failed
-	longest      = 4 << 20                // of one line
+	longest      = 4 << 20                // of one list
+	toldFor      = 4096                   // versions: a list that is older still is no concern
 )
 
 var states = map[string]control.MemberState{
@@ -42,6 +50,9 @@
 		return core.Table{}, fmt.Errorf("the list is not JSON: %.80q", raw)
 	}
 	list := gjson.ParseBytes(raw)
+	if list.Get("generation").Type != gjson.Number || !list.Get("instances").IsArray() { // a whole list of nothing would end all targets
+		return core.Table{}, fmt.Errorf("no generation or no instances: %.80q", raw)
+	}
 	t := core.Table{Version: list.Get("generation").Int()}
 	if list.Get("reset").Bool() {
 		t.Kind = control.Snapshot
@@ -76,6 +87,14 @@
 	Tell     func(core.Table)
 	Log      *slog.Logger
 	Dial     func(ctx context.Context, network, address string) (net.Conn, error) // nil: the network
+
+	told map[string]told // by target: what the newest list that named it said
+}
+
+type told struct {
+	version int64
+	since   control.Seconds
+	ready   bool
 }
 
 // pauses between watches grow with the number of gateways. Behind the agents stands one service of fixed capacity,
@@ -83,8 +102,11 @@
 // their watches together, and ask again each half second: it works on calls that nobody waits for any more, and none
 // is ever answered in time.
 func (d *Discovery) pauses() *backoff.ExponentialBackOff {
-	first := pauseEach * time.Duration(max(1, d.Gateways))
+	first := pauseEach * time.Duration(d.Gateways)
 	longest := max(pauseMost, pauseGrows*first)
+	if d.Gateways == 0 {
+		first, longest = agentPause, agentMost
+	}
 	if d.AskEvery > 0 {
 		most := time.Duration(askShare / (1 + pauseScatter) * float64(d.AskEvery))
 		first, longest = min(first, most), min(longest, askAfterFail*most)
@@ -117,18 +139,23 @@
 	}
 	for ctx.Err() == nil {
 		watching, cancel := context.WithCancel(ctx)
-		ended := make(chan int, 1)
+		ended := make(chan error, 1)
+		heard := false
 		go func() {
-			lines, err := d.watch(watching, client)
-			d.Log.Info("watch ended", "lines", lines, "err", err)
-			ended <- lines
+			err := d.watch(watching, client, &heard)
+			d.Log.Info("watch ended", "heard", heard, "err", err)
+			ended <- err
 		}()
 		select {
-		case lines := <-ended:
-			if lines > 0 {
+		case err := <-ended:
+			if heard {
 				pauses.Reset()
 			}
-			d.rest(ctx, pauses.NextBackOff())
+			pause := pauses.NextBackOff()
+			if heard && errors.Is(err, errSilent) { // all may fall silent together: at any time that is left
+				pause = min(pause, time.Duration(rand.Float64()*float64(toldAnyway-silent-time.Second/2)))
+			}
+			d.rest(ctx, pause)
 		case address := <-d.Moves: // at once: the old agent may stay silent and open
 			cancel()
 			<-ended
@@ -139,46 +166,112 @@
 	}
 }
 
-func (d *Discovery) watch(ctx context.Context, client *http.Client) (lines int, err error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	quiet := time.AfterFunc(silent, cancel) // an agent that hangs: a new watch brings what was missed
+var errSilent = errors.New("discovery is silent")
+
+// watch follows the list until the watch ends; heard is set once anything has come.
+func (d *Discovery) watch(ctx context.Context, client *http.Client, heard *bool) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	first := silent
+	if d.Gateways > 0 {
+		first = inTurn
+	}
+	quiet := time.AfterFunc(first, func() { cancel(errSilent) }) // a new watch brings what was missed
 	defer quiet.Stop()
+	err := d.follow(ctx, client, func() {
+		*heard = true
+		quiet.Reset(silent)
+	})
+	if errors.Is(context.Cause(ctx), errSilent) {
+		return errSilent
+	}
+	return err
+}
+
+// follow takes one list after another from a watch. They are told apart as JSON and not by lines: a list may come
+// indented, over many. It calls heard as bytes come, be they of an empty line.
+func (d *Discovery) follow(ctx context.Context, client *http.Client, heard func()) error {
 	url := fmt.Sprintf("http://%s/registry/instances?watch=1&from=%d", d.Address, d.From)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return 0, err
+		return err
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		return 0, err
+		return err
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return 0, fmt.Errorf("discovery answered %s", resp.Status)
+		return fmt.Errorf("discovery answered %s", resp.Status)
 	}
-	in := bufio.NewScanner(resp.Body)
-	in.Buffer(nil, longest)
-	for in.Scan() {
-		quiet.Reset(silent)
-		lines++
-		if len(in.Bytes()) == 0 {
-			continue
+	body := &listening{r: resp.Body, heard: heard}
+	in := json.NewDecoder(body)
+	for {
+		body.left = longest
+		var raw json.RawMessage
+		if err := in.Decode(&raw); err != nil {
+			return err
 		}
-		t, err := Decode(in.Bytes(), d.Zones)
+		t, err := Decode(raw, d.Zones)
 		if err != nil {
-			return lines, err
+			return err
 		}
 		d.From = t.Version
 		if d.Sites != nil {
-			d.place(in.Bytes(), &t)
+			d.place(raw, &t)
 		}
+		d.heed(&t)
 		d.Tell(t)
 	}
-	if in.Err() == nil {
-		return lines, io.EOF
+}
+
+// listening reads what comes, tells of it, and ends a list that is too long.
+type listening struct {
+	r     io.Reader
+	left  int
+	heard func()
+}
+
+// Read implements io.Reader.
+func (l *listening) Read(p []byte) (int, error) {
+	n, err := l.r.Read(p)
+	if n > 0 {
+		l.heard()
+	}
+	if l.left -= n; l.left < 0 {
+		return 0, errors.New("the list is too long")
+	}
+	return n, err
+}
+
+// heed keeps what a newer list has drained or removed out of use when an older one comes that does not know of it
+// yet: an agent that was moved to may be behind. A target that has started since then is another matter.
+func (d *Discovery) heed(t *core.Table) {
+	next := d.told
+	if next == nil || t.Kind == control.Snapshot {
+		next = map[string]told{}
+	}
+	for i := range t.Targets {
+		m := &t.Targets[i].Member
+		was := d.told[m.Server]
+		if t.Version < was.version && m.Since <= was.since {
+			if m.State == control.Ready && !was.ready {
+				m.State = control.Draining
+			}
+			next[m.Server] = was
+			continue
+		}
+		next[m.Server] = told{t.Version, max(m.Since, was.since), m.State == control.Ready}
+	}
+	for id, was := range d.told { // those that the older list does not name, or that a newer one removed
+		switch _, named := next[id]; {
+		case !named && !was.ready && was.version > t.Version:
+			next[id] = was
+		case named && !was.ready && was.version < t.Version-toldFor:
+			delete(next, id)
+		}
 	}
-	return lines, in.Err()
+	d.told = next
 }
 
 // place puts each target at the site of its zone. One in a zone of no site gets nothing: it might stand anywhere.
--- a/internal/routetable/discovery_test.go
+++ b/internal/routetable/discovery_test.go
@@ -1,8 +1,11 @@
 package routetable_test
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
+	"io"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
@@ -112,3 +115,124 @@
 	first.Close()
 	second.Close()
 }
+
+// watching runs a Discovery against an agent, and brings what it tells.
+func watching(t *testing.T, d *routetable.Discovery, agent http.HandlerFunc) <-chan core.Table {
+	s := httptest.NewServer(agent)
+	told := make(chan core.Table, 16)
+	d.Address, d.Tell, d.Log = strings.TrimPrefix(s.URL, "http://"), func(t core.Table) { told <- t }, slog.New(slog.DiscardHandler)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { d.Run(ctx); close(ended) }()
+	t.Cleanup(func() { cancel(); <-ended; s.Close() })
+	return told
+}
+
+// A list and a change may come indented, over many lines, with empty lines between them, two at once, or cut anywhere
+// over several reads: each is told once, from a single watch.
+func TestIndentedLists(t *testing.T) {
+	indent := func(text string) string {
+		var b bytes.Buffer
+		if err := json.Indent(&b, []byte(text), "", "  "); err != nil {
+			t.Fatal(err)
+		}
+		return b.String()
+	}
+	whole, change := indent(line(42, true, "s-1", "SERVING")), indent(line(43, false, "s-1", "DRAINING"))
+	text := whole + "\n\n\n" + change + "\n" + line(44, false, "s-1", "SERVING") + line(45, false, "s-1", "DELETED")
+	for _, piece := range []int{len(text), 1, 7, len(whole) - 1} {
+		t.Run(fmt.Sprintf("%d bytes at once", piece), func(t *testing.T) {
+			watches := make(chan string, 16)
+			told := watching(t, &routetable.Discovery{From: 41}, func(w http.ResponseWriter, r *http.Request) {
+				watches <- r.URL.Query().Get("from")
+				if len(watches) == 1 {
+					for rest := text; rest != ""; {
+						n := min(piece, len(rest))
+						io.WriteString(w, rest[:n])
+						w.(http.Flusher).Flush()
+						rest = rest[n:]
+					}
+				}
+				<-r.Context().Done()
+			})
+			for i, want := range []control.MemberState{control.Ready, control.Draining, control.Ready, control.Removed} {
+				if got := <-told; got.Version != int64(42+i) || got.Targets[0].State != want || got.Targets[0].Server != "s-1" {
+					t.Fatalf("told %+v, want version %d in state %v", got, 42+i, want)
+				}
+			}
+			if len(watches) != 1 {
+				t.Errorf("%d watches for one list", len(watches))
+			}
+		})
+	}
+}
+
+// A list that is spoilt ends the watch; the next one goes on from the version held, and nothing of the spoilt one is
+// told. Above all a list of no instances at all is none: it would end every target.
+func TestSpoiltListsAreNotTold(t *testing.T) {
+	for _, spoilt := range []string{`{"generation":50,"reset":true}`, `{"reset":true,"instances":[]}`, `[]`, `7`, `{"generation":50,"reset":true,"instances":{}}`,
+		`{"generation":"50","reset":true,"instances":[]}`, `{"generation":50,"reset":true,"instances":[}`, "\xff"} {
+		t.Run(spoilt, func(t *testing.T) {
+			from := make(chan string, 16)
+			told := watching(t, &routetable.Discovery{From: 41}, func(w http.ResponseWriter, r *http.Request) {
+				first := len(from) == 0
+				if from <- r.URL.Query().Get("from"); first {
+					io.WriteString(w, line(42, true, "s-1", "SERVING")+spoilt+"\n"+line(51, true, "s-2", "SERVING"))
+				} else {
+					io.WriteString(w, line(43, false, "s-1", "DRAINING"))
+				}
+				w.(http.Flusher).Flush()
+				<-r.Context().Done()
+			})
+			if a, b := <-told, <-told; a.Version != 42 || b.Version != 43 {
+				t.Errorf("told versions %d and %d", a.Version, b.Version)
+			}
+			if a, b := <-from, <-from; a != "41" || b != "42" {
+				t.Errorf("watched from %s, then from %s", a, b)
+			}
+		})
+	}
+}
+
+// An agent that was moved to may be behind: its older list does not make a target ready again that a newer one has
+// drained or removed, until it has caught up. A target that has started since then is new.
+func TestOlderListUndoesNoDrain(t *testing.T) {
+	agent := func(text string) string {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			io.WriteString(w, text)
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		}))
+		t.Cleanup(s.CloseClientConnections)
+		return strings.TrimPrefix(s.URL, "http://")
+	}
+	entry := func(id, state string, started int) string {
+		return fmt.Sprintf(`{"instanceId":%q,"hostPort":"10.1.0.18:8000","lifecycle":%q,"startedAtMs":%d}`, id, state, started)
+	}
+	list := func(version int, reset bool, entries ...string) string {
+		return fmt.Sprintf(`{"generation":%d,"reset":%t,"instances":[%s]}`+"\n", version, reset, strings.Join(entries, ","))
+	}
+	moves := make(chan string, 1)
+	told := watching(t, &routetable.Discovery{From: 40, Moves: moves}, func(w http.ResponseWriter, r *http.Request) {
+		io.WriteString(w, list(41, true, entry("a", "SERVING", 1), entry("b", "SERVING", 1), entry("c", "SERVING", 1), entry("d", "SERVING", 1))+
+			list(43, false, entry("a", "DRAINING", 1), entry("b", "DELETED", 0), entry("c", "DELETED", 0)))
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	})
+	<-told
+	<-told
+	moves <- agent(list(42, true, entry("a", "SERVING", 1), entry("b", "SERVING", 1), entry("c", "SERVING", 5), entry("d", "SERVING", 1)) +
+		list(44, false, entry("a", "SERVING", 1)))
+	states := func(table core.Table) (all string) {
+		for _, m := range table.Targets {
+			all += fmt.Sprint(m.Server, " ", map[control.MemberState]string{control.Ready: "ready", control.Draining: "draining", control.Removed: "removed"}[m.State], " ")
+		}
+		return all
+	}
+	if got := states(<-told); got != "a draining b draining c ready d ready " {
+		t.Errorf("an older list told: %s", got)
+	}
+	if got := states(<-told); got != "a ready " {
+		t.Errorf("a newer change told: %s", got)
+	}
+}
--- a/internal/routetable/fleet_test.go
+++ b/internal/routetable/fleet_test.go
@@ -79,14 +79,18 @@
 	b.open.Add(1)
 	defer b.open.Add(-1)
 	fmt.Fprint(w, line(42, true, "s-1", "SERVING"))
-	w.(http.Flusher).Flush()
-	for { // an empty line every 2 s while nothing changes
+	beats(w, r)
+}
+
+// beats goes on with an empty line every 2 s, as while nothing changes.
+func beats(w http.ResponseWriter, r *http.Request) {
+	for {
+		w.(http.Flusher).Flush()
 		select {
 		case <-r.Context().Done():
 			return
 		case <-time.After(2 * time.Second):
 			fmt.Fprint(w, "\n")
-			w.(http.Flusher).Flush()
 		}
 	}
 }
@@ -137,3 +141,75 @@
 		})
 	}
 }
+
+// fallsSilent is a discovery whose open watches say nothing from some moment on, and whose next ones may be silent
+// from the start. It has a change to tell to those that come later.
+type fallsSilent struct {
+	mu         sync.Mutex
+	calls      int
+	deadAtOnce int // so many calls more say nothing at all
+	gateways   int
+}
+
+func (f *fallsSilent) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	f.calls++
+	n := f.calls
+	f.mu.Unlock()
+	switch {
+	case n <= f.gateways:
+		fmt.Fprint(w, line(42, true, "s-1", "SERVING"))
+		w.(http.Flusher).Flush()
+	case n <= f.gateways+f.deadAtOnce:
+	default:
+		fmt.Fprint(w, line(43, false, "s-1", "DRAINING"))
+		beats(w, r)
+	}
+	<-r.Context().Done()
+}
+
+// All open watches fall silent at once, behind their first list, and a drain begins. It counts as told 6 s later,
+// arrived or not; each gateway has learnt of it by then from a new watch, be there few of them or hundreds, pushed or
+// asked for, and where calls are answered by an agent of its own also when the first new watch is silent from the start.
+func TestSilentWatchesAreReplacedBeforeItCounts(t *testing.T) {
+	for _, size := range []struct {
+		name               string
+		gateways, asksWith int
+		askEvery           time.Duration
+		deadAtOnce         int
+	}{
+		{"an agent each", 3, 0, 0, 0},
+		{"an agent each, silent again", 3, 0, 0, 3},
+		{"300 with an agent each, silent again", 300, 0, 0, 300},
+		{"3 that ask one discovery", 3, 3, 10 * time.Second, 0},
+		{"300 that ask one discovery", 300, 300, 10 * time.Second, 0},
+	} {
+		t.Run(size.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				listener := &pipes{conns: make(chan net.Conn), done: make(chan struct{})}
+				server := &http.Server{Handler: &fallsSilent{gateways: size.gateways, deadAtOnce: size.deadAtOnce}}
+				go server.Serve(listener)
+				ctx, cancel := context.WithCancel(t.Context())
+				var ended sync.WaitGroup
+				told := make(chan core.Table, 2*size.gateways)
+				for range size.gateways {
+					d := &routetable.Discovery{Address: "registry:80", Gateways: size.asksWith, AskEvery: size.askEvery,
+						Tell: func(t core.Table) { told <- t }, Log: slog.New(slog.DiscardHandler), Dial: listener.dial}
+					ended.Go(func() { d.Run(ctx) })
+				}
+				for range size.gateways { // they fall silent as they have spoken
+					<-told
+				}
+				time.Sleep(6 * time.Second) // of the bubble's time
+				synctest.Wait()
+				if len(told) != size.gateways {
+					t.Errorf("%d of %d have learnt of the drain", len(told), size.gateways)
+				}
+				cancel()
+				ended.Wait()
+				server.Close()
+				listener.Close()
+			})
+		})
+	}
+}
