See a client that sent more and then left, and send nothing on whose end crossed its connection

Causes: net/http learns that a client has left by reading one byte ahead; front/conn.go looks at that byte without taking it (it is the next request's), and socket.Ended took any unread byte for a client that is there: whoever had sent more (a byte, empty lines, the next request, a part of one) and then ended, reset or half-closed went unseen, and its request waited and was sent on. In egress/target.go an attempt that was over as its connection came up (a dial that comes late, a connection that comes back) could still take it: of two ready events select picks either.

Change: where bytes are unread, Ended asks with poll for an end behind them (the runtime wakes it for each event). After a connection is had, the attempt's context is looked at; what is over gives it back unused, and counts as never sent.

Tests, real connections, every order made to happen: 9 ways to leave x fresh or reused x with a body or without, while the only connection is held by another (36 clients), 9 with the attempt out, 3 within the body: 0 of 48 sent on, each gone from the gateway while the other's answer is still held back. Without the mend 24 of the 36 fail ("request id3 was sent on", or "0 requests are held, want 1": answered instead), and the late connection's test never ends, its request written.

--- a/internal/egress/target.go
+++ b/internal/egress/target.go
@@ -37,6 +37,7 @@
 	unlease struct{ l *lease }         // the asker went away
 	dialed  struct{ c *conn }          // nil: it did not come up
 	back    struct{ c *conn }          // free for the next attempt
+	unused  struct{ c *conn }          // its attempt was over before it began
 	ended   struct{ silent time.Time } // closed; not zero: nothing was heard of an attempt sent then
 	route   struct {
 		address string
@@ -122,6 +123,8 @@
 	case back:
 		t.heard = time.Now()
 		t.free(m.c)
+	case unused:
+		t.free(m.c)
 	case ended:
 		t.release()
 		if m.silent.After(t.heard) { // a machine that vanished says nothing: the next attempt is to dial anew
@@ -264,6 +267,14 @@
 	if c == nil {
 		return core.Outcome{Status: control.ConnectFailed}
 	}
+	switch ctx.Err() { // both came at once: nothing goes out that nobody wants
+	case context.Canceled:
+		t.post(unused{c})
+		return core.Outcome{Status: control.Cancelled}
+	case context.DeadlineExceeded:
+		t.post(unused{c})
+		return core.Outcome{Status: control.ConnectFailed}
+	}
 	sent := time.Now()
 	o, reuse := c.roundTrip(ctx, r, t.site.LoadFields, whole, wait)
 	free := func(reuse bool) {
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // Quiet tells whether a connection is open with nothing to be read on it, without waiting. The runtime does not
@@ -46,7 +48,7 @@
 }
 
 // Ended waits until the other side has ended a connection, or its read deadline, and returns what a read would have
-// said. Bytes that come meanwhile are left unread, and hide an end that follows them.
+// said. Bytes that come meanwhile are left unread; an end behind them is seen all the same.
 func Ended(c syscall.Conn) error {
 	raw, err := c.SyscallConn()
 	if err != nil {
@@ -57,8 +59,10 @@
 		var b [1]byte
 		n, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		switch {
-		case e == syscall.EAGAIN || e == syscall.EINTR || e == nil && n > 0:
+		case e == syscall.EAGAIN || e == syscall.EINTR:
 			return false // until more comes, or the deadline
+		case e == nil && n > 0:
+			return hungUp(fd)
 		case e != nil:
 			end = e
 		}
@@ -69,3 +73,10 @@
 	}
 	return end
 }
+
+// hungUp tells whether the other side has ended its sending, or the connection, behind bytes that are not read yet.
+func hungUp(fd uintptr) bool {
+	look := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(look, 0)
+	return err == nil && n > 0 && look[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
