Send no repeat behind its window, and advise no wait that the settings do not allow

What the core sheds by itself (its mailbox full, the end of the process, no time left) told clients to come back in 0.5 s, a constant of core.go, also under settings that allow 0.6 s, less, or no Retry-After at all.

Change: an attempt at what may have run carries the time up to which its key is known, from the first attempt that may have run; egress looks at it when it has the connection, and what comes later is never sent (moot). The core's own wait is at most the settings' MaxRetryAfter, and none where Retry-After is not allowed.

Without the mend: "class 1: bound by 0001-01-01"; "MaxRetryAfter:0.2: answered RetryAfter:500ms", "RetryAfter:false: answered RetryAfter:500ms". Ruled out here: an unsafe or keyed request refused at the end though it may have run (the same test holds it), and start without classes or deadlines (control.validate turns it down).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -63,6 +63,7 @@
 	Ctx     context.Context
 	Target  string
 	Payload any
+	Before  time.Time     // not sent at all later than this, however late its connection comes up; zero: any time
 	Report  func(Outcome) // exactly once; may block, so never from the core's goroutine
 
 	// Of a message that is still coming in: Whole is called when its last byte went out, and its answer is waited
@@ -112,7 +113,7 @@
 	mailboxSize = 4096
 	siteTick    = 50 * time.Millisecond  // between looks at what time alone tells of sites
 	figureTick  = 250 * time.Millisecond // between looks at the servers for the figures: they may be 0.5 s late
-	busyPause   = 500 * time.Millisecond // told to a client when the mailbox is full
+	busyPause   = 500 * time.Millisecond // told to a client where the core sheds by itself; at most what the settings allow
 	overdue     = 15 * time.Millisecond  // past the deadline at which the core answers by itself
 )
 
@@ -125,6 +126,7 @@
 		h       *held
 		attempt int
 		target  string
+		sent    time.Time
 		took    control.Seconds
 		Outcome
 	}
@@ -157,6 +159,7 @@
 	out     int
 	mayRan  bool
 	ranAt   int
+	ran     time.Time // when the first attempt that may have run was sent
 	guard   *time.Timer
 }
 
@@ -166,6 +169,7 @@
 	egress  Egress
 	counter Counter
 	classes []control.Class
+	pause   time.Duration // of what the core sheds by itself; 0: no advice
 	log     *slog.Logger
 	sites   *sites.Router // nil: all targets are at one site
 	todo    []sites.Action
@@ -192,8 +196,12 @@
 		return nil, err
 	}
 	now := time.Now()
+	pause := time.Duration(0)
+	if s.Limits.RetryAfter {
+		pause = min(busyPause, duration(s.Limits.MaxRetryAfter))
+	}
 	return &Core{
-		gateway: g, egress: egress, counter: counter, classes: s.Classes, log: log,
+		gateway: g, egress: egress, counter: counter, classes: s.Classes, pause: pause, log: log,
 		mailbox: make(chan any, mailboxSize), done: make(chan struct{}),
 		base: now, baseSec: float64(now.UnixMicro()) / 1e6, held: map[uint64]*held{},
 	}, nil
@@ -292,7 +300,7 @@
 	case c.mailbox <- opened{h}:
 	default: // more than the core can take in: shed here, without waiting
 		c.tally(x.Class, Refused, false)
-		return Answer{Kind: Refused, RetryAfter: busyPause}
+		return Answer{Kind: Refused, RetryAfter: c.pause}
 	}
 	select {
 	case a := <-h.answer:
@@ -307,7 +315,7 @@
 		}
 	case <-c.done:
 		c.tally(x.Class, Refused, false)
-		return Answer{Kind: Refused, RetryAfter: busyPause}
+		return Answer{Kind: Refused, RetryAfter: c.pause}
 	}
 }
 
@@ -375,7 +383,7 @@
 	if !again && (h.mayRan || h.out > 0) { // a refusal would say that trying again is harmless
 		return Answer{Kind: Failed}
 	}
-	return Answer{Kind: Refused, RetryAfter: busyPause}
+	return Answer{Kind: Refused, RetryAfter: c.pause}
 }
 
 func (c *Core) post(m any) {
@@ -491,7 +499,7 @@
 	h.id = c.lastID
 	rest := time.Until(h.Deadline)
 	if rest <= 0 || c.ending {
-		c.end(h, Answer{Kind: Refused, RetryAfter: busyPause})
+		c.end(h, Answer{Kind: Refused, RetryAfter: c.pause})
 		return
 	}
 	c.held[h.id] = h
@@ -540,6 +548,9 @@
 	e.h.out--
 	e.h.cancels[e.attempt]()
 	if e.Status != control.Full && e.Status != control.ConnectFailed && e.Status != control.Moot {
+		if !e.h.mayRan {
+			e.h.ran = e.sent
+		}
 		e.h.mayRan = true
 	}
 	var reach control.Reach
@@ -639,9 +650,13 @@
 			h.ranAt = max(0, f.Site)
 		}
 	}
-	done := func(o Outcome) ended { return ended{h, n, a.Server, time.Since(sent).Seconds(), o} }
+	var before time.Time
+	if class := c.classes[h.Class]; h.mayRan && class.Repeat == control.Keyed { // its key is known for so long
+		before = h.ran.Add(duration(class.Window))
+	}
+	done := func(o Outcome) ended { return ended{h, n, a.Server, sent, time.Since(sent).Seconds(), o} }
 	if !c.egress.Start(Attempt{
-		Ctx: ctx, Target: a.Server, Payload: h.Payload,
+		Ctx: ctx, Target: a.Server, Payload: h.Payload, Before: before,
 		Report: func(o Outcome) { c.post(done(o)) },
 		Whole:  func() { c.post(whole{h}) }, Wait: h.Wait,
 	}) {
--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,126 @@
+package core
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+
+	"junctionring/control"
+)
+
+// hand is an egress whose attempts a test ends by hand.
+type hand struct{ sent chan Attempt }
+
+func (h hand) Update(Table)                                                      {}
+func (h hand) Start(a Attempt) bool                                              { h.sent <- a; return true }
+func (h hand) Probe(string, time.Duration, func(control.Status, []float64)) bool { return false }
+func (h hand) CloseIdle(string)                                                  {}
+
+type nowhere struct{}
+
+func (nowhere) Add(uint64, float64, time.Duration, func(control.Status, float64)) bool { return false }
+
+// started is a core before two servers.
+func started(t *testing.T, limits control.Limits) (*Core, hand) {
+	t.Helper()
+	out := hand{make(chan Attempt, 16)}
+	c, err := New(control.Settings{
+		Gateways: 1,
+		Classes: []control.Class{
+			{Aim: 5, Deadline: 20, Worth: 1, Repeat: control.Safe},
+			{Aim: 5, Deadline: 20, Worth: 1, Repeat: control.Keyed, Window: 3},
+			{Aim: 5, Deadline: 20, Worth: 1, Repeat: control.Unsafe},
+		},
+		Plans: []control.Plan{{Rate: 100, Burst: 100, Worth: 1, OverCost: 1}}, Limits: limits,
+		Guarantees: control.Guarantees{ColdFrom: 0.2, Ramp: 5, FallMultiple: 3, FallAfter: 1.5},
+	}, 1, out, nowhere{}, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(func() { cancel(); <-c.done })
+	go c.Run(ctx)
+	table := Table{Kind: control.Snapshot}
+	for _, id := range []string{"one", "two"} {
+		table.Targets = append(table.Targets, Target{Member: control.Member{Server: id, State: control.Ready}})
+	}
+	c.Routes(table)
+	return c, out
+}
+
+// A repeat of what may have run carries the time after which its key is not known any more, counted from the first
+// attempt that may have run; one that never ran, and one that may be repeated at any time, carries none.
+func TestRepeatIsBoundByItsWindow(t *testing.T) {
+	c, out := started(t, control.Limits{MaxAttempts: 4, Cancel: true})
+	for class, bound := range []bool{false, true} {
+		done := make(chan Answer, 1)
+		go func() {
+			done <- c.Do(context.Background(), Exchange{Class: class, Units: 1, Spread: 1, Deadline: time.Now().Add(20 * time.Second)})
+		}()
+		first := <-out.sent
+		first.Report(Outcome{Status: control.ConnectFailed})
+		begun := time.Now()
+		second := <-out.sent
+		if !first.Before.IsZero() || !second.Before.IsZero() {
+			t.Errorf("class %d: bound before anything may have run: %v, %v", class, first.Before, second.Before)
+		}
+		reported := time.Now()
+		second.Report(Outcome{Status: control.Reset, Written: true})
+		third := <-out.sent
+		if early, late := begun.Add(3*time.Second-time.Second), reported.Add(3*time.Second); bound && (third.Before.Before(early) || third.Before.After(late)) {
+			t.Errorf("class %d: bound by %v, want up to %v", class, third.Before, late)
+		}
+		if !bound && !third.Before.IsZero() {
+			t.Errorf("class %d: bound by %v", class, third.Before)
+		}
+		third.Report(Outcome{Status: control.OK, Written: true})
+		if a := <-done; a.Kind != Served {
+			t.Errorf("class %d: answered %+v", class, a)
+		}
+	}
+}
+
+// What the core sheds by itself advises no longer wait than the settings allow, and none where they allow none. Once
+// all is shed, later exchanges are too, at once, with nothing sent on.
+func TestShedKeepsToTheSettings(t *testing.T) {
+	for _, s := range []struct {
+		limits control.Limits
+		want   time.Duration
+	}{
+		{control.Limits{MaxAttempts: 2, RetryAfter: true, MaxRetryAfter: 2}, busyPause},
+		{control.Limits{MaxAttempts: 2, RetryAfter: true, MaxRetryAfter: 0.2}, 200 * time.Millisecond},
+		{control.Limits{MaxAttempts: 2, MaxRetryAfter: 1}, 0},
+	} {
+		c, out := started(t, s.limits)
+		done := make(chan Answer, 3)
+		for class := range 3 {
+			go func() {
+				done <- c.Do(context.Background(), Exchange{Class: class, Units: 1, Spread: 1, Deadline: time.Now().Add(20 * time.Second)})
+			}()
+			<-out.sent
+		}
+		c.Shed()
+		failed := 0
+		for range 3 {
+			switch a := <-done; {
+			case a.Kind == Failed: // the unsafe one: it may have run
+				failed++
+			case a.Kind != Refused || a.RetryAfter != s.want:
+				t.Errorf("%+v: answered %+v", s.limits, a)
+			}
+		}
+		if failed != 1 {
+			t.Errorf("%d failed, want the unsafe one alone", failed)
+		}
+		for class := range 3 {
+			a := c.Do(context.Background(), Exchange{Class: class, Units: 1, Spread: 1, Deadline: time.Now().Add(20 * time.Second)})
+			if a.Kind != Refused || a.RetryAfter != s.want || a.MayHaveRun {
+				t.Errorf("after the end: %+v", a)
+			}
+		}
+		if len(out.sent) > 0 {
+			t.Error("something was sent on after the end")
+		}
+	}
+}
--- a/internal/egress/target.go
+++ b/internal/egress/target.go
@@ -244,10 +244,24 @@
 
 // attempt carries one attempt out, in its own goroutine.
 func (t *target) attempt(a core.Attempt) {
-	a.Report(t.exchange(a.Ctx, a.Payload.(*Request), a.Whole, a.Wait))
+	a.Report(t.exchange(a.Ctx, a.Payload.(*Request), a.Before, a.Whole, a.Wait))
 }
 
-func (t *target) exchange(ctx context.Context, r *Request, whole func(), wait time.Duration) core.Outcome {
+// tooLate tells whether an attempt is over as its connection comes: nothing goes out that nobody wants, or that might
+// run a second time.
+func tooLate(ctx context.Context, before time.Time) (control.Status, bool) {
+	switch err := ctx.Err(); {
+	case err == context.DeadlineExceeded:
+		return control.ConnectFailed, true
+	case err != nil:
+		return control.Cancelled, true
+	case !before.IsZero() && time.Now().After(before):
+		return control.Moot, true
+	}
+	return 0, false
+}
+
+func (t *target) exchange(ctx context.Context, r *Request, before time.Time, whole func(), wait time.Duration) core.Outcome {
 	l := &lease{got: make(chan *conn, 1)}
 	if !t.post(l) {
 		return core.Outcome{Status: control.ConnectFailed}
@@ -267,13 +281,9 @@
 	if c == nil {
 		return core.Outcome{Status: control.ConnectFailed}
 	}
-	switch ctx.Err() { // both came at once: nothing goes out that nobody wants
-	case context.Canceled:
+	if s, over := tooLate(ctx, before); over {
 		t.post(unused{c})
-		return core.Outcome{Status: control.Cancelled}
-	case context.DeadlineExceeded:
-		t.post(unused{c})
-		return core.Outcome{Status: control.ConnectFailed}
+		return core.Outcome{Status: s}
 	}
 	sent := time.Now()
 	o, reuse := c.roundTrip(ctx, r, t.site.LoadFields, whole, wait)
