Count a connection that arrives until it is followed; a successor told to end takes no more

Cause, found by reading (internal/front/slots.go): a connection that was passed over, or taken back with a request unread on it, is held by the accept loop while it waits for its slot; for that time it was in no count, so that a handover or the end of a drain could be taken for done, and the process end with it. A successor that was itself told to end went on acknowledging connections of the process before it up to its exit: those would end with it.

Change: an arrival is counted from before it is handed to the loop until it is followed or turned down. A successor ends its link as it begins to close, and the process before it keeps and serves what it still has.

Without the mend: "a handover is done, with a connection that nobody has".

--- a/cmd/junctionring/serve.go
+++ b/cmd/junctionring/serve.go
@@ -306,9 +306,11 @@
 	go func() { failed <- server.Serve(l, conns) }()
 	c.Settle()
 	server.Ready()
+	adopts, enough := context.WithCancel(work)
+	defer enough()
 	if d.heir != nil {
 		go func() {
-			if err := d.heir.Run(work, server.Adopt); err != nil {
+			if err := d.heir.Run(adopts, server.Adopt); err != nil {
 				log.Warn("handover: broken off", "err", err)
 			}
 		}()
@@ -343,6 +345,8 @@
 	case <-alone:
 	case <-wait.Done():
 	}
+	// What the process before this one has left is better kept by it from here on: it learns of that by the link's end.
+	time.AfterFunc(time.Until(told.Add(due.Close)), enough)
 	if err := server.Drain(drain, told.Add(due.Close), told.Add(due.Stop)); err == nil {
 		finish(c, log)
 		return nil
--- a/internal/front/slots.go
+++ b/internal/front/slots.go
@@ -47,6 +47,7 @@
 	rests   map[net.Conn]*list.Element
 	conns   map[*conn]struct{}
 	parting int                     // taken back, and neither given, closed nor served on yet
+	coming  int                     // arriving, and not among conns yet
 	give    func(*net.TCPConn) bool // to a successor; nil: there is none
 	paused  chan struct{}           // closed when connections are accepted again; nil: they are
 	changed chan struct{}           // closed and made anew with each connection that ends
@@ -133,7 +134,9 @@
 	select {
 	case n := <-a.arriving:
 		a.takeOne() // a descriptor is held for it already
-		return a.wrap(n.conn, n.kept), nil
+		c := a.wrap(n.conn, n.kept)
+		a.came()
+		return c, nil
 	case <-a.closed:
 		return nil, errStopped
 	}
@@ -152,14 +155,31 @@
 
 // arrive has a connection served. False: nobody serves any more.
 func (s *slots) arrive(c *net.TCPConn, kept bool) bool {
+	s.mu.Lock()
+	s.coming++
+	s.mu.Unlock()
 	select {
 	case s.arriving <- arrival{c, kept}:
 		return true
 	case <-s.closed:
+		s.came()
 		return false
 	}
 }
 
+// came ends an arrival: the connection is among conns by now, or nobody's.
+func (s *slots) came() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.coming--
+	s.change()
+}
+
+// left is how many connections there are, in whatever state; changed is closed at the next change. s.mu is held.
+func (s *slots) left() (n int, changed <-chan struct{}) {
+	return len(s.conns) + s.parting + s.coming, s.changed
+}
+
 // parted gets a connection that was taken back from net/http with nothing of a request read: it is the
 // successor's, or it is closed, but for one with something unread on it.
 func (s *slots) parted(c *net.TCPConn) {
@@ -222,7 +242,7 @@
 func (s *slots) empty(lost, done <-chan struct{}) bool {
 	for {
 		s.mu.Lock()
-		left, changed := len(s.conns)+s.parting, s.changed
+		left, changed := s.left()
 		s.mu.Unlock()
 		if left == 0 {
 			return true
@@ -242,7 +262,7 @@
 	for {
 		s.closeResting(0)
 		s.mu.Lock()
-		left, changed := len(s.conns)+s.parting, s.changed
+		left, changed := s.left()
 		s.mu.Unlock()
 		if left == 0 {
 			return true
--- a/internal/front/slots_test.go
+++ b/internal/front/slots_test.go
@@ -273,3 +273,44 @@
 		t.Error("it was told to end, and clients are welcome")
 	}
 }
+
+// A connection that has arrived and still waits for its slot is not forgotten: neither a handover nor a drain counts
+// as done before it is followed.
+func TestArrivalIsCounted(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	client := dialed(t, l.Addr().String())
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := newSlots(l, 1)
+	s.take() // the only slot
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		c, err := arrivals{s}.Accept()
+		if err != nil {
+			t.Error(err)
+		}
+		accepted <- c
+	}()
+	if !s.arrive(c.(*net.TCPConn), false) { // it is taken in, and waits
+		t.Fatal("nobody serves")
+	}
+	over := make(chan struct{})
+	close(over)
+	if s.empty(nil, over) {
+		t.Error("a handover is done, with a connection that nobody has")
+	}
+	s.release()
+	a := <-accepted
+	a.Close()
+	s.state(a, http.StateClosed)
+	if !s.empty(nil, nil) {
+		t.Error("never done")
+	}
+	client.gone(t)
+}
