Ask the counter before an old view lets a try in, and let calls grow with the fleet

At fault in control.go: callsFirst and callsMost, 500 and 2,000 calls a second of all gateways, fitted to three of them: 300 had 1.7 to 6.7 each, less than their tries; and request, which let in customers by a view of any age or none, though the split of one of 300 holds no try.

Change: each gateway may make 13 calls a second at first and 52 at the most, where the fleet's part is less (up to 38 gateways nothing changes); how many the counter takes well is learnt as before. A try that a view older than 0.3 s would let in, and the split doesn't, waits for one answer: at most the settings' time-out of a call, and not at all after a miss, without a call to spare, or for what is refused. The deltas, the split and refusing early stay.

--- a/control/control.go
+++ b/control/control.go
@@ -32,9 +32,12 @@
 	doze         = 3.0   // windows without a request after which a customer is forgotten
 	maxCustomers = 20000 // held at once; one-off floods beyond this share no memory
 
+	lookAfter  = 0.3    // s after which a view is too old to let in what the split does not
 	callsFirst = 500.0  // counter calls a second of all gateways, before anything is learned
 	callsLeast = 40.0   // of all gateways; fewer would be slow to see that the counter is back
 	callsMost  = 2000.0 // of all gateways, where it stops growing
+	callsOwn   = 13.0   // of each at the least before anything is learned: counters grow with fleets
+	callsGrown = 4.0    // times callsOwn: where that of each stops growing
 	callGrow   = 0.5    // growth a second while answers are quick
 	callShrink = 2.0    // fall a second while they are slow or missing
 	callSpell  = 0.2    // s that one bad answer can tell of at the most
@@ -112,7 +115,7 @@
 		requests:  map[uint64]*request{},
 		servers:   map[string]*server{},
 		hearsay:   map[uint64]float64{},
-		callRate:  callsFirst / float64(max(1, s.Gateways)),
+		callRate:  max(callsOwn, callsFirst/float64(max(1, s.Gateways))),
 		purse:     retryPurse,
 		meanUnits: 1,
 	}
@@ -438,9 +441,9 @@
 	spell := g.now - g.callTold
 	g.callTold = g.now
 	all := float64(g.set.Gateways)
-	if quick {
-		step := min(1, callGrow*spell*max(1, callsFirst/all/g.callRate)) // faster far below the first guess
-		g.callRate = min(callsMost/all, g.callRate*(1+step))
+	if quick { // faster far below the first guess
+		step := min(1, callGrow*spell*max(1, max(callsOwn, callsFirst/all)/g.callRate))
+		g.callRate = min(max(callsOwn*callsGrown, callsMost/all), g.callRate*(1+step))
 	} else {
 		g.callRate = max(callsLeast/all, g.callRate*math.Exp(-callShrink*min(callSpell, spell)))
 	}
@@ -453,6 +456,7 @@
 	}
 	amount := c.flying
 	c.flying, c.calling = 0, false
+	defer g.looked(c)
 	if c.moved { // Danger: a total under the name of a plan that it has left.
 		c.moved = false
 		g.want(c)
@@ -552,7 +556,7 @@
 // ---- 3. Requests ----
 
 func (g *Gateway) request(e Request) {
-	if g.requests[e.ID] != nil {
+	if g.requests[e.ID] != e.held {
 		return
 	}
 	if e.Class < 0 || e.Class >= len(g.set.Classes) || e.Plan < 0 || e.Plan >= len(g.set.Plans) {
@@ -563,10 +567,15 @@
 	c := g.customer(e)
 	c.fill(g.now, rateMemory)
 	c.lastAsk = g.now
-	c.askRate += units / rateMemory
-	g.purse = min(retryPurse, g.purse+retryEarn)
-	g.meanUnits += (units - g.meanUnits) * learnFleet
+	if e.held == nil {
+		c.askRate += units / rateMemory
+		g.purse = min(retryPurse, g.purse+retryEarn)
+		g.meanUnits += (units - g.meanUnits) * learnFleet
+	}
 	gain := g.allows(c, e.Class, units)
+	if gain > 0 && e.held == nil && g.look(c, e, units) {
+		return
+	}
 	if gain <= 0 {
 		g.do(Refuse{ID: e.ID, RetryAfter: g.hint((units - c.level) / max(c.plan.Rate, 1e-9)), Over: true})
 		g.want(c)
@@ -590,6 +599,19 @@
 	g.send(r, s)
 }
 
+// look holds a try that an old view lets in until the counter has answered once. Danger: many gateways
+// that each see little of a customer. A counter in trouble is not waited for.
+func (g *Gateway) look(c *customer, e Request, units float64) bool {
+	counts := g.set.Counter.Allowed && c.plan.Rate > 0 && g.misses == 0 && (c.calling || g.callPurse >= 1)
+	if !counts || g.customers[c.id] != c || c.age(g.now) < lookAfter || c.part*g.share(c) >= units {
+		return false
+	}
+	if g.hold(c, e); !c.calling {
+		g.callFor(c)
+	}
+	return true
+}
+
 // take books the units of a try that is let in.
 func (g *Gateway) take(c *customer, units float64) {
 	c.ceiling -= units
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -680,6 +680,11 @@
 			handle(control.PeerMessage{From: 1, Data: "\x00?"})
 		}
 	}
+	for len(counts) > 0 { // each call has its one answer
+		c := counts[0]
+		counts = counts[1:]
+		handle(control.Counted{Name: c.Name, Status: control.Timeout, Elapsed: 0.03})
+	}
 	for _, id := range order { // whatever is out ends at the deadline
 		for i, st := range open[id].done {
 			if h := open[id]; st < 0 {
--- a/control/state.go
+++ b/control/state.go
@@ -118,7 +118,8 @@
 	since   float64 // units sent on since the last view
 	first   bool    // the first read is still to come
 	calling bool
-	moved   bool // to another plan, while a call was out
+	moved   bool      // to another plan, while a call was out
+	held    []Request // until the call that is out is answered
 	queued  bool
 	seen    Seconds // time of the last view
 	due     Seconds
@@ -291,6 +292,31 @@
 	c.askRate *= k
 }
 
+// hold keeps a request until the customer's call is answered; the client may leave meanwhile.
+func (g *Gateway) hold(c *customer, e Request) {
+	e.held = &request{id: e.ID, class: e.Class, customer: c, deadline: g.now + e.TimeLeft}
+	g.requests[e.ID] = e.held
+	c.held = append(c.held, e)
+}
+
+// looked has what was held for a call taken up again, in the order in which it came.
+func (g *Gateway) looked(c *customer) {
+	held := c.held
+	c.held = nil
+	for _, e := range held {
+		if g.requests[e.ID] != e.held { // its client has left
+			continue
+		}
+		if !e.Arriving { // else its time has not begun
+			e.TimeLeft = e.held.deadline - g.now
+		}
+		g.request(e)
+		if g.requests[e.ID] == e.held { // it was turned away or admitted
+			delete(g.requests, e.ID)
+		}
+	}
+}
+
 // answeredCall books the answer to the oldest call out for a name, and
 // returns whose it was.
 func (g *Gateway) answeredCall(name uint64) *customer {
--- a/control/types.go
+++ b/control/types.go
@@ -175,6 +175,7 @@
 
 	// Request is a client's request that has just come in.
 	Request struct {
+		held     *request // it waited for the counter
 		ID       uint64
 		Class    int
 		Plan     int
