Hold no try for a counter that may answer too late for its client; an unsafe request tested end to end

Cause, found by reading the change before: a try waits for one call of the counter, whose time-out comes from the settings. Where those give a call about as long as clients have (deadlines of 0.8 s, a store of 1 s), a silent store would let the first requests run into their deadline before anything is sent.

Change: a try is held only if its client waits four time-outs of a call at least.

Tests: TestSlowCounterIsNotWaitedFor (without it: "a call of up to 1 s": held); TestUnsafeIsSentOnce, over real connections: a POST with no key that may have run (reset, cut, failed) is sent once and answered 502, one turned away goes to the other server. It passes on the code before: the lead on unsafe classes is ruled out.

--- a/control/control.go
+++ b/control/control.go
@@ -33,11 +33,11 @@
 	maxCustomers = 20000 // held at once; one-off floods beyond this share no memory
 
 	lookAfter  = 0.3    // s after which a view is too old to let in what the split does not
+	lookTime   = 4.0    // times a call's time-out that a client must wait to be held for one
 	callsFirst = 500.0  // counter calls a second of all gateways, before anything is learned
 	callsLeast = 40.0   // of all gateways; fewer would be slow to see that the counter is back
 	callsMost  = 2000.0 // of all gateways, where it stops growing
-	callsOwn   = 13.0   // of each at the least before anything is learned: counters grow with fleets
-	callsGrown = 4.0    // times callsOwn: where that of each stops growing
+	callsOwn   = 13.0   // instead of callsFirst for each, if that is more: counters grow with fleets
 	callGrow   = 0.5    // growth a second while answers are quick
 	callShrink = 2.0    // fall a second while they are slow or missing
 	callSpell  = 0.2    // s that one bad answer can tell of at the most
@@ -369,8 +369,7 @@
 
 func (g *Gateway) call() {
 	g.callPurse = min(max(1, g.callRate*callBurst), g.callPurse+g.callRate*(g.now-g.callAt))
-	g.callAt = g.now
-	if len(g.waiting) == 0 {
+	if g.callAt = g.now; len(g.waiting) == 0 {
 		return
 	}
 	ready, next := 0.0, math.Inf(1)
@@ -443,7 +442,7 @@
 	all := float64(g.set.Gateways)
 	if quick { // faster far below the first guess
 		step := min(1, callGrow*spell*max(1, max(callsOwn, callsFirst/all)/g.callRate))
-		g.callRate = min(max(callsOwn*callsGrown, callsMost/all), g.callRate*(1+step))
+		g.callRate = min(callsMost*max(1/all, callsOwn/callsFirst), g.callRate*(1+step))
 	} else {
 		g.callRate = max(callsLeast/all, g.callRate*math.Exp(-callShrink*min(callSpell, spell)))
 	}
@@ -603,7 +602,8 @@
 // that each see little of a customer. A counter in trouble is not waited for.
 func (g *Gateway) look(c *customer, e Request, units float64) bool {
 	counts := g.set.Counter.Allowed && c.plan.Rate > 0 && g.misses == 0 && (c.calling || g.callPurse >= 1)
-	if !counts || g.customers[c.id] != c || c.age(g.now) < lookAfter || c.part*g.share(c) >= units {
+	known := c.age(g.now) < lookAfter || c.part*g.share(c) >= units
+	if !counts || known || g.customers[c.id] != c || e.TimeLeft < lookTime*g.set.Counter.Timeout {
 		return false
 	}
 	if g.hold(c, e); !c.calling {
--- a/control/look_test.go
+++ b/control/look_test.go
@@ -7,9 +7,9 @@
 )
 
 // thin is a gateway of many: its part of a customer's quota holds no try by itself.
-func thin(t *testing.T) *rig {
+func thin(t *testing.T, timeout control.Seconds) *rig {
 	s := settings()
-	s.Gateways = 100
+	s.Gateways, s.Counter.Timeout = 100, timeout
 	s.Plans[0] = control.Plan{Rate: 2, Burst: 3, Worth: 1, OverCost: 1}
 	return newRig(t, s, warm("a", "b", "c")...)
 }
@@ -42,7 +42,7 @@
 		{"turned away", control.Full, 0, true}, {"silent", control.Timeout, 0, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			r := thin(t)
+			r := thin(t, 0.05)
 			id, calls := r.waits(7)
 			if len(calls) != 1 || calls[0].Amount != 0 {
 				t.Fatalf("asked for a try that is not let in yet: %v", calls)
@@ -64,6 +64,16 @@
 	}
 }
 
+// A counter that settings give more time than clients have is not waited for: the answer would come too late.
+func TestSlowCounterIsNotWaitedFor(t *testing.T) {
+	for timeout, waits := range map[control.Seconds]bool{0.7: true, 1: false} {
+		acts := thin(t, timeout).do(control.Request{ID: 1, Customer: 7, TimeLeft: 3, Units: 1, Spread: 4})
+		if len(pick[control.Send](acts)) == 1 == waits {
+			t.Errorf("a client that waits 3 s, a call of up to %v s: %v", timeout, acts)
+		}
+	}
+}
+
 // Several tries wait for one call, and are decided in their order by what it leaves: no more than its room. One whose
 // client has left meanwhile is not sent on.
 func TestTriesWaitForOneCall(t *testing.T) {
@@ -71,7 +81,7 @@
 		total, room float64
 		leaves      bool
 	}{{0, 3, false}, {0, 3, true}, {2, 1, false}, {100, 0, false}} {
-		r := thin(t)
+		r := thin(t, 0.05)
 		first, calls := r.waits(7)
 		second, more := r.waits(7)
 		if len(calls) != 1 || len(more) > 0 {
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -112,6 +112,7 @@
 		Classes: []control.Class{
 			{Aim: 1, Deadline: 5, Worth: 2, Repeat: control.Safe},
 			{Aim: 1, Deadline: 5, Worth: 6, Repeat: control.Keyed, Window: 4},
+			{Aim: 1, Deadline: 5, Worth: 9, Repeat: control.Unsafe},
 		},
 		Plans:      []control.Plan{{Rate: 100, Burst: 100, Worth: 1, OverCost: 1}},
 		Limits:     control.Limits{MaxAttempts: 3, Cancel: true, RetryAfter: true, MaxRetryAfter: 1},
@@ -129,8 +130,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	go c.Run(ctx)
 	c.Routes(table(control.Ready, peers...))
-	names := &front.Names{Classes: []string{"table-view", "move-submit"}, Plans: []string{"club"},
-		Repeats: []control.Repeat{control.Safe, control.Keyed}, Gateways: 1, MaxUnits: 6}
+	names := &front.Names{Classes: []string{"table-view", "move-submit", "stake"}, Plans: []string{"club"},
+		Repeats: []control.Repeat{control.Safe, control.Keyed, control.Unsafe}, Gateways: 1, MaxUnits: 6}
 	s := front.NewServer(ingress.Platform(names, c, log), front.MaxHeader, taken, log)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
