Read on a head whose line leaves a single byte of room in net/http's buffer

Cause: conn.Read (front/conn.go) took every read of one byte for net/http's look whether the client leaves, and answered it with socket.Ended, which takes nothing. bufio asks for one byte, too, where an unfinished line fills its 4,096 bytes but for one: the request then hung until the time for its head was over (2.5 s), and its connection was reset. Found by reading; checked in net/http (server.go): the look has no read deadline (startBackgroundRead clears it), a head is read under its own; ruled out: bodies (they are read past the buffer or into an empty one). Change: a read of one byte is that look only with no read deadline set.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -64,11 +64,15 @@
 	}
 }
 
-// Read implements net.Conn. net/http reads a single byte only to see whether the client leaves while its request is
-// under way. What it would get is the next request's: that is left where it is, or a client that is quick would
-// never be found at rest.
+// Read implements net.Conn. net/http reads a single byte, with no time set, only to see whether the client leaves
+// while its request is under way. What it would get is the next request's: that is left where it is, or a client that
+// is quick would never be found at rest. Danger: a long line of a head may leave room for a single byte, too; the time
+// for the head is set then.
 func (c *conn) Read(b []byte) (int, error) {
-	if len(b) == 1 {
+	c.mu.Lock()
+	look := len(b) == 1 && c.deadline.IsZero()
+	c.mu.Unlock()
+	if look {
 		return 0, socket.Ended(c.TCPConn)
 	}
 	n, err := c.TCPConn.Read(b)
