Send nothing on for a client that left before its request was read

One that waits unread (no slot is free, or the core is short) is read when its client is long gone, and net/http tells of that in a goroutine of its own, started just before the handler: on one core the attempt is on its way by then. Checked: the tests of leaving clients (ingress/leaving_test.go) all leave after the request is held; ruled out: the wait for a connection, for the counter and for a retry, which those tests cover. At fault: front.Carry (message.go) had no look at the connection; net/http's context is not cancelled yet. Change: the connection rides in the request's context, and Carry, which both fronts go through after the body is in, looks once (one poll) whether its client has ended it. Test: one slot, taken; clients that send a GET or a POST and leave in three ways; the slot is freed. Without the change each of the three fails: "/left was carried out".

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"time"
@@ -24,6 +25,15 @@
 	deadline time.Time // net/http's own, for reads
 }
 
+type connKey struct{}
+
+// hasLeft tells whether the client of a request has ended its connection by now, be it before the request was read:
+// net/http tells of it only once the request is on its way.
+func hasLeft(r *http.Request) bool {
+	c, ok := r.Context().Value(connKey{}).(*conn)
+	return ok && socket.HungUp(c.TCPConn)
+}
+
 type phase int
 
 const (
--- a/internal/front/conn_test.go
+++ b/internal/front/conn_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"io"
+	"log/slog"
+	"net"
+	"net/http"
 	"runtime"
 	"strings"
 	"testing"
 	"time"
 
+	"junctionring/internal/core"
 	"junctionring/internal/socket"
 )
 
@@ -48,3 +52,54 @@
 		}
 	}
 }
+
+// A client that has left before its request was read has nothing sent on for it: its connection waited until there was
+// a slot, and when net/http tells of the end the request would be on its way.
+func TestWhoLeftUnreadIsNotCarried(t *testing.T) {
+	for name, leave := range map[string]func(c *net.TCPConn){
+		"end":                     func(c *net.TCPConn) { c.Close() },
+		"half-close":              func(c *net.TCPConn) { c.CloseWrite() },
+		"a byte, then half-close": func(c *net.TCPConn) { io.WriteString(c, "G"); c.CloseWrite() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			carried, came, release := make(chan string, 4), make(chan struct{}), make(chan struct{})
+			proxy := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				carried <- r.URL.Path
+				if r.URL.Path == "/first" {
+					close(came)
+					<-release
+				}
+			})
+			s := NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				body, rest, err := ReadBody(w, r, 64, 64)
+				if err != nil {
+					t.Error(err)
+				}
+				Carry(proxy, w, r, &core.Exchange{}, body, rest, nil)
+			}), MaxHeader, nil, slog.New(slog.DiscardHandler))
+			go s.Serve(l, 1)
+			t.Cleanup(func() { s.http.Close() })
+			first := dialed(t, l.Addr().String())
+			io.WriteString(first, "GET /first HTTP/1.1\r\nHost: g\r\nConnection: close\r\n\r\n")
+			<-came // it has the only slot
+			for _, message := range []string{"GET /left HTTP/1.1\r\nHost: g\r\n\r\n", "POST /left HTTP/1.1\r\nHost: g\r\nContent-Length: 4\r\n\r\nbody"} {
+				leaver := dialed(t, l.Addr().String())
+				io.WriteString(leaver, message)
+				leave(leaver.Conn.(*net.TCPConn))
+			}
+			last := dialed(t, l.Addr().String())
+			io.WriteString(last, "GET /last HTTP/1.1\r\nHost: g\r\n\r\n")
+			close(release)
+			if got := <-carried; got != "/first" {
+				t.Fatal(got)
+			}
+			if got := <-carried; got != "/last" {
+				t.Errorf("%s was carried out", got)
+			}
+		})
+	}
+}
--- a/internal/front/message.go
+++ b/internal/front/message.go
@@ -283,6 +283,9 @@
 // Carry has an exchange carried out by a proxy onto the core, its body as it comes in. An answer does not wait for
 // the rest of a body that nobody wants. ended may be nil.
 func Carry(proxy http.Handler, w http.ResponseWriter, r *http.Request, x *core.Exchange, body []byte, rest *Body, ended func(core.Answer)) {
+	if hasLeft(r) { // it waited here, unread: nothing is sent on for it
+		panic(http.ErrAbortHandler)
+	}
 	if rest == nil {
 		proxy.ServeHTTP(w, egress.WithExchange(r, x, body, nil, ended))
 		return
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -45,7 +45,8 @@
 	s := &Server{taken: taken, serving: make(chan struct{})}
 	s.http = &http.Server{
 		MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerWait, IdleTimeout: idleWait,
-		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+		ErrorLog:    slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if s.closing.Load() || s.evacuated.Load() { // clients keep a connection for as long as it stays open
 				w.Header().Set("Connection", "close")
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -74,6 +74,17 @@
 	return end
 }
 
+// HungUp tells, without waiting, whether the other side has ended a connection, or its sending, be it behind bytes that
+// are not read yet.
+func HungUp(c syscall.Conn) (ended bool) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	raw.Control(func(fd uintptr) { ended = hungUp(fd) })
+	return ended
+}
+
 // hungUp tells whether the other side has ended its sending, or the connection, behind bytes that are not read yet.
 func hungUp(fd uintptr) bool {
 	look := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
