Let a connection to a table server rest, so that a second answer is not the next request's

Need: answers may come twice, the second some milliseconds later. One that crosses the next request on its connection would be served as that request's answer. Checked and ruled out: alive() looks before each use, which sees an answer that has come; nothing sees one on its way. At fault: target.lease and target.free (egress/target.go) handed out the connection used last at once. Change: one that has been used rests 10 ms (twice the longest seen) first; who waits for it has no other one opened. With more than eight connections to a target none rests: that is a load that rests would hold up. Tests: the actor on real connections, its time set by the test.

--- a/internal/egress/conn.go
+++ b/internal/egress/conn.go
@@ -47,11 +47,12 @@
 // could put two attempts out.
 type conn struct {
 	net.Conn
-	address string
-	abort   bool             // giving up resets it
-	budget  io.LimitedReader // what may still be read of the present answer: some never end
-	in      *bufio.Reader
-	used    time.Time
+	address  string
+	abort    bool             // giving up resets it
+	budget   io.LimitedReader // what may still be read of the present answer: some never end
+	in       *bufio.Reader
+	used     time.Time
+	answered bool // it has been used
 }
 
 func newConn(nc net.Conn, address string) *conn {
--- a/internal/egress/target.go
+++ b/internal/egress/target.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"time"
 
 	"junctionring/control"
@@ -15,6 +16,12 @@
 	mostConns   = 64 // to one target
 	mostIdle    = 16
 	idleShare   = 0.6 // of the time after which a target closes an idle connection: never written to later
+
+	// An answer may come twice, the second time some milliseconds later: a request that crosses it on the connection
+	// would take it for its own. So a connection rests before it is used again, unless there are many: that is a load
+	// which rests would hold up.
+	restLeast = 10 * time.Millisecond
+	restFew   = 8
 )
 
 // Options are the figures that all targets share.
@@ -43,6 +50,7 @@
 		address string
 		ready   bool
 	}
+	rested   struct{} // an idle connection may have rested for long enough
 	dropIdle struct{}
 	retire   struct{} // the target left the route table
 )
@@ -62,6 +70,7 @@
 	waiting []*lease
 	dialing int
 	open    int
+	looking bool // rested is to come
 	heard   time.Time
 	failed  time.Time // last dial that did not come up
 }
@@ -113,7 +122,7 @@
 		if m.c == nil {
 			t.release()
 			t.failed = time.Now()
-			if len(t.waiting) > t.dialing { // one failed dial, one attempt that could not connect
+			if len(t.waiting) > t.dialing+len(t.idle) { // one failed dial, one attempt that could not connect
 				t.waiting[0].got <- nil
 				t.waiting = t.waiting[1:]
 			}
@@ -141,8 +150,12 @@
 			t.closeIdle(0)
 		}
 		t.dial()
+	case rested:
+		t.looking = false
+		t.serve()
 	case dropIdle:
 		t.closeIdle(0)
+		t.dial()
 	case retire:
 		t.retired, t.ready = true, false
 		t.refuseWaiting()
@@ -155,31 +168,59 @@
 		l.got <- nil
 		return
 	}
-	for len(t.idle) > 0 {
-		c := t.idle[len(t.idle)-1]
-		t.idle = t.idle[:len(t.idle)-1]
-		if time.Since(c.used) < t.idleLimit() && c.alive() {
-			l.got <- c
-			return
+	t.waiting = append(t.waiting, l)
+	t.serve()
+}
+
+// serve gives those that wait the idle connections that have rested, and has more opened for those that get none.
+func (t *target) serve() {
+	for len(t.waiting) > 0 {
+		c := t.take()
+		if c == nil {
+			break
 		}
-		c.Close()
-		t.release()
+		t.waiting[0].got <- c
+		t.waiting = t.waiting[1:]
+	}
+	if len(t.waiting) > 0 && len(t.idle) > 0 && !t.looking {
+		t.looking = true
+		time.AfterFunc(restLeast-time.Since(t.idle[0].used), func() { t.post(rested{}) })
 	}
-	t.waiting = append(t.waiting, l)
 	t.dial()
 	if t.open == 0 {
 		t.refuseWaiting() // no permit, and no connection that could come back
 	}
 }
 
-// dial opens connections for those that wait and those that are to rest warm, within the bounds. One that
-// failed is not tried again for the sake of warmth before the next sweep.
+// take is the connection used last of the idle ones that have rested, or nil.
+func (t *target) take() *conn {
+	for i := len(t.idle) - 1; i >= 0; i-- {
+		c := t.idle[i]
+		if !t.hasRested(c) {
+			continue
+		}
+		t.idle = slices.Delete(t.idle, i, i+1)
+		if time.Since(c.used) < t.idleLimit() && c.alive() {
+			return c
+		}
+		c.Close() // closed, or something unasked came that must not be read as the next answer
+		t.release()
+	}
+	return nil
+}
+
+func (t *target) hasRested(c *conn) bool {
+	return !c.answered || t.open > restFew || time.Since(c.used) >= restLeast
+}
+
+// dial opens connections for those that wait, where none that rests will do soon, and those that are to rest warm,
+// within the bounds. One that failed is not tried again for the sake of warmth before the next sweep.
 func (t *target) dial() {
-	cold := 0
+	cold, wanted := 0, max(0, len(t.waiting)-len(t.idle))
 	if time.Since(t.failed) >= t.idleLimit()/4 {
 		cold = max(0, t.site.Warm-len(t.idle))
 	}
-	for t.ready && t.dialing < len(t.waiting)+cold && t.dialing < mostDials && t.open < mostConns {
+	for t.ready && t.dialing < wanted+cold && t.dialing < mostDials && t.open < mostConns {
 		select {
 		case t.site.permits <- struct{}{}:
 		default:
@@ -203,13 +244,9 @@
 func (t *target) free(c *conn) {
 	switch {
 	case !t.ready || c.address != t.address:
-	case len(t.waiting) > 0 && !c.alive(): // closed, or something unasked came that must not be read as the next answer
-	case len(t.waiting) > 0:
-		t.waiting[0].got <- c
-		t.waiting = t.waiting[1:]
-		return
-	case len(t.idle) < mostIdle:
+	case len(t.waiting) > 0, len(t.idle) < mostIdle:
 		t.idle = append(t.idle, c)
+		t.serve()
 		return
 	}
 	c.Close()
@@ -289,7 +326,7 @@
 	o, reuse := c.roundTrip(ctx, r, t.site.LoadFields, whole, wait)
 	free := func(reuse bool) {
 		if reuse {
-			c.used = time.Now()
+			c.used, c.answered = time.Now(), true
 			t.post(back{c})
 			return
 		}
--- a/internal/egress/target_test.go
+++ b/internal/egress/target_test.go
@@ -73,3 +73,86 @@
 		})
 	}
 }
+
+// reused is a target's actor, not running, with one connection that has just been used.
+func reused(t *testing.T) (a *target, c *conn, far net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	ctx, cancel := context.WithCancel(t.Context())
+	a = &target{
+		site:    &site{Options{ConnectTimeout: 5 * time.Second, ConnIdle: time.Minute, Conns: 1}, make(chan struct{}, 1)},
+		mailbox: make(chan any, mailboxSize), ctx: ctx, end: cancel, ready: true, address: l.Addr().String(),
+	}
+	lease := &lease{got: make(chan *conn, 1)}
+	a.handle(lease)
+	a.handle(<-a.mailbox) // dialed
+	if c = <-lease.got; c == nil {
+		t.Fatal("no connection")
+	}
+	t.Cleanup(func() { c.Close() })
+	if far, err = l.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { far.Close() })
+	c.used, c.answered = time.Now().Add(time.Hour), true // however slow this machine is, it has not rested yet
+	a.handle(back{c})
+	return a, c, far
+}
+
+// A second answer that comes some milliseconds behind the first is not taken for that of the next request: the
+// connection rests first, and the answer shows meanwhile.
+func TestSecondAnswerIsNotTheNextOnes(t *testing.T) {
+	a, c, far := reused(t)
+	next := &lease{got: make(chan *conn, 1)}
+	a.handle(next)
+	select {
+	case <-next.got:
+		t.Fatal("the connection is used again before a second answer could show")
+	default:
+	}
+	far.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmore")) // on loopback it lies there at once
+	c.used = time.Now().Add(-restLeast)
+	a.handle(rested{})
+	if _, err := c.Write(nil); err == nil {
+		t.Error("the connection with an answer on it is still open")
+	}
+	a.handle(<-a.mailbox) // dialed
+	if got := <-next.got; got == nil || got == c {
+		t.Errorf("got %v instead of a fresh connection", got)
+	}
+}
+
+// A connection that has rested with nothing on it is used again, with no other one opened for whoever waits for it.
+func TestRestedConnectionIsUsedAgain(t *testing.T) {
+	a, c, _ := reused(t)
+	c.used = time.Now()
+	next := &lease{got: make(chan *conn, 1)}
+	a.handle(next)
+	if len(next.got) == 0 { // else this machine has held the test up for so long
+		a.handle(<-a.mailbox)
+	}
+	if got := <-next.got; got != c {
+		t.Errorf("got %v", got)
+	}
+	if rest := time.Since(c.used); rest < restLeast {
+		t.Errorf("it rested for %v", rest)
+	}
+	if a.open != 1 || a.dialing != 0 {
+		t.Errorf("%d open, %d dialling", a.open, a.dialing)
+	}
+}
+
+// Many connections are a load that rests would hold up: there each is used again at once.
+func TestManyConnectionsDoNotRest(t *testing.T) {
+	a, c, _ := reused(t)
+	a.open += restFew
+	next := &lease{got: make(chan *conn, 1)}
+	a.handle(next)
+	if len(next.got) == 0 || <-next.got != c {
+		t.Error("it is held back")
+	}
+}
