Start where the list of before cannot be read, and serve by the first list that comes

Cause: servePlatform ended with "known: no generation or no instances" where the file's known list is null, has none or is spoilt; a process that fails to start fails the whole version. Ruled out: taking such a list from discovery, which would end all targets (Decode stays strict). Change: it is said in the log, and the process takes clients once discovery has told a list, or after 5 s. Test: the built program with four such lists. Without the change: "junctionring: error: known: no generation or no instances", does not serve.

--- a/cmd/junctionring/program_test.go
+++ b/cmd/junctionring/program_test.go
@@ -271,6 +271,29 @@
 	exits(t, cmd)
 }
 
+// A list of before that cannot be read keeps no process from starting: it serves by the first list that comes.
+func TestStartsWithASpoiltKnownList(t *testing.T) {
+	for _, known := range []string{`null`, `{}`, `{"generation":41,"reset":true,"instances":null}`, `"x"`} {
+		t.Run(known, func(t *testing.T) {
+			s, _, letGo := tableServer(t)
+			discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				fmt.Fprintf(w, `{"generation":2,"reset":true,"instances":[{"instanceId":"s-1","hostPort":%q,"zone":"hall-a","lifecycle":"SERVING"}]}`,
+					strings.TrimPrefix(s.URL, "http://"))
+				w.(http.Flusher).Flush()
+				<-r.Context().Done()
+			}))
+			t.Cleanup(discovery.CloseClientConnections)
+			counter, _ := dialled(t)
+			_, address := start(t, "--config", write(t, "config.json", platform(strings.TrimPrefix(discovery.URL, "http://"), counter, known)))
+			letGo <- struct{}{}
+			if status := <-ask(t, "http://"+address+"/move-submit/1", "k1", "X-Request-ID", "k1", "X-Plan", "club", "X-Timeout",
+				"3000m", "Cookie", "account=00000000b4d65521", "X-Quota", "units=1,spread=1,first=0"); status != 200 {
+				t.Errorf("answered %d", status)
+			}
+		})
+	}
+}
+
 // The forward-auth front of the built program, from the check to the table server; a stalled checker.
 func TestForwardAuthProgram(t *testing.T) {
 	s, got, letGo := tableServer(t)
--- a/cmd/junctionring/serve.go
+++ b/cmd/junctionring/serve.go
@@ -36,7 +36,10 @@
 	"junctionring/internal/telemetry"
 )
 
-const memoryShare = 0.7 // of the limit: the runtime's own, the sockets' buffers and files count too
+const (
+	memoryShare = 0.7             // of the limit: the runtime's own, the sockets' buffers and files count too
+	firstList   = 5 * time.Second // a process that knows no list waits for one: half of the time in which it is to be ready
+)
 
 type serveCommand struct {
 	Config   string `env:"EDGE_CONFIG" type:"existingfile" xor:"front" required:"" help:"The platform's configuration: serve its protocol."`
@@ -102,9 +105,9 @@
 	figures := telemetry.New("svc")
 	figures.Classes(set.Classes)
 	c.Count(figures)
-	known, err := routetable.Decode(p.Known, set.Zones)
-	if err != nil {
-		return fmt.Errorf("known: %w", err)
+	known, spoilt := routetable.Decode(p.Known, set.Zones)
+	if spoilt != nil { // a process that did not start would be worse than one that waits for its first list
+		log.Error("known is not taken: no table server is known until discovery tells", "err", spoilt)
 	}
 	known.Kind = control.Cached
 	go c.Run(work)
@@ -113,9 +116,13 @@
 	}
 	c.Routes(known)
 	moves := make(chan string, 1)
+	first, told := make(chan struct{}), sync.Once{}
 	list := &routetable.Discovery{
 		Address: p.Discovery, From: known.Version, Known: len(known.Targets) > 0,
-		Zones: set.Zones, Moves: moves, Tell: c.Routes, Log: log,
+		Zones: set.Zones, Moves: moves, Log: log, Tell: func(t core.Table) {
+			c.Routes(t)
+			told.Do(func() { close(first) })
+		},
 	}
 	if set.Module.Subscribe { // elsewhere changes come to the agent by themselves, and it has them already
 		list.Gateways, list.AskEvery = set.Module.Gateways, seconds(set.Module.Guarantees.AskEvery)
@@ -167,6 +174,15 @@
 		log.Info("new settings", "classes", retune.Names(next.Classes), "plans", retune.Names(next.Plans), "attempts", next.Attempts)
 	})
 
+	if spoilt != nil {
+		wait := time.NewTimer(firstList)
+		defer wait.Stop()
+		select {
+		case <-first:
+		case <-wait.C: // discovery is down; clients are refused with a word until it tells
+		case <-ctx.Done():
+		}
+	}
 	server := front.NewServer(ingress.PlatformLive(names.Load, c, log), front.MaxHeader, &figures.Concurrent, log)
 	doors := openDoors(log, p.Listen, p.Management)
 	if p.Management != "" {
