Say at the time of an answer, not of its request, that its connection closes

Ruled out: connections closed at rest before the stop (24.76, with 0.1 s of a way in left), reads that cross a close (conn.parted serves what is unread). At fault: NewServer's handler (front/server.go) set "Connection: close" as the request came. Change: Carry asks again as the answer is known. Test: a held view and a held move, the drain begins to close, the table server answers. Without the change: "answered 200 "here", as the last: false", "the connection stays open".

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -25,12 +25,26 @@
 	deadline time.Time // net/http's own, for reads
 }
 
-type connKey struct{}
+// origin is where a request came from.
+type origin struct {
+	server *Server
+	conn   net.Conn
+}
+
+type originKey struct{}
+
+// closes tells whether a request's answer is to close its connection, at the time of its answer: one that was held as
+// the drain began to close connections leaves its client on one that is closed at rest soon, when no way in may be left.
+func closes(r *http.Request) bool {
+	o, ok := r.Context().Value(originKey{}).(origin)
+	return ok && o.server.sendsAway()
+}
 
 // hasLeft tells whether the client of a request has ended its connection by now, be it before the request was read:
 // net/http tells of it only once the request is on its way.
 func hasLeft(r *http.Request) bool {
-	c, ok := r.Context().Value(connKey{}).(*conn)
+	o, _ := r.Context().Value(originKey{}).(origin)
+	c, ok := o.conn.(*conn)
 	return ok && socket.HungUp(c.TCPConn)
 }
 
--- a/internal/front/message.go
+++ b/internal/front/message.go
@@ -286,15 +286,14 @@
 	if hasLeft(r) { // it waited here, unread: nothing is sent on for it
 		panic(http.ErrAbortHandler)
 	}
-	if rest == nil {
-		proxy.ServeHTTP(w, egress.WithExchange(r, x, body, nil, ended))
-		return
+	var upload *egress.Upload
+	if rest != nil {
+		defer rest.Close()
+		rest.control.EnableFullDuplex()
+		upload = &egress.Upload{Length: r.ContentLength, Next: rest.Read}
 	}
-	defer rest.Close()
-	rest.control.EnableFullDuplex()
-	upload := &egress.Upload{Length: r.ContentLength, Next: rest.Read}
 	proxy.ServeHTTP(w, egress.WithExchange(r, x, body, upload, func(a core.Answer) {
-		if !upload.Done() {
+		if upload != nil && !upload.Done() || closes(r) {
 			w.Header().Set("Connection", "close")
 		}
 		if ended != nil {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -45,10 +45,12 @@
 	s := &Server{taken: taken, serving: make(chan struct{})}
 	s.http = &http.Server{
 		MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerWait, IdleTimeout: idleWait,
-		ErrorLog:    slog.NewLogLogger(log.Handler(), slog.LevelDebug),
-		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, originKey{}, origin{s, c})
+		},
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if s.closing.Load() || s.evacuated.Load() { // clients keep a connection for as long as it stays open
+			if s.sendsAway() {
 				w.Header().Set("Connection", "close")
 			}
 			if r.URL.Path == "/health/ready" {
@@ -72,6 +74,9 @@
 	return s.ready.Load() && !s.draining.Load() && !s.evacuated.Load()
 }
 
+// sendsAway tells whether answers close their connections: clients keep one for as long as it stays open.
+func (s *Server) sendsAway() bool { return s.closing.Load() || s.evacuated.Load() }
+
 // Evacuate sends clients away while the process runs on: readiness says no at once, each answer closes its
 // connection, and resting connections are closed, now and every evacuateSweep, once nothing unread is on them.
 // Connections that still come are served. It lasts until Rejoin, or ctx ends.
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -707,3 +707,31 @@
 	<-serving
 	<-closing
 }
+
+// A request that was held as the drain began to close connections is answered as its connection's last, too: else its
+// client would send the next one as the connection is closed at rest, when no way in may be left.
+func TestHeldAcrossTheCloseIsAnsweredAsTheLast(t *testing.T) {
+	const ready = "GET /health/ready HTTP/1.1\r\nHost: g\r\n\r\n"
+	for _, message := range []string{view, move} {
+		p := newPeer(t)
+		address, _, s := startServer(t, 8, fleet(), p)
+		c, other := dial(t, address), dial(t, address)
+		other.ask(t, ready)
+		io.WriteString(c, message)
+		held := <-p.got
+		ctx, cancel := context.WithCancel(context.Background())
+		drained := make(chan error, 1)
+		go func() { drained <- s.Drain(ctx, time.Now(), time.Now().Add(time.Hour)) }()
+		for closing := false; !closing; {
+			resp, _ := other.ask(t, ready)
+			closing = resp.Close
+		}
+		p.answer(held, ok)
+		if resp, body := c.read(t); resp.StatusCode != 200 || body != "here" || !resp.Close {
+			t.Errorf("answered %d %q, as the last: %t", resp.StatusCode, body, resp.Close)
+		}
+		c.closedBy(t, 20*time.Second, "a connection with its last answer")
+		cancel()
+		<-drained
+	}
+}
