Pass a request's target on to the letter, whatever its query or path holds

Cause: the RoundTripper encoded r.URL.RequestURI() (egress/egress.go), and by then httputil.ReverseProxy with a Rewrite has written some queries anew (cleanQueryParams: a semicolon, a bad escape), and the URL escapes what is not ASCII. On the forward-auth front the checker was shown the target as it came while the table server got another: both now get the same. Found by looking why another customer's names were turned down; ruled out: Framing, which lets these targets pass. Change: the target rides beside the exchange as the client wrote it; the checker is told that, too. Test: eight targets end to end. Without the change: "/table-view/3?a;b=1" came as "/table-view/3", "/table-view/3?a=%zz&b" as "/table-view/3?b=", "/table-view/3?b=2&a=1;" as "/table-view/3?b=2", "/table-view/席?q=席" as "/table-view/%E5%B8%AD?q=席".

--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -142,6 +142,7 @@
 
 // carried is what rides through httputil.ReverseProxy in a request's context.
 type carried struct {
+	target   string // of the request, as it came: httputil.ReverseProxy writes some queries anew
 	exchange *core.Exchange
 	body     []byte
 	rest     *Upload
@@ -154,7 +155,7 @@
 	if rest != nil {
 		x.Arriving, x.Spent = true, rest.Spent
 	}
-	return r.WithContext(context.WithValue(r.Context(), exchangeKey{}, &carried{x, body, rest, ended}))
+	return r.WithContext(context.WithValue(r.Context(), exchangeKey{}, &carried{r.RequestURI, x, body, rest, ended}))
 }
 
 // RoundTripper has the core decide and carry out the exchange that a request holds.
@@ -166,7 +167,7 @@
 // RoundTrip implements http.RoundTripper.
 func (t *RoundTripper) RoundTrip(r *http.Request) (*http.Response, error) {
 	c := r.Context().Value(exchangeKey{}).(*carried)
-	c.exchange.Payload = Encode(r.Method, r.URL.RequestURI(), r.Host, r.Header, c.body, c.rest)
+	c.exchange.Payload = Encode(r.Method, c.target, r.Host, r.Header, c.body, c.rest)
 	a := t.Core.Do(r.Context(), *c.exchange)
 	if c.ended != nil {
 		c.ended(a)
--- a/internal/forwardauth/forwardauth.go
+++ b/internal/forwardauth/forwardauth.go
@@ -112,7 +112,7 @@
 	trusted := f.trusted(r)
 	origin := f.origin(r, trusted)
 	// What is checked is what is sent on: no header may say that it is something else.
-	origin["X-Forwarded-Method"], origin["X-Forwarded-Uri"] = r.Method, r.URL.RequestURI()
+	origin["X-Forwarded-Method"], origin["X-Forwarded-Uri"] = r.Method, r.RequestURI
 	ctx, cancel := context.WithDeadline(r.Context(), x.Deadline)
 	identity, refusal := f.identify(ctx, r.Header, origin, trusted)
 	cancel()
@@ -275,7 +275,7 @@
 	peer, _, _ := net.SplitHostPort(r.RemoteAddr)
 	o := map[string]string{
 		"X-Forwarded-Method": r.Method, "X-Forwarded-Proto": "http", "X-Forwarded-Host": r.Host,
-		"X-Forwarded-Uri": r.URL.RequestURI(), "X-Forwarded-For": peer,
+		"X-Forwarded-Uri": r.RequestURI, "X-Forwarded-For": peer,
 	}
 	if !trusted {
 		return o
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -735,3 +735,22 @@
 		<-drained
 	}
 }
+
+// The target of a request is passed on to the letter, be it one that a reader of queries or paths would write anew.
+func TestTargetIsPassedOnToTheLetter(t *testing.T) {
+	p := newPeer(t)
+	address, _ := start(t, fleet(), p)
+	c := dial(t, address)
+	for _, target := range []string{
+		"/table-view/3?a;b=1", "/table-view/3?a=%zz&b", "/table-view/3?b=2&a=1;", "/table-view/3?", "/table-view/a%2Fb%41?x=%41+%20",
+		"/table-view//3/../4/./?&&=", "/table-view/席?q=席", "/table-view/3?" + strings.Repeat("a&", 2000),
+	} {
+		io.WriteString(c, strings.Replace(view, "/table-view/3?seat=2", target, 1))
+		r := <-p.got
+		if r.RequestURI != target {
+			t.Errorf("%.60q came as %.60q", target, r.RequestURI)
+		}
+		p.answer(r, ok)
+		c.served(t)
+	}
+}
