Take a class whose name in the settings is not plain ASCII

Class names come from the settings alone. At fault: Names.Class (front/message.go) compared the escaped first part of the path with the name as the settings write it. Ruled out: plans, cookies and zones with such names, which are taken. Change: where no name fits, the name's own escaped form is compared; any other form is still turned down, as the test of a class in disguise has it. Without the change: "/Größe/1?q: class 0, no such class: "Gr%C3%B6%C3%9Fe"; want 3" and the like.

--- a/internal/front/message.go
+++ b/internal/front/message.go
@@ -7,6 +7,7 @@
 	"io"
 	"math"
 	"net/http"
+	"net/url"
 	"slices"
 	"strconv"
 	"strings"
@@ -62,6 +63,11 @@
 func (n *Names) Class(r *http.Request) (int, error) {
 	first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), "/"), "/")
 	class := slices.Index(n.Classes, first)
+	if class < 0 { // a name that is not plain; in no other form than this, or the next reader may take it for another
+		class = slices.IndexFunc(n.Classes, func(name string) bool {
+			return (&url.URL{Path: "/" + name}).EscapedPath() == "/"+first
+		})
+	}
 	if n.Routes != nil {
 		var ok bool
 		if class, ok = n.Routes.Match(r.Method, r.URL.EscapedPath()); !ok {
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -754,3 +754,22 @@
 		c.served(t)
 	}
 }
+
+// A class may have a name that is not plain. It comes as it is or escaped, in one form only.
+func TestClassesOfAnyName(t *testing.T) {
+	n := &front.Names{Classes: []string{"答え", "Ask_2.x", "a%41", "Größe"}, Plans: []string{"Gäst, Plus;1"}, Gateways: 1,
+		Repeats: make([]control.Repeat, 4)}
+	for target, want := range map[string]int{
+		"/答え/1": 0, "/%E7%AD%94%E3%81%88/1": 0, "/Ask_2.x/1": 1, "/a%41/1": 2, "/Größe/1?q": 3, "/Gr%C3%B6%C3%9Fe": 3,
+		"/%e7%ad%94%e3%81%88": -1, "/%41sk_2.x": -1, "/aA/1": -1, "/Ask%5F2.x": -1, "/": -1, "/答%E3%81%88": 0,
+	} {
+		text := strings.NewReplacer("/table-view/3?seat=2", target, "X-Plan: club", "X-Plan: Gäst, Plus;1").Replace(view)
+		r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(text)))
+		if err != nil {
+			t.Fatal(target, err)
+		}
+		if x, err := ingress.Decode(n, r, time.Now()); (err == nil) != (want >= 0) || err == nil && x.Class != want {
+			t.Errorf("%s: class %d, %v; want %d", target, x.Class, err, want)
+		}
+	}
+}
