Send nothing on for a client that left where attempts may not be called off

At fault: the module sends no Cancel where Limits.Cancelling is false (control.finish), and nothing else ended an attempt that still waits for its connection (egress/target.go: exchange). Not to call off what is out is right there; what has not gone out is no attempt yet. Ruled out: requests that wait for the counter (forgotten with Gone), and sends after the answer (core.send looks). Change: an attempt knows when its exchange has its final answer, or its client has left, and is then not sent. Test: TestWhoLeftIsNotSentOn once more under such limits. Without the change it fails each time, in 22 to 27 of the 36 cases ("request id3 was sent on"); in the others the attempt came to its target behind the next one.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -63,8 +63,9 @@
 	Ctx     context.Context
 	Target  string
 	Payload any
-	Before  time.Time     // not sent at all later than this, however late its connection comes up; zero: any time
-	Report  func(Outcome) // exactly once; may block, so never from the core's goroutine
+	Before  time.Time       // not sent at all later than this, however late its connection comes up; zero: any time
+	Over    <-chan struct{} // closed once nobody wants its answer: what has not gone out yet does not
+	Report  func(Outcome)   // exactly once; may block, so never from the core's goroutine
 
 	// Of a message that is still coming in: Whole is called when its last byte went out, and its answer is waited
 	// for as long as Wait from then on. Whole may block as Report may.
@@ -151,7 +152,8 @@
 	Exchange
 	id      uint64
 	final   bool
-	answer  chan Answer // of one place: a final answer never waits for its reader
+	answer  chan Answer   // of one place: a final answer never waits for its reader
+	over    chan struct{} // closed with the final answer
 	cancels []context.CancelFunc
 	flights []sites.Flight // one for each attempt, where there are sites
 	verdict sites.Verdict  // the last
@@ -295,7 +297,7 @@
 // Do has an exchange decided and carried out, and returns its one final answer. If ctx ends first the client
 // has left: whatever is out for it is called off.
 func (c *Core) Do(ctx context.Context, x Exchange) Answer {
-	h := &held{Exchange: x, answer: make(chan Answer, 1)}
+	h := &held{Exchange: x, answer: make(chan Answer, 1), over: make(chan struct{})}
 	select {
 	case c.mailbox <- opened{h}:
 	default: // more than the core can take in: shed here, without waiting
@@ -522,6 +524,7 @@
 		return
 	}
 	h.final = true
+	close(h.over)
 	if s, ok := a.Reply.(Streamer); !ok || !s.Streaming() { // else it is counted when it has ended: Streamed
 		c.tally(h.Class, a.Kind, time.Since(h.came).Seconds() > c.classes[h.Class].Aim)
 	}
@@ -656,7 +659,7 @@
 	}
 	done := func(o Outcome) ended { return ended{h, n, a.Server, sent, time.Since(sent).Seconds(), o} }
 	if !c.egress.Start(Attempt{
-		Ctx: ctx, Target: a.Server, Payload: h.Payload, Before: before,
+		Ctx: ctx, Target: a.Server, Payload: h.Payload, Before: before, Over: h.over,
 		Report: func(o Outcome) { c.post(done(o)) },
 		Whole:  func() { c.post(whole{h}) }, Wait: h.Wait,
 	}) {
--- a/internal/egress/target.go
+++ b/internal/egress/target.go
@@ -291,12 +291,17 @@
 
 // attempt carries one attempt out, in its own goroutine.
 func (t *target) attempt(a core.Attempt) {
-	a.Report(t.exchange(a.Ctx, a.Payload.(*Request), a.Before, a.Whole, a.Wait))
+	a.Report(t.exchange(a.Ctx, a.Payload.(*Request), a.Over, a.Before, a.Whole, a.Wait))
 }
 
 // tooLate tells whether an attempt is over as its connection comes: nothing goes out that nobody wants, or that might
 // run a second time.
-func tooLate(ctx context.Context, before time.Time) (control.Status, bool) {
+func tooLate(ctx context.Context, over <-chan struct{}, before time.Time) (control.Status, bool) {
+	select {
+	case <-over:
+		return control.Cancelled, true
+	default:
+	}
 	switch err := ctx.Err(); {
 	case err == context.DeadlineExceeded:
 		return control.ConnectFailed, true
@@ -308,7 +313,7 @@
 	return 0, false
 }
 
-func (t *target) exchange(ctx context.Context, r *Request, before time.Time, whole func(), wait time.Duration) core.Outcome {
+func (t *target) exchange(ctx context.Context, r *Request, over <-chan struct{}, before time.Time, whole func(), wait time.Duration) core.Outcome {
 	l := &lease{got: make(chan *conn, 1)}
 	if !t.post(l) {
 		return core.Outcome{Status: control.ConnectFailed}
@@ -318,6 +323,9 @@
 	case c = <-l.got:
 	case <-t.ctx.Done(): // it has left the list: nothing was sent
 		return core.Outcome{Status: control.ConnectFailed}
+	case <-over: // also where an attempt that is out may not be called off
+		t.post(unlease{l})
+		return core.Outcome{Status: control.Cancelled}
 	case <-ctx.Done():
 		t.post(unlease{l})
 		if ctx.Err() == context.DeadlineExceeded {
@@ -328,7 +336,7 @@
 	if c == nil {
 		return core.Outcome{Status: control.ConnectFailed}
 	}
-	if s, over := tooLate(ctx, before); over {
+	if s, late := tooLate(ctx, over, before); late {
 		t.post(unused{c})
 		return core.Outcome{Status: s}
 	}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -105,6 +105,14 @@
 
 // startCounted is startServer with figures; nil: none.
 func startCounted(t testing.TB, most int, fleet *egress.Fleet, figures *telemetry.Figures, peers ...*peer) (string, *core.Core, *front.Server) {
+	t.Helper()
+	return startLimited(t, most, fleet, figures, limits, peers...)
+}
+
+var limits = control.Limits{MaxAttempts: 3, Cancel: true, RetryAfter: true, MaxRetryAfter: 1}
+
+// startLimited is startCounted with other limits on what a gateway may do.
+func startLimited(t testing.TB, most int, fleet *egress.Fleet, figures *telemetry.Figures, limits control.Limits, peers ...*peer) (string, *core.Core, *front.Server) {
 	t.Helper()
 	log := slog.New(slog.DiscardHandler)
 	c, err := core.New(control.Settings{
@@ -115,7 +123,7 @@
 			{Aim: 1, Deadline: 5, Worth: 9, Repeat: control.Unsafe},
 		},
 		Plans:      []control.Plan{{Rate: 100, Burst: 100, Worth: 1, OverCost: 1}},
-		Limits:     control.Limits{MaxAttempts: 3, Cancel: true, RetryAfter: true, MaxRetryAfter: 1},
+		Limits:     limits,
 		Guarantees: control.Guarantees{ColdFrom: 0.2, Ramp: 5, FallMultiple: 3, FallAfter: 1.5},
 	}, 1, fleet, uncounted{}, log)
 	if err != nil {
--- a/internal/ingress/leaving_test.go
+++ b/internal/ingress/leaving_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"junctionring/control"
 	"junctionring/internal/egress"
 	"junctionring/internal/telemetry"
 )
@@ -44,17 +45,24 @@
 
 // A client that leaves while its request waits for a connection has it dropped, however it leaves, on a fresh
 // connection or one that was used before, with a body or without: it is gone from the gateway while what it waits for
-// is still held, so it can't be sent on later.
+// is still held, so it can't be sent on later. Nor where the settings do not allow that what is out is called off.
 func TestWhoLeftIsNotSentOn(t *testing.T) {
+	uncancelled := limits
+	uncancelled.Cancel = false
+	whoLeftIsNotSentOn(t, "called off", limits)
+	whoLeftIsNotSentOn(t, "not called off", uncancelled)
+}
+
+func whoLeftIsNotSentOn(t *testing.T, name string, limits control.Limits) {
 	n := 0
 	for _, leaving := range leavings {
 		for _, reused := range []bool{false, true} {
 			for _, message := range []string{view, move} {
 				n++
-				t.Run(fmt.Sprintf("%s, reused %t, %s", leaving.name, reused, message[:4]), func(t *testing.T) {
+				t.Run(fmt.Sprintf("%s, %s, reused %t, %s", name, leaving.name, reused, message[:4]), func(t *testing.T) {
 					p := newPeer(t)
 					figures := telemetry.New("svc")
-					address, c, _ := startCounted(t, 64, egress.NewFleet(egress.Options{ConnectTimeout: time.Second, ConnIdle: time.Minute, Conns: 1}), figures, p)
+					address, c, _ := startLimited(t, 64, egress.NewFleet(egress.Options{ConnectTimeout: time.Second, ConnIdle: time.Minute, Conns: 1}), figures, limits, p)
 					leaver := dial(t, address)
 					if reused {
 						io.WriteString(leaver, numbered(view, 1))
