--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -44,6 +44,31 @@
 	}
 }
 
+// The stretch without a move around a drain is judged against the load's own gaps before it, not by a figure that a
+// busy machine misses; a drain that stops moves is told all the same.
+func TestDrainIsJudgedAgainstTheStretchBefore(t *testing.T) {
+	for _, c := range []struct {
+		before, around time.Duration
+		ok             bool
+	}{
+		{100, 290, true}, {100, 310, false}, {246, 381, true}, {246, 500, false}, {10, 299, true}, {10, 1000, false},
+	} {
+		r := Result{Events: []Event{{At: 10 * time.Second}}}
+		move := func(at time.Duration) {
+			r.Near = append(r.Near, Sample{At: at, Class: 1, Status: 200, Server: "near-1"})
+		}
+		for at := time.Duration(0); at < 8*time.Second; at += c.before * time.Millisecond {
+			move(at)
+		}
+		for at := 8 * time.Second; at < 12*time.Second; at += c.around * time.Millisecond {
+			move(at)
+		}
+		if judgeDrain(nil, &r); r.Figures[1].OK != c.ok {
+			t.Errorf("%d ms after %d ms: %+v", c.around, c.before, r.Figures[1])
+		}
+	}
+}
+
 // The load goes to loopback only, ends by itself, and books every request once.
 func TestLoad(t *testing.T) {
 	if _, err := (&Load{Gateways: []string{"192.0.2.1:80"}, Rate: 1}).Run(context.Background(), nil); err == nil {
