Look for a class by its escaped name only where no routes decide

From the read-over: Names.Class looked for the class by its name, escaped too, on every request of a front with routes, whose match then replaced it. Behaviour is unchanged; tests of front, ingress, forwardauth and gateway pass under -race.

--- a/internal/front/message.go
+++ b/internal/front/message.go
@@ -61,19 +61,20 @@
 
 // Class finds the class of a path and checks that the method suits it.
 func (n *Names) Class(r *http.Request) (int, error) {
-	first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), "/"), "/")
-	class := slices.Index(n.Classes, first)
-	if class < 0 { // a name that is not plain; in no other form than this, or the next reader may take it for another
-		class = slices.IndexFunc(n.Classes, func(name string) bool {
-			return (&url.URL{Path: "/" + name}).EscapedPath() == "/"+first
-		})
-	}
+	path := r.URL.EscapedPath()
+	first, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	class := -1
 	if n.Routes != nil {
 		var ok bool
-		if class, ok = n.Routes.Match(r.Method, r.URL.EscapedPath()); !ok {
-			return 0, &Malformed{http.StatusNotFound, fmt.Sprintf("no route for %s %.40q", r.Method, r.URL.EscapedPath())}
+		if class, ok = n.Routes.Match(r.Method, path); !ok {
+			return 0, &Malformed{http.StatusNotFound, fmt.Sprintf("no route for %s %.40q", r.Method, path)}
 		}
 		first = n.Classes[class]
+	} else if class = slices.Index(n.Classes, first); class < 0 {
+		// A name that is not plain; in no other form than this, or the next reader may take it for another.
+		class = slices.IndexFunc(n.Classes, func(name string) bool {
+			return (&url.URL{Path: "/" + name}).EscapedPath() == "/"+first
+		})
 	}
 	if class < 0 {
 		return 0, &Malformed{http.StatusNotFound, fmt.Sprintf("no such class: %.40q", first)}
