Hand an attempt to its target whole instead of in six parts

From the read-over: target.exchange took a context, a message, two limits, a call and a wait, each a field of core.Attempt, and probes and peers filled four of them with nothing. It takes the attempt. Tests of egress, ingress, forwardauth, core and gateway pass under -race.

--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -119,7 +119,9 @@
 		if len(e.site.LoadFields) > 0 {
 			path = "/stats"
 		}
-		o := e.exchange(ctx, &Request{Method: http.MethodGet, Head: []byte("GET " + path + " HTTP/1.1\r\nHost: target\r\n")}, nil, time.Time{}, nil, 0)
+		o := e.exchange(core.Attempt{Ctx: ctx, Payload: &Request{
+			Method: http.MethodGet, Head: []byte("GET " + path + " HTTP/1.1\r\nHost: target\r\n"),
+		}})
 		if reply, ok := o.Reply.(*Reply); ok {
 			reply.Close()
 			if len(o.Load) == 0 {
--- a/internal/egress/peer.go
+++ b/internal/egress/peer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"junctionring/control"
 	"junctionring/internal/core"
@@ -26,7 +25,7 @@
 
 // Ask sends one request once and returns the whole answer. It ends with ctx at the latest.
 func (p *Peer) Ask(ctx context.Context, r *Request) (*Reply, control.Status) {
-	o := p.entry.exchange(ctx, r, nil, time.Time{}, nil, 0)
+	o := p.entry.exchange(core.Attempt{Ctx: ctx, Payload: r})
 	reply, _ := o.Reply.(*Reply)
 	if reply != nil && reply.Long != nil { // no answer of such a peer is long
 		reply.Close()
--- a/internal/egress/target.go
+++ b/internal/egress/target.go
@@ -291,29 +291,30 @@
 
 // attempt carries one attempt out, in its own goroutine.
 func (t *target) attempt(a core.Attempt) {
-	a.Report(t.exchange(a.Ctx, a.Payload.(*Request), a.Over, a.Before, a.Whole, a.Wait))
+	a.Report(t.exchange(a))
 }
 
 // tooLate tells whether an attempt is over as its connection comes: nothing goes out that nobody wants, or that might
 // run a second time.
-func tooLate(ctx context.Context, over <-chan struct{}, before time.Time) (control.Status, bool) {
+func tooLate(a core.Attempt) (control.Status, bool) {
 	select {
-	case <-over:
+	case <-a.Over:
 		return control.Cancelled, true
 	default:
 	}
-	switch err := ctx.Err(); {
+	switch err := a.Ctx.Err(); {
 	case err == context.DeadlineExceeded:
 		return control.ConnectFailed, true
 	case err != nil:
 		return control.Cancelled, true
-	case !before.IsZero() && time.Now().After(before):
+	case !a.Before.IsZero() && time.Now().After(a.Before):
 		return control.Moot, true
 	}
 	return 0, false
 }
 
-func (t *target) exchange(ctx context.Context, r *Request, over <-chan struct{}, before time.Time, whole func(), wait time.Duration) core.Outcome {
+// exchange carries an attempt out but for its report; its payload is a *Request.
+func (t *target) exchange(a core.Attempt) core.Outcome {
 	l := &lease{got: make(chan *conn, 1)}
 	if !t.post(l) {
 		return core.Outcome{Status: control.ConnectFailed}
@@ -323,12 +324,12 @@
 	case c = <-l.got:
 	case <-t.ctx.Done(): // it has left the list: nothing was sent
 		return core.Outcome{Status: control.ConnectFailed}
-	case <-over: // also where an attempt that is out may not be called off
+	case <-a.Over: // also where an attempt that is out may not be called off
 		t.post(unlease{l})
 		return core.Outcome{Status: control.Cancelled}
-	case <-ctx.Done():
+	case <-a.Ctx.Done():
 		t.post(unlease{l})
-		if ctx.Err() == context.DeadlineExceeded {
+		if a.Ctx.Err() == context.DeadlineExceeded {
 			return core.Outcome{Status: control.ConnectFailed} // nothing was written
 		}
 		return core.Outcome{Status: control.Cancelled}
@@ -336,12 +337,12 @@
 	if c == nil {
 		return core.Outcome{Status: control.ConnectFailed}
 	}
-	if s, late := tooLate(ctx, over, before); late {
+	if s, late := tooLate(a); late {
 		t.post(unused{c})
 		return core.Outcome{Status: s}
 	}
 	sent := time.Now()
-	o, reuse := c.roundTrip(ctx, r, t.site.LoadFields, whole, wait)
+	o, reuse := c.roundTrip(a.Ctx, a.Payload.(*Request), t.site.LoadFields, a.Whole, a.Wait)
 	c.waited = o.Waited
 	free := func(reuse bool) {
 		if reuse {
