--- a/internal/lab/leases/measure.go
+++ b/internal/lab/leases/measure.go
@@ -31,17 +31,15 @@
 	if err != nil {
 		return err
 	}
-	var all []*leaseholder.Client
 	for i := range r.Sessions {
 		name := fmt.Sprintf("%s-%d", r.Name, i)
-		c, err := leaseholder.Start(ctx, leaseholder.Options{Coordinators: r.Coordinators, Via: r.Via, Life: r.Life, Drift: drift, Log: slog.New(&refusals{log.Handler(), name, j}),
+		_, err := leaseholder.Start(ctx, leaseholder.Options{Coordinators: r.Coordinators, Via: r.Via, Life: r.Life, Drift: drift, Log: slog.New(&refusals{log.Handler(), name, j}),
 			Member: lease.Member{Kind: "crowd", Name: name}, Renewed: func(took time.Duration) {
 				j.write(Event{What: "renewed", Who: name, At: now(), Took: took})
 			}})
 		if err != nil {
 			return err
 		}
-		all = append(all, c)
 	}
 	fmt.Println("ready")
 	<-ctx.Done()
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -133,7 +133,7 @@
 	}
 	if f.name == "Clock" {
 		if h.inBatch {
-			return false, errors.New("Clock: a batch is already open")
+			return false, fmt.Errorf("%s: a batch is already open", f.name)
 		}
 		h.inBatch = true
 		f.need(&h.now, "clock")
@@ -203,11 +203,11 @@
 	}
 	s, err := config.DecodeSettings(raw)
 	if err != nil {
-		return fmt.Errorf("Configure: %w", err)
+		return fmt.Errorf("%s: %w", f.name, err)
 	}
 	g, err := control.New(s.Module, seed)
 	if err != nil {
-		return fmt.Errorf("Configure: %w", err)
+		return fmt.Errorf("%s: %w", f.name, err)
 	}
 	h.gateways[who] = g
 	return nil
@@ -235,7 +235,7 @@
 		}
 		var err error
 		if m.State, err = config.Word(conditions, state, "condition"); err != nil {
-			return fmt.Errorf("Inventory: %w", err)
+			return fmt.Errorf("%s: %w", f.name, err)
 		}
 		members = append(members, m)
 	}
@@ -259,12 +259,12 @@
 		}
 		var err error
 		if e.Kind, err = config.Word(listKinds, kind, "list kind"); err != nil {
-			return nil, fmt.Errorf("Announce: %w", err)
+			return nil, fmt.Errorf("%s: %w", f.name, err)
 		}
 		if e.Kind != control.Failed {
 			list, ok := h.lists[number]
 			if !ok {
-				return nil, fmt.Errorf("Announce: list %d was never sent", number)
+				return nil, fmt.Errorf("%s: list %d was never sent", f.name, number)
 			}
 			e.Entries = list
 		}
--- a/lease/model_test.go
+++ b/lease/model_test.go
@@ -48,7 +48,6 @@
 	born    int
 	paused  bool
 	stuck   uint64 // token of an act that was checked before the pause and is done after it
-	pausal  bool   // it was paused once: its clock's gap ends its session
 }
 
 type world struct {
--- a/lease/watch.go
+++ b/lease/watch.go
@@ -17,7 +17,6 @@
 type revoked struct {
 	token  uint64
 	frees  time.Duration
-	asked  bool
 	holder string
 }
 
--- a/succession/succession.go
+++ b/succession/succession.go
@@ -96,7 +96,7 @@
 			return append(do, TurnAway{e.Heir, "this process is ending"})
 		}
 		m.heir, m.state = e.Heir, Paired
-		return append(do, Lend{e.Heir})
+		return append(do, Lend(e))
 	case Ready:
 		if e.Heir == m.heir && m.state == Paired {
 			m.state = Both
@@ -114,7 +114,7 @@
 		return m.begin(do)
 	case Rested:
 		if m.state != Handing {
-			return append(do, Keep{e.Conn})
+			return append(do, Keep(e))
 		}
 		m.passed[e.Conn] = struct{}{}
 		return append(do, Pass{m.heir, e.Conn})
