Ask discovery again soon enough after a failed call: told within 6 s, was 20 s

What counts as told 6 s after discovery had it and could be reached, whatever calls failed before. Where gateways ask one discovery together, pauses grow with their number, and after failed calls to 11.1 s times up to 1.8 (Run, pauses); a call that was given up had taken 5 s before its pause. With an agent each, pauses are 0.18 s at most: nothing of this happened there.

A pause is now bounded by what of the 6 s the failed call has left, less half a second for the next call, and spread over half of that where it is cut short.

Test, pipes and virtual time: calls refused, given up, reset, failed with 503, watches that end or are reset in place of telling, silence that begins after 13 s; 30 with an agent each, 3, 30 and 300 that ask together (503: 3, 30, 50); and a move while the old watch stays open, learned within 4 s.

--- a/internal/routetable/discovery.go
+++ b/internal/routetable/discovery.go
@@ -36,6 +36,7 @@
 	pauseScatter = 0.8                    // of a pause, both ways
 	askShare     = 0.5                    // of the time in which it must ask, for the longest pause
 	askAfterFail = 4                      // times as long is allowed after a call that failed
+	answerTime   = time.Second / 2        // kept free within toldAnyway for the next call's connection and answer
 	longest      = 4 << 20                // of one list
 	toldFor      = 4096                   // versions: a list that is older still is no concern
 )
@@ -140,7 +141,7 @@
 	for ctx.Err() == nil {
 		watching, cancel := context.WithCancel(ctx)
 		ended := make(chan error, 1)
-		heard := false
+		heard, began := false, time.Now()
 		go func() {
 			err := d.watch(watching, client, &heard)
 			d.Log.Info("watch ended", "heard", heard, "err", err)
@@ -148,12 +149,19 @@
 		}()
 		select {
 		case err := <-ended:
+			lasted := time.Since(began)
 			if heard {
 				pauses.Reset()
+				lasted = 0 // it brought all there was until its end
 			}
 			pause := pauses.NextBackOff()
-			if heard && errors.Is(err, errSilent) { // all may fall silent together: at any time that is left
-				pause = min(pause, time.Duration(rand.Float64()*float64(toldAnyway-silent-time.Second/2)))
+			switch {
+			case heard && errors.Is(err, errSilent): // all may fall silent together: at any time that is left
+				pause = min(pause, time.Duration(rand.Float64()*float64(toldAnyway-silent-answerTime)))
+			case errors.Is(err, errOverloaded) && pauses.MaxInterval > toldAnyway-answerTime:
+				// So large a fleet that asks again within toldAnyway would keep discovery overloaded.
+			default:
+				pause = boundPause(pause, lasted)
 			}
 			d.rest(ctx, pause)
 		case address := <-d.Moves: // at once: the old agent may stay silent and open
@@ -166,7 +174,21 @@
 	}
 }
 
-var errSilent = errors.New("discovery is silent")
+// boundPause keeps a pause short enough for the next call to be answered within toldAnyway of the moment in which the
+// call that has just failed began: discovery may have become reachable right after that. A pause that is cut short is
+// spread over half of the time there is, so that a fleet does not ask all at once.
+func boundPause(pause, callLasted time.Duration) time.Duration {
+	room := max(0, toldAnyway-answerTime-callLasted)
+	if pause <= room {
+		return pause
+	}
+	return room/2 + time.Duration(rand.Float64()*float64(room/2))
+}
+
+var (
+	errSilent     = errors.New("discovery is silent")
+	errOverloaded = errors.New("discovery turns calls away")
+)
 
 // watch follows the list until the watch ends; heard is set once anything has come.
 func (d *Discovery) watch(ctx context.Context, client *http.Client, heard *bool) error {
@@ -201,6 +223,9 @@
 		return err
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode >= http.StatusInternalServerError {
+		return fmt.Errorf("%w: %s", errOverloaded, resp.Status)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("discovery answered %s", resp.Status)
 	}
--- /dev/null
+++ b/internal/routetable/reachable_test.go
@@ -0,0 +1,215 @@
+package routetable_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"junctionring/control"
+	"junctionring/internal/core"
+	"junctionring/internal/routetable"
+)
+
+// outage is a discovery that cannot be reached until some moment, and from then on tells each gateway of a drain at
+// once, whatever version it asks from.
+type outage struct {
+	listener *pipes
+	back     time.Time
+	down     http.HandlerFunc // of calls that begin before back; nil: connections are refused
+}
+
+func (o *outage) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	switch {
+	case !time.Now().Before(o.back):
+	case o.down == nil:
+		return nil, errors.New("connection refused")
+	}
+	return o.listener.dial(ctx, network, address)
+}
+
+func (o *outage) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if time.Now().Before(o.back) {
+		o.down(w, r)
+		return
+	}
+	io.WriteString(w, line(43, true, "s-1", "DRAINING"))
+	beats(w, r)
+}
+
+// silence takes a call and says nothing until the caller gives it up.
+func silence(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+
+// hangsUp takes a call and ends it with no answer.
+func hangsUp(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func turnsAway(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }
+
+// tellsUntil brings a list and empty lines, and at some moment goes on in another way.
+func tellsUntil(end time.Time, then http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		io.WriteString(w, line(42, true, "s-1", "SERVING"))
+		for {
+			w.(http.Flusher).Flush()
+			select {
+			case <-r.Context().Done():
+				return
+			case <-time.After(min(2*time.Second, time.Until(end))):
+				if !time.Now().Before(end) {
+					then(w, r)
+					return
+				}
+				io.WriteString(w, "\n")
+			}
+		}
+	}
+}
+
+func endsInOrder(http.ResponseWriter, *http.Request) {}
+
+// Whatever becomes of the calls before, each gateway learns of a drain within 6 s of the moment in which discovery has
+// it and can be reached: with an agent each, and where they ask one discovery together.
+func TestChangesAreLearnedWithin6sOfDiscoverysReturn(t *testing.T) {
+	const limit = 6 * time.Second
+	for _, c := range []struct {
+		name     string
+		back     time.Duration // from the start
+		down     func(back time.Time) http.HandlerFunc
+		gateways []int // that ask one discovery; 0: each of 30 has an agent of its own
+	}{
+		{name: "refused", back: 8 * time.Second, gateways: []int{0, 3, 30, 300}},
+		{name: "refused for long", back: 61 * time.Second, gateways: []int{0, 3, 30, 300}},
+		{name: "given up", back: 8 * time.Second, down: func(time.Time) http.HandlerFunc { return silence }, gateways: []int{0, 3, 30, 300}},
+		{name: "given up for long", back: 47 * time.Second, down: func(time.Time) http.HandlerFunc { return silence }, gateways: []int{0, 3, 30, 300}},
+		{name: "reset", back: 23 * time.Second, down: func(time.Time) http.HandlerFunc { return hangsUp }, gateways: []int{0, 3, 30, 300}},
+		{name: "failed with 503", back: 33 * time.Second, down: func(time.Time) http.HandlerFunc { return turnsAway }, gateways: []int{0, 3, 30, 50}},
+		{name: "watches end in place of telling", back: 9 * time.Second, gateways: []int{0, 3, 30, 300},
+			down: func(back time.Time) http.HandlerFunc { return tellsUntil(back, endsInOrder) }},
+		{name: "watches are reset in place of telling", back: 9 * time.Second, gateways: []int{0, 3, 30, 300},
+			down: func(back time.Time) http.HandlerFunc { return tellsUntil(back, hangsUp) }},
+		{name: "watches fall silent after 13 s", back: 13 * time.Second, gateways: []int{0, 3, 30, 300},
+			down: func(back time.Time) http.HandlerFunc { return tellsUntil(back, silence) }},
+	} {
+		for _, asking := range c.gateways {
+			t.Run(fmt.Sprintf("%s, %d ask together", c.name, asking), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					o := &outage{listener: &pipes{conns: make(chan net.Conn), done: make(chan struct{})},
+						back: time.Now().Add(c.back)}
+					if c.down != nil {
+						o.down = c.down(o.back)
+					}
+					size := asking
+					if size == 0 {
+						size = 30
+					}
+					late := learns(t, o, size, asking)
+					t.Logf("%d of %d learned, the last one %v after discovery could be reached", late.count, size, late.last)
+					if late.count != size || late.last > limit {
+						t.Errorf("%d of %d learned, the last one after %v, want all within %v", late.count, size, late.last, limit)
+					}
+				})
+			})
+		}
+	}
+}
+
+type lateness struct {
+	count int
+	last  time.Duration
+}
+
+// learns runs gateways before a discovery until 20 s after its return, and tells when they learned of the drain.
+func learns(t *testing.T, o *outage, gateways, askingTogether int) lateness {
+	server := &http.Server{Handler: o}
+	go server.Serve(o.listener)
+	ctx, cancel := context.WithCancel(t.Context())
+	var ended sync.WaitGroup
+	var mu sync.Mutex
+	var l lateness
+	for range gateways {
+		learned := false
+		d := &routetable.Discovery{Address: "registry:80", Gateways: askingTogether, Known: true, From: 41,
+			Log: slog.New(slog.DiscardHandler), Dial: o.dial, Tell: func(table core.Table) {
+				if learned || table.Targets[0].State != control.Draining {
+					return
+				}
+				learned = true
+				mu.Lock()
+				defer mu.Unlock()
+				l.count++
+				l.last = max(l.last, time.Since(o.back))
+			}}
+		if askingTogether > 0 {
+			d.AskEvery = 10 * time.Second
+		}
+		ended.Go(func() { d.Run(ctx) })
+	}
+	time.Sleep(time.Until(o.back) + 20*time.Second) // of the bubble's time
+	cancel()
+	ended.Wait()
+	server.Close()
+	o.listener.Close()
+	return l
+}
+
+// A gateway that is sent to another discovery while servers drain learns of the drain within 4 s, also where the first
+// call there gets no answer, and while the old one stays open.
+func TestMoveLearnsWithin4s(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		first http.HandlerFunc
+	}{{"answers", nil}, {"is silent first", silence}, {"hangs up first", hangsUp}, {"turns away first", turnsAway}} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				listeners := map[string]*pipes{}
+				calls := 0
+				handlers := map[string]http.HandlerFunc{
+					"old:80": tellsUntil(time.Now().Add(time.Hour), silence),
+					"new:80": func(w http.ResponseWriter, r *http.Request) {
+						if calls++; calls == 1 && c.first != nil {
+							c.first(w, r)
+							return
+						}
+						io.WriteString(w, line(43, true, "s-1", "DRAINING"))
+						beats(w, r)
+					},
+				}
+				for address, handler := range handlers {
+					listeners[address] = &pipes{conns: make(chan net.Conn), done: make(chan struct{})}
+					server := &http.Server{Handler: handler}
+					go server.Serve(listeners[address])
+					defer listeners[address].Close()
+					defer server.Close()
+				}
+				moves, learned := make(chan string, 1), make(chan core.Table, 8)
+				d := &routetable.Discovery{Address: "old:80", Moves: moves, From: 41, Log: slog.New(slog.DiscardHandler),
+					Tell: func(table core.Table) { learned <- table },
+					Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+						return listeners[address].dial(ctx, network, address)
+					}}
+				ctx, cancel := context.WithCancel(t.Context())
+				var ended sync.WaitGroup
+				ended.Go(func() { d.Run(ctx) })
+				<-learned
+				moved := time.Now()
+				moves <- "new:80"
+				if got := <-learned; got.Targets[0].State != control.Draining {
+					t.Errorf("learned %+v", got)
+				}
+				t.Logf("learned %v after the move", time.Since(moved))
+				if late := time.Since(moved); late > 4*time.Second {
+					t.Errorf("learned %v after the move", late)
+				}
+				cancel()
+				ended.Wait()
+			})
+		})
+	}
+}
