Bound how long a connection to discovery may take to come up

http.Transport goes on dialling for a call that was given up. Before a discovery whose connections never come up each call left one more behind (a descriptor each) until the system gave up, minutes later: with a call each 2.9 s some forty at once. Seen by the test: "90 connections of 30 gateways are still being opened" after 8 s, and "deadlock: main bubble goroutine has exited but blocked goroutines remain". At fault: Run, whose Transport had no bound on dialling.

A connection now has 2 s.

--- a/internal/routetable/discovery.go
+++ b/internal/routetable/discovery.go
@@ -27,6 +27,7 @@
 	// its last word: that is time for one more watch that says nothing, and for a third.
 	silent       = 2800 * time.Millisecond
 	toldAnyway   = 6 * time.Second
+	connectWait  = 2 * time.Second        // for a connection to discovery
 	inTurn       = 5 * time.Second        // for the first word where calls wait for their turn
 	agentPause   = 20 * time.Millisecond  // between watches of an agent of its own: calls cost nothing, and what it
 	agentMost    = 100 * time.Millisecond // has at its return counts as told at once
@@ -132,7 +133,7 @@
 
 // Run watches until ctx ends, from where it stands whenever a watch breaks or the agent moves.
 func (d *Discovery) Run(ctx context.Context) {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: d.Dial}}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: d.connect}}
 	pauses := d.pauses()
 	pauses.Reset()
 	if d.Known && d.Gateways > 1 && !d.rest(ctx, time.Duration(rand.Float64()*float64(pauses.InitialInterval))) {
@@ -185,6 +186,17 @@
 	return room/2 + time.Duration(rand.Float64()*float64(room/2))
 }
 
+// connect bounds how long a connection may take to come up. http.Transport goes on dialling for a call that was given
+// up: with no bound each call to a discovery that is cut off would hold a descriptor for minutes.
+func (d *Discovery) connect(ctx context.Context, network, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, connectWait)
+	defer cancel()
+	if d.Dial != nil {
+		return d.Dial(ctx, network, address)
+	}
+	return (&net.Dialer{}).DialContext(ctx, network, address)
+}
+
 var (
 	errSilent     = errors.New("discovery is silent")
 	errOverloaded = errors.New("discovery turns calls away")
--- a/internal/routetable/reachable_test.go
+++ b/internal/routetable/reachable_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,11 +25,18 @@
 	listener *pipes
 	back     time.Time
 	down     http.HandlerFunc // of calls that begin before back; nil: connections are refused
+	neverUp  bool             // connections that begin before back never come up
+	dialling atomic.Int64     // connections that are not up
 }
 
 func (o *outage) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	switch {
 	case !time.Now().Before(o.back):
+	case o.neverUp:
+		o.dialling.Add(1)
+		defer o.dialling.Add(-1)
+		<-ctx.Done()
+		return nil, ctx.Err()
 	case o.down == nil:
 		return nil, errors.New("connection refused")
 	}
@@ -82,10 +90,12 @@
 		name     string
 		back     time.Duration // from the start
 		down     func(back time.Time) http.HandlerFunc
+		neverUp  bool
 		gateways []int // that ask one discovery; 0: each of 30 has an agent of its own
 	}{
 		{name: "refused", back: 8 * time.Second, gateways: []int{0, 3, 30, 300}},
 		{name: "refused for long", back: 61 * time.Second, gateways: []int{0, 3, 30, 300}},
+		{name: "never come up", back: 8 * time.Second, neverUp: true, gateways: []int{0, 3, 30, 300}},
 		{name: "given up", back: 8 * time.Second, down: func(time.Time) http.HandlerFunc { return silence }, gateways: []int{0, 3, 30, 300}},
 		{name: "given up for long", back: 47 * time.Second, down: func(time.Time) http.HandlerFunc { return silence }, gateways: []int{0, 3, 30, 300}},
 		{name: "reset", back: 23 * time.Second, down: func(time.Time) http.HandlerFunc { return hangsUp }, gateways: []int{0, 3, 30, 300}},
@@ -101,7 +111,7 @@
 			t.Run(fmt.Sprintf("%s, %d ask together", c.name, asking), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					o := &outage{listener: &pipes{conns: make(chan net.Conn), done: make(chan struct{})},
-						back: time.Now().Add(c.back)}
+						back: time.Now().Add(c.back), neverUp: c.neverUp}
 					if c.down != nil {
 						o.down = c.down(o.back)
 					}
@@ -154,6 +164,10 @@
 	time.Sleep(time.Until(o.back) + 20*time.Second) // of the bubble's time
 	cancel()
 	ended.Wait()
+	if n := o.dialling.Load(); n > int64(gateways) {
+		t.Errorf("%d connections of %d gateways are still being opened", n, gateways)
+	}
+	time.Sleep(5 * time.Second) // dials outlive the calls that they were for
 	server.Close()
 	o.listener.Close()
 	return l
