Believe lists that are numbered anew once nothing has caught up for 30 s

An agent whose versions start again from 1 kept every server out that had drained under the old numbers until it had passed the old one (heed): to it such a list is an older one. Both an agent that is behind and a numbering that has started again bring a whole list of a lower generation; only the one that is behind catches up, within some 15 s. What was weighed and left: the same address, or a new connection after the old one ended, as the sign of a restart. An agent that restarts, or is moved to, may be behind too, and believing it sends to a server that drains.

So nothing changes at first: a drain is not undone. 30 s after the first whole list of a lower generation, if none has caught up with the old one, the numbering counts as started again, and what it says of the servers kept back is told. A drain that the new numbers tell counts at once, as before. heed is now a pure type of its own, history; the time is handed in. TestOlderListUndoesNoDrain is unchanged and passes.

Test, pipes and virtual time, five cases numbered anew and three of an agent that is behind. Before: "numbered anew, both in use again: a: told ["0s draining"], want ["0s draining" "30s ready"]"; the cases of an agent that is behind passed before too.

--- a/internal/routetable/discovery.go
+++ b/internal/routetable/discovery.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -39,7 +40,6 @@
 	askAfterFail = 4                      // times as long is allowed after a call that failed
 	answerTime   = time.Second / 2        // kept free within toldAnyway for the next call's connection and answer
 	longest      = 4 << 20                // of one list
-	toldFor      = 4096                   // versions: a list that is older still is no concern
 )
 
 var states = map[string]control.MemberState{
@@ -90,13 +90,9 @@
 	Log      *slog.Logger
 	Dial     func(ctx context.Context, network, address string) (net.Conn, error) // nil: the network
 
-	told map[string]told // by target: what the newest list that named it said
-}
-
-type told struct {
-	version int64
-	since   control.Seconds
-	ready   bool
+	mu      sync.Mutex // orders what is told
+	history history
+	restart *time.Timer // of history; nil: none is due
 }
 
 // pauses between watches grow with the number of gateways. Behind the agents stands one service of fixed capacity,
@@ -173,6 +169,11 @@
 		}
 		cancel()
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.restart != nil {
+		d.restart.Stop()
+	}
 }
 
 // boundPause keeps a pause short enough for the next call to be answered within toldAnyway of the moment in which the
@@ -257,7 +258,31 @@
 		if d.Sites != nil {
 			d.place(raw, &t)
 		}
-		d.heed(&t)
+		d.tell(t)
+	}
+}
+
+// tell passes a list on as far as it is newer than what was told before.
+func (d *Discovery) tell(t core.Table) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.history.take(&t, time.Now())
+	d.Tell(t)
+	if d.restart != nil {
+		d.restart.Stop()
+		d.restart = nil
+	}
+	if wait, due := d.history.restartDue(time.Now()); due {
+		d.restart = time.AfterFunc(wait, d.tellRestart)
+	}
+}
+
+// tellRestart tells what was kept back, once it is sure that the numbering has started again.
+func (d *Discovery) tellRestart() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if t, ok := d.history.restarted(time.Now()); ok {
+		d.Log.Warn("discovery numbers its lists anew", "generation", t.Version, "endpoints kept back so far", len(t.Targets))
 		d.Tell(t)
 	}
 }
@@ -281,36 +306,6 @@
 	return n, err
 }
 
-// heed keeps what a newer list has drained or removed out of use when an older one comes that does not know of it
-// yet: an agent that was moved to may be behind. A target that has started since then is another matter.
-func (d *Discovery) heed(t *core.Table) {
-	next := d.told
-	if next == nil || t.Kind == control.Snapshot {
-		next = map[string]told{}
-	}
-	for i := range t.Targets {
-		m := &t.Targets[i].Member
-		was := d.told[m.Server]
-		if t.Version < was.version && m.Since <= was.since {
-			if m.State == control.Ready && !was.ready {
-				m.State = control.Draining
-			}
-			next[m.Server] = was
-			continue
-		}
-		next[m.Server] = told{t.Version, max(m.Since, was.since), m.State == control.Ready}
-	}
-	for id, was := range d.told { // those that the older list does not name, or that a newer one removed
-		switch _, named := next[id]; {
-		case !named && !was.ready && was.version > t.Version:
-			next[id] = was
-		case named && !was.ready && was.version < t.Version-toldFor:
-			delete(next, id)
-		}
-	}
-	d.told = next
-}
-
 // place puts each target at the site of its zone. One in a zone of no site gets nothing: it might stand anywhere.
 func (d *Discovery) place(raw []byte, t *core.Table) {
 	zones := map[string]string{}
--- /dev/null
+++ b/internal/routetable/restart_test.go
@@ -0,0 +1,149 @@
+package routetable_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"junctionring/control"
+	"junctionring/internal/core"
+	"junctionring/internal/routetable"
+)
+
+func endpoint(id, lifecycle string) string {
+	return fmt.Sprintf(`{"instanceId":%q,"hostPort":"10.1.0.18:8000","lifecycle":%q,"startedAtMs":1000}`, id, lifecycle)
+}
+
+func endpoints(generation int, whole bool, entries ...string) string {
+	return fmt.Sprintf(`{"generation":%d,"reset":%t,"instances":[%s]}`+"\n", generation, whole, strings.Join(entries, ","))
+}
+
+// said is what an agent brings on a watch, so long after it was opened.
+type said struct {
+	after time.Duration
+	text  string
+}
+
+// brings writes what is said, each at its time, and empty lines in between.
+func brings(w http.ResponseWriter, r *http.Request, all []said) {
+	began := time.Now()
+	for {
+		for len(all) > 0 && time.Since(began) >= all[0].after {
+			io.WriteString(w, all[0].text)
+			all = all[1:]
+		}
+		w.(http.Flusher).Flush()
+		wait := 2 * time.Second
+		if len(all) > 0 {
+			wait = min(wait, all[0].after-time.Since(began))
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(wait):
+			io.WriteString(w, "\n")
+		}
+	}
+}
+
+// An agent that has restarted brings a whole list of a lower generation. Where discovery numbers its lists anew, what
+// drained under the old numbers is in use again once nothing has caught up with them for 30 s, on the new numbers' word;
+// an agent that is merely behind never undoes the drain, and what is told after it has caught up counts at once.
+func TestRestartedNumberingIsToldFromAnOlderList(t *testing.T) {
+	before := endpoints(41, true, endpoint("a", "SERVING"), endpoint("b", "SERVING"), endpoint("c", "SERVING")) +
+		endpoints(43, false, endpoint("a", "DRAINING"), endpoint("b", "DELETED"))
+	const a, b = "a", "b"
+	for _, c := range []struct {
+		name  string
+		after []said
+		want  map[string][]string // by endpoint: the states that are told on the second watch, when they change
+	}{
+		{"numbered anew, both in use again",
+			[]said{{0, endpoints(2, true, endpoint(a, "SERVING"), endpoint(b, "SERVING"), endpoint("c", "SERVING"))}},
+			map[string][]string{a: {"0s draining", "30s ready"}, b: {"0s draining", "30s ready"}}},
+		{"numbered anew, one of them still draining",
+			[]said{{0, endpoints(2, true, endpoint(a, "SERVING"), endpoint(b, "DRAINING"))}},
+			map[string][]string{a: {"0s draining", "30s ready"}, b: {"0s draining"}}},
+		{"numbered anew, in use again by a change",
+			[]said{{0, endpoints(2, true, endpoint(a, "DRAINING"))}, {10 * time.Second, endpoints(3, false, endpoint(a, "SERVING"))}},
+			map[string][]string{a: {"0s draining", "30s ready"}}},
+		{"numbered anew, drained again before it counts",
+			[]said{{0, endpoints(2, true, endpoint(a, "SERVING"))}, {20 * time.Second, endpoints(3, false, endpoint(a, "DRAINING"))}},
+			map[string][]string{a: {"0s draining"}}},
+		{"numbered anew, drained after it counts",
+			[]said{{0, endpoints(2, true, endpoint(a, "SERVING"))}, {40 * time.Second, endpoints(3, false, endpoint(a, "DRAINING"))}},
+			map[string][]string{a: {"0s draining", "30s ready", "40s draining"}}},
+		{"behind, catches up after 14 s",
+			[]said{{0, endpoints(42, true, endpoint(a, "SERVING"), endpoint(b, "SERVING"))},
+				{14 * time.Second, endpoints(43, false, endpoint(a, "DRAINING"), endpoint(b, "DELETED"))}},
+			map[string][]string{a: {"0s draining"}, b: {"0s draining", "14s removed"}}},
+		{"behind, catches up step by step",
+			[]said{{0, endpoints(40, true, endpoint(a, "SERVING"))}, {9 * time.Second, endpoints(42, false, endpoint("c", "SERVING"))},
+				{14 * time.Second, endpoints(43, false, endpoint(a, "DRAINING"))}},
+			map[string][]string{a: {"0s draining"}}},
+		{"behind, catches up with a drain that was called off",
+			[]said{{0, endpoints(42, true, endpoint(a, "SERVING"))}, {6 * time.Second, endpoints(44, false, endpoint(a, "SERVING"))}},
+			map[string][]string{a: {"0s draining", "6s ready"}}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				got := statesOnSecondWatch(t, before, c.after)
+				for id, want := range c.want {
+					if !slices.Equal(got[id], want) {
+						t.Errorf("%s: told %q, want %q", id, got[id], want)
+					}
+				}
+			})
+		})
+	}
+}
+
+// statesOnSecondWatch follows an agent that says one thing, resets its watch and then says another for a minute.
+func statesOnSecondWatch(t *testing.T, before string, after []said) map[string][]string {
+	listener := &pipes{conns: make(chan net.Conn), done: make(chan struct{})}
+	calls := 0
+	var second time.Time
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if calls++; calls == 1 {
+			io.WriteString(w, before)
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		second = time.Now()
+		brings(w, r, after)
+	})}
+	go server.Serve(listener)
+	names := map[control.MemberState]string{control.Ready: "ready", control.Draining: "draining", control.Removed: "removed"}
+	states := map[string][]string{}
+	d := &routetable.Discovery{Address: "agent:80", From: 40, Log: slog.New(slog.DiscardHandler), Dial: listener.dial,
+		Tell: func(table core.Table) {
+			if second.IsZero() {
+				return
+			}
+			for _, e := range table.Targets {
+				all, state := states[e.Server], names[e.State]
+				if len(all) == 0 || !strings.HasSuffix(all[len(all)-1], " "+state) {
+					states[e.Server] = append(all, fmt.Sprintf("%v %s", time.Since(second).Round(time.Second), state))
+				}
+			}
+		}}
+	ctx, cancel := context.WithCancel(t.Context())
+	var ended sync.WaitGroup
+	ended.Go(func() { d.Run(ctx) })
+	time.Sleep(time.Minute) // of the bubble's time
+	cancel()
+	ended.Wait()
+	server.Close()
+	listener.Close()
+	synctest.Wait()
+	return states
+}
