--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -27,6 +28,13 @@
 	permits chan struct{}
 }
 
+func (s *site) connect(ctx context.Context, network, address string) (net.Conn, error) {
+	if s.Dial != nil {
+		return s.Dial(ctx, network, address)
+	}
+	return (&net.Dialer{}).DialContext(ctx, network, address)
+}
+
 type entry struct {
 	*target
 	route route
--- a/internal/egress/target.go
+++ b/internal/egress/target.go
@@ -34,8 +34,9 @@
 	// Abort resets a connection that is given up. Danger: over a link the kernel would go on sending a request
 	// that was closed behind, and one held up there would run after its window.
 	Abort      bool
-	Warm       int      // connections that each ready target is to have at rest, for a link where one costs a round trip
-	LoadFields []string // of a load report
+	Warm       int                                                                  // connections that each ready target is to have at rest, for a link where one costs a round trip
+	LoadFields []string                                                             // of a load report
+	Dial       func(ctx context.Context, network, address string) (net.Conn, error) // nil: the network
 }
 
 type (
@@ -242,7 +243,7 @@
 			ctx, cancel := context.WithTimeout(t.ctx, t.site.ConnectTimeout)
 			defer cancel()
 			var c *conn
-			if nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", address); err == nil {
+			if nc, err := t.site.connect(ctx, "tcp", address); err == nil {
 				c = newConn(nc, address)
 				c.abort = t.site.Abort
 			}
