--- a/internal/routetable/discovery.go
+++ b/internal/routetable/discovery.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -27,6 +28,7 @@
 	// its last word: that is time for one more watch that says nothing, and for a third.
 	silent       = 2800 * time.Millisecond
 	toldAnyway   = 6 * time.Second
+	connectWait  = 2 * time.Second        // for a connection to discovery
 	inTurn       = 5 * time.Second        // for the first word where calls wait for their turn
 	agentPause   = 20 * time.Millisecond  // between watches of an agent of its own: calls cost nothing, and what it
 	agentMost    = 100 * time.Millisecond // has at its return counts as told at once
@@ -36,8 +38,8 @@
 	pauseScatter = 0.8                    // of a pause, both ways
 	askShare     = 0.5                    // of the time in which it must ask, for the longest pause
 	askAfterFail = 4                      // times as long is allowed after a call that failed
+	answerTime   = time.Second / 2        // kept free within toldAnyway for the next call's connection and answer
 	longest      = 4 << 20                // of one list
-	toldFor      = 4096                   // versions: a list that is older still is no concern
 )
 
 var states = map[string]control.MemberState{
@@ -88,13 +90,9 @@
 	Log      *slog.Logger
 	Dial     func(ctx context.Context, network, address string) (net.Conn, error) // nil: the network
 
-	told map[string]told // by target: what the newest list that named it said
-}
-
-type told struct {
-	version int64
-	since   control.Seconds
-	ready   bool
+	mu      sync.Mutex // orders what is told
+	history history
+	restart *time.Timer // of history; nil: none is due
 }
 
 // pauses between watches grow with the number of gateways. Behind the agents stands one service of fixed capacity,
@@ -131,7 +129,7 @@
 
 // Run watches until ctx ends, from where it stands whenever a watch breaks or the agent moves.
 func (d *Discovery) Run(ctx context.Context) {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: d.Dial}}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: d.connect}}
 	pauses := d.pauses()
 	pauses.Reset()
 	if d.Known && d.Gateways > 1 && !d.rest(ctx, time.Duration(rand.Float64()*float64(pauses.InitialInterval))) {
@@ -140,7 +138,7 @@
 	for ctx.Err() == nil {
 		watching, cancel := context.WithCancel(ctx)
 		ended := make(chan error, 1)
-		heard := false
+		heard, began := false, time.Now()
 		go func() {
 			err := d.watch(watching, client, &heard)
 			d.Log.Info("watch ended", "heard", heard, "err", err)
@@ -148,12 +146,19 @@
 		}()
 		select {
 		case err := <-ended:
+			lasted := time.Since(began)
 			if heard {
 				pauses.Reset()
+				lasted = 0 // it brought all there was until its end
 			}
 			pause := pauses.NextBackOff()
-			if heard && errors.Is(err, errSilent) { // all may fall silent together: at any time that is left
-				pause = min(pause, time.Duration(rand.Float64()*float64(toldAnyway-silent-time.Second/2)))
+			switch {
+			case heard && errors.Is(err, errSilent): // all may fall silent together: at any time that is left
+				pause = min(pause, time.Duration(rand.Float64()*float64(toldAnyway-silent-answerTime)))
+			case errors.Is(err, errOverloaded) && pauses.MaxInterval > toldAnyway-answerTime:
+				// So large a fleet that asks again within toldAnyway would keep discovery overloaded.
+			default:
+				pause = boundPause(pause, lasted)
 			}
 			d.rest(ctx, pause)
 		case address := <-d.Moves: // at once: the old agent may stay silent and open
@@ -164,9 +169,39 @@
 		}
 		cancel()
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.restart != nil {
+		d.restart.Stop()
+	}
+}
+
+// boundPause keeps a pause short enough for the next call to be answered within toldAnyway of the moment in which the
+// call that has just failed began: discovery may have become reachable right after that. A pause that is cut short is
+// spread over half of the time there is, so that a fleet does not ask all at once.
+func boundPause(pause, callLasted time.Duration) time.Duration {
+	room := max(0, toldAnyway-answerTime-callLasted)
+	if pause <= room {
+		return pause
+	}
+	return room/2 + time.Duration(rand.Float64()*float64(room/2))
 }
 
-var errSilent = errors.New("discovery is silent")
+// connect bounds how long a connection may take to come up. http.Transport goes on dialling for a call that was given
+// up: with no bound each call to a discovery that is cut off would hold a descriptor for minutes.
+func (d *Discovery) connect(ctx context.Context, network, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, connectWait)
+	defer cancel()
+	if d.Dial != nil {
+		return d.Dial(ctx, network, address)
+	}
+	return (&net.Dialer{}).DialContext(ctx, network, address)
+}
+
+var (
+	errSilent     = errors.New("discovery is silent")
+	errOverloaded = errors.New("discovery turns calls away")
+)
 
 // watch follows the list until the watch ends; heard is set once anything has come.
 func (d *Discovery) watch(ctx context.Context, client *http.Client, heard *bool) error {
@@ -201,6 +236,9 @@
 		return err
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode >= http.StatusInternalServerError {
+		return fmt.Errorf("%w: %s", errOverloaded, resp.Status)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("discovery answered %s", resp.Status)
 	}
@@ -220,7 +258,31 @@
 		if d.Sites != nil {
 			d.place(raw, &t)
 		}
-		d.heed(&t)
+		d.tell(t)
+	}
+}
+
+// tell passes a list on as far as it is newer than what was told before.
+func (d *Discovery) tell(t core.Table) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.history.take(&t, time.Now())
+	d.Tell(t)
+	if d.restart != nil {
+		d.restart.Stop()
+		d.restart = nil
+	}
+	if wait, due := d.history.restartDue(time.Now()); due {
+		d.restart = time.AfterFunc(wait, d.tellRestart)
+	}
+}
+
+// tellRestart tells what was kept back, once it is sure that the numbering has started again.
+func (d *Discovery) tellRestart() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if t, ok := d.history.restarted(time.Now()); ok {
+		d.Log.Warn("discovery numbers its lists anew", "generation", t.Version, "endpoints kept back so far", len(t.Targets))
 		d.Tell(t)
 	}
 }
@@ -244,36 +306,6 @@
 	return n, err
 }
 
-// heed keeps what a newer list has drained or removed out of use when an older one comes that does not know of it
-// yet: an agent that was moved to may be behind. A target that has started since then is another matter.
-func (d *Discovery) heed(t *core.Table) {
-	next := d.told
-	if next == nil || t.Kind == control.Snapshot {
-		next = map[string]told{}
-	}
-	for i := range t.Targets {
-		m := &t.Targets[i].Member
-		was := d.told[m.Server]
-		if t.Version < was.version && m.Since <= was.since {
-			if m.State == control.Ready && !was.ready {
-				m.State = control.Draining
-			}
-			next[m.Server] = was
-			continue
-		}
-		next[m.Server] = told{t.Version, max(m.Since, was.since), m.State == control.Ready}
-	}
-	for id, was := range d.told { // those that the older list does not name, or that a newer one removed
-		switch _, named := next[id]; {
-		case !named && !was.ready && was.version > t.Version:
-			next[id] = was
-		case named && !was.ready && was.version < t.Version-toldFor:
-			delete(next, id)
-		}
-	}
-	d.told = next
-}
-
 // place puts each target at the site of its zone. One in a zone of no site gets nothing: it might stand anywhere.
 func (d *Discovery) place(raw []byte, t *core.Table) {
 	zones := map[string]string{}
