--- /dev/null
+++ b/configdelta/state.go
@@ -0,0 +1,179 @@
+// Package configdelta decides on configuration versions that travel as increments: a document is a list of named
+// parts, an increment names the state it starts from and the parts that it sets and removes, and a reader takes a
+// version only whole, from the base it holds, with the hash that was announced. It does no I/O, reads no clock,
+// starts no goroutine, and never judges what a configuration says: that is done by whoever is handed the document.
+package configdelta
+
+import (
+	"bytes"
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// Bounds of what is held and sent, in bytes where not said otherwise.
+const (
+	MaxStateBytes = 8 << 20   // of a document
+	MaxPartBytes  = 256 << 10 // of one part's content
+	MaxPieceBytes = 512 << 10 // of one piece, as a reader takes it
+	MaxPieces     = 1024      // pieces of one increment
+	MaxNameBytes  = 64        // of a part's name
+)
+
+// The comment lines by which a document tells its parts, so that a reader that finds one on disk has its state
+// back. To a reader of TOML they mean nothing.
+const (
+	headerPrefix = "#increments 1 epoch="
+	partPrefix   = "#part "
+)
+
+// Hash identifies the content of a state: the names and contents of all its parts.
+type Hash [sha256.Size]byte
+
+func (h Hash) String() string { return hex.EncodeToString(h[:8]) }
+
+// Ref names a state that an increment starts from.
+type Ref struct {
+	Number int64
+	Hash   Hash
+}
+
+func (r Ref) String() string { return fmt.Sprintf("version %d (%v)", r.Number, r.Hash) }
+
+// Part is a named piece of a document. Parts are in the order of their names.
+type Part struct {
+	Name    string
+	Content string // whole lines
+	digest  Hash   // of Content
+}
+
+// NewPart makes a part, or says why it can't be one.
+func NewPart(name, content string) (Part, error) {
+	switch {
+	case name == "" || len(name) > MaxNameBytes || strings.Trim(name, "0123456789abcdefghijklmnopqrstuvwxyz.-") != "":
+		return Part{}, fmt.Errorf("%q is no name of a part", name)
+	case len(content) > MaxPartBytes:
+		return Part{}, fmt.Errorf("part %s holds %d bytes, %d are allowed", name, len(content), MaxPartBytes)
+	case !strings.HasSuffix(content, "\n"):
+		return Part{}, fmt.Errorf("part %s does not end with a whole line", name)
+	case strings.HasPrefix(content, partPrefix) || strings.Contains(content, "\n"+partPrefix):
+		return Part{}, fmt.Errorf("part %s holds a line that begins with %q", name, partPrefix)
+	}
+	return Part{Name: name, Content: content, digest: sha256.Sum256([]byte(content))}, nil
+}
+
+// State is a whole version. It is never changed after it was made; its zero value is the empty state.
+type State struct {
+	Number int64
+	Epoch  uint64 // of the writer that published it
+	parts  []Part // by name, rising
+	hash   Hash
+	bytes  int // of all contents
+}
+
+// NewState makes a state of parts in any order.
+func NewState(number int64, epoch uint64, parts []Part) (State, error) {
+	sorted := slices.SortedFunc(slices.Values(parts), func(a, b Part) int { return cmp.Compare(a.Name, b.Name) })
+	s := State{Number: number, Epoch: epoch, parts: sorted}
+	for i, p := range sorted {
+		if i > 0 && sorted[i-1].Name == p.Name {
+			return State{}, fmt.Errorf("part %s is there twice", p.Name)
+		}
+		s.bytes += len(p.Content)
+	}
+	if s.bytes > MaxStateBytes {
+		return State{}, fmt.Errorf("a document of %d bytes, %d are allowed", s.bytes, MaxStateBytes)
+	}
+	s.hash = hashOf(sorted)
+	return s, nil
+}
+
+// hashOf is zero for no parts, as in the zero value of State.
+func hashOf(parts []Part) (sum Hash) {
+	if len(parts) == 0 {
+		return sum
+	}
+	h := sha256.New()
+	for _, p := range parts {
+		h.Write([]byte(p.Name))
+		h.Write([]byte{0})
+		h.Write(p.digest[:])
+	}
+	h.Sum(sum[:0])
+	return sum
+}
+
+// Ref names the state as the base of an increment.
+func (s State) Ref() Ref { return Ref{s.Number, s.hash} }
+
+// Hash is the hash of the state's content.
+func (s State) Hash() Hash { return s.hash }
+
+// Bytes is the size of the content.
+func (s State) Bytes() int { return s.bytes }
+
+// Parts are the state's parts in order, not to be changed.
+func (s State) Parts() []Part { return s.parts }
+
+// Document is the state as one document, with the lines that tell its parts.
+func (s State) Document() []byte {
+	var b bytes.Buffer
+	b.Grow(s.bytes + len(s.parts)*(len(partPrefix)+MaxNameBytes/2) + 64)
+	fmt.Fprintf(&b, "%s%d\n", headerPrefix, s.Epoch)
+	for _, p := range s.parts {
+		b.WriteString(partPrefix)
+		b.WriteString(p.Name)
+		b.WriteByte('\n')
+		b.WriteString(p.Content)
+	}
+	return b.Bytes()
+}
+
+// ErrNoParts says that a document does not tell its parts: it did not come from increments.
+var ErrNoParts = errors.New("the document does not tell its parts")
+
+// ParseDocument reads a state back from its document.
+func ParseDocument(number int64, document []byte) (State, error) {
+	epoch, parts, err := SplitDocument(string(document))
+	if err != nil {
+		return State{}, err
+	}
+	return NewState(number, epoch, parts)
+}
+
+// SplitDocument reads the parts of a document, in order.
+func SplitDocument(document string) (epoch uint64, parts []Part, err error) {
+	head, rest, _ := strings.Cut(document, "\n")
+	text, ok := strings.CutPrefix(head, headerPrefix)
+	if !ok {
+		return 0, nil, ErrNoParts
+	}
+	if epoch, err = strconv.ParseUint(text, 10, 64); err != nil {
+		return 0, nil, fmt.Errorf("epoch: %w", err)
+	}
+	for rest != "" {
+		line, after, _ := strings.Cut(rest, "\n")
+		name, ok := strings.CutPrefix(line, partPrefix)
+		if !ok {
+			return 0, nil, fmt.Errorf("a line that belongs to no part: %.40q", line)
+		}
+		content := after
+		if end := strings.Index("\n"+after, "\n"+partPrefix); end >= 0 {
+			content = after[:end]
+		}
+		part, err := NewPart(name, content)
+		if err != nil {
+			return 0, nil, err
+		}
+		if len(parts) > 0 && part.Name <= parts[len(parts)-1].Name {
+			return 0, nil, fmt.Errorf("part %s is out of order", part.Name)
+		}
+		parts, rest = append(parts, part), after[len(content):]
+	}
+	return epoch, parts, nil
+}
