--- a/cmd/configstream/main.go
+++ b/cmd/configstream/main.go
@@ -19,11 +19,13 @@
 		Service []string `required:"" help:"Control services, host:port; the first that can be reached is used."`
 		Gateway string   `default:"127.0.0.1:9082" help:"The gateway's operations listener."`
 		Node    string   `required:"" help:"The gateway's name, as the control services know it."`
+
+		Increments bool `help:"Take versions as increments (delta ADS) in place of whole documents."`
 	}
 	k := kong.Parse(&cli, kong.Name("configstream"), kong.Description("Streams configuration versions to a gateway."))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	c := controlplane.Client{Services: cli.Service, Node: cli.Node, Gateway: &controlplane.API{Address: cli.Gateway},
+	c := controlplane.Client{Services: cli.Service, Node: cli.Node, Gateway: &controlplane.API{Address: cli.Gateway}, Increments: cli.Increments,
 		Log: slog.New(slog.NewTextHandler(os.Stderr, nil))}
 	k.FatalIfErrorf(c.Run(ctx))
 }
--- a/internal/controlplane/api.go
+++ b/internal/controlplane/api.go
@@ -67,3 +67,23 @@
 	err = json.NewDecoder(resp.Body).Decode(&c)
 	return c.Version, err
 }
+
+// Document implements DocumentHolder.
+func (a *API) Document(ctx context.Context, number int64) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, apiWait)
+	defer cancel()
+	url := fmt.Sprintf("http://%s/config/document?version=%d", a.Address, number)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := a.client.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("the gateway answered %s", resp.Status)
+	}
+	return io.ReadAll(io.LimitReader(resp.Body, MaxMessage))
+}
--- a/internal/controlplane/client.go
+++ b/internal/controlplane/client.go
@@ -1,6 +1,6 @@
 // Package controlplane is the client of a control service: it keeps an aggregated discovery stream (Envoy's
-// published ADS, v3) that carries one resource, a whole configuration version, has each version offered to the
-// gateway, and returns its acknowledgement or reason. It owns the streams, their reconnects and what waits to be
+// published ADS, v3) that carries one resource, a whole configuration version, or its incremental form (delta ADS),
+// has each version offered to the gateway, and returns its acknowledgement or reason. It owns the streams, their reconnects and what waits to be
 // offered; it decides nothing about versions. It runs in a process of its own (cmd/configstream): gRPC would add
 // 8 MB resident to every gateway, streams or not.
 package controlplane
@@ -12,6 +12,7 @@
 	"log/slog"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -25,6 +26,7 @@
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/protobuf/types/known/structpb"
 
+	"junctionring/configdelta"
 	"junctionring/internal/controlplane/versionpb"
 )
 
@@ -67,6 +69,13 @@
 	Gateway  Gateway
 	Log      *slog.Logger
 
+	// Increments has versions come as increments (delta ADS) in place of whole documents.
+	Increments bool
+
+	mu       sync.Mutex
+	refusals map[configdelta.Reason]int
+	reader   *configdelta.Reader // of increments; kept from one stream to the next
+
 	ping time.Duration // between keep-alives; longer where a control service calls that too many
 }
 
@@ -76,11 +85,15 @@
 		return errors.New("controlplane: no control service is named")
 	}
 	c.ping = pingEvery
+	follow := c.follow
+	if c.Increments {
+		follow = c.followIncrements
+	}
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval, pause.MaxInterval = firstPause, longPause
 	for turn := 0; ; turn++ {
 		source, begun := turn%len(c.Services), time.Now()
-		err := c.follow(ctx, source)
+		err := follow(ctx, source)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -101,6 +114,14 @@
 	}
 }
 
+// dial makes the connection to a control service; it comes up with the first stream.
+func (c *Client) dial(source int) (*grpc.ClientConn, error) {
+	return grpc.NewClient("passthrough:///"+c.Services[source], grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: grpcbackoff.DefaultConfig, MinConnectTimeout: openWait}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: c.ping, Timeout: pingWait}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessage)))
+}
+
 // received is a response of the stream, or its end.
 type received struct {
 	*discovery.DiscoveryResponse
@@ -120,10 +141,7 @@
 func (c *Client) follow(ctx context.Context, source int) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	conn, err := grpc.NewClient("passthrough:///"+c.Services[source], grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithConnectParams(grpc.ConnectParams{Backoff: grpcbackoff.DefaultConfig, MinConnectTimeout: openWait}),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: c.ping, Timeout: pingWait}),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessage)))
+	conn, err := c.dial(source)
 	if err != nil {
 		return err
 	}
--- a/internal/standin/controlservice/controlservice.go
+++ b/internal/standin/controlservice/controlservice.go
@@ -17,6 +17,7 @@
 
 	"junctionring/internal/controlplane"
 	"junctionring/internal/controlplane/versionpb"
+	"junctionring/internal/deltastream"
 )
 
 // Answer is what a node said of a pushed version.
@@ -45,8 +46,17 @@
 	nodes   map[string]string // version that each runs
 	stalled bool
 	ended   bool
+
+	increments *deltastream.Server
+	traffic    traffic
 }
 
+// Sizes of the incremental form.
+const (
+	basesKept  = 64
+	pieceBytes = 64 << 10
+)
+
 // New starts a control service with nothing to say.
 func New(listen string) (*Service, error) {
 	l, err := net.Listen("tcp", listen)
@@ -57,8 +67,9 @@
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: 5 * time.Second})), sent: map[string]time.Time{},
 		numbers: map[string]int64{}, nodes: map[string]string{}}
 	s.changed = sync.NewCond(&s.mu)
+	s.increments = deltastream.New(basesKept, pieceBytes, s.answeredIncrement)
 	discovery.RegisterAggregatedDiscoveryServiceServer(s.server, s)
-	go s.server.Serve(l)
+	go s.server.Serve(&countedListener{l, &s.traffic})
 	return s, nil
 }
 
@@ -90,6 +101,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stalled = on
+	s.increments.Stall(on)
 	s.changed.Broadcast()
 }
 
