Wake one watch of the stand-in registry by its beat, and one name of the stand-in store by its call

Cause: each watch's 2 s beat woke every other watch too (one condition for all), and each that was woken sent an empty line, so that N watches sent up to N lines a beat each; Put deleted and appended by a scan of the whole list for each entry; and the store looked at every name that ends at each call.

--- a/internal/standin/registry.go
+++ b/internal/standin/registry.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net"
@@ -34,14 +35,18 @@
 	listener net.Listener
 	server   *http.Server
 	mu       sync.Mutex
-	changed  *sync.Cond
+	changed  chan struct{} // closed with the next change, or at the end
 	list     []Instance
-	log      [][]Instance // changes by generation, from 1
+	places   map[string]int // in the list, by ID
+	log      [][]Instance   // changes by generation, from 1
 	told     []Told
 	gate     *fence.Gate
 	closed   bool
 }
 
+// beatEvery is the time between two empty lines of a watch on which nothing changes.
+const beatEvery = 2 * time.Second
+
 // NewRegistry starts an empty registry.
 func NewRegistry(listen string) (*Registry, error) {
 	l, err := net.Listen("tcp", listen)
@@ -52,8 +57,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Registry{listener: l, gate: gate}
-	r.changed = sync.NewCond(&r.mu)
+	r := &Registry{listener: l, gate: gate, changed: make(chan struct{}), places: map[string]int{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/", r.serve)
 	mux.Handle("PUT /registry/instances/{id}/lifecycle", gate.Guard(http.HandlerFunc(r.change)))
@@ -69,13 +73,35 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, e := range entries {
-		r.list = slices.DeleteFunc(r.list, func(o Instance) bool { return o.ID == e.ID })
-		if e.Lifecycle != "DELETED" {
-			r.list = append(r.list, e)
-		}
+		r.enter(e)
 	}
 	r.log = append(r.log, entries)
-	r.changed.Broadcast()
+	r.announce()
+}
+
+// enter puts one entry into the list, or takes it out. The caller holds the lock.
+func (r *Registry) enter(e Instance) {
+	at, listed := r.places[e.ID]
+	switch {
+	case e.Lifecycle == "DELETED" && listed:
+		r.list = slices.Delete(r.list, at, at+1)
+		delete(r.places, e.ID)
+		for i, later := range r.list[at:] {
+			r.places[later.ID] = at + i
+		}
+	case e.Lifecycle == "DELETED":
+	case listed:
+		r.list[at] = e
+	default:
+		r.places[e.ID] = len(r.list)
+		r.list = append(r.list, e)
+	}
+}
+
+// announce wakes every watch. The caller holds the lock.
+func (r *Registry) announce() {
+	close(r.changed)
+	r.changed = make(chan struct{})
 }
 
 // Drain marks instances as draining, as one version.
@@ -132,7 +158,7 @@
 func (r *Registry) Close() {
 	r.mu.Lock()
 	r.closed = true
-	r.changed.Broadcast()
+	r.announce()
 	r.mu.Unlock()
 	r.server.Close()
 }
@@ -152,26 +178,18 @@
 		out.Encode(list)
 		return
 	}
-	beat := time.AfterFunc(2*time.Second, r.wake)
+	r.watch(req.Context(), w, out, from)
+}
+
+// watch sends what has changed since a generation, and then each change, or an empty line where there is none for a
+// time. Only the watch whose time has come is woken by it: with one wake-up for all, each of N watches would send N
+// empty lines.
+func (r *Registry) watch(ctx context.Context, w http.ResponseWriter, out *json.Encoder, from int64) {
+	beat := time.NewTimer(beatEvery)
 	defer beat.Stop()
-	go func() { <-req.Context().Done(); r.wake() }()
 	for first := true; ; first = false {
-		r.mu.Lock()
-		if now := int64(len(r.log)); !first && now == from && !r.closed && req.Context().Err() == nil {
-			beat.Reset(2 * time.Second)
-			r.changed.Wait()
-		}
-		list := registryList{Generation: int64(len(r.log)), Instances: []Instance{}}
-		if from <= 0 || from > list.Generation {
-			list.Reset, list.Instances = true, slices.Clone(r.list)
-		} else {
-			for _, entries := range r.log[from:] {
-				list.Instances = append(list.Instances, entries...)
-			}
-		}
-		ended := r.closed
-		r.mu.Unlock()
-		if ended || req.Context().Err() != nil {
+		list, changed, ended := r.since(from)
+		if ended {
 			return
 		}
 		if first || list.Generation != from {
@@ -181,11 +199,27 @@
 		}
 		from = list.Generation
 		w.(http.Flusher).Flush()
+		beat.Reset(beatEvery)
+		select {
+		case <-changed:
+		case <-beat.C:
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
-func (r *Registry) wake() {
+// since is what has changed since a generation, or the whole list, and what is closed with the next change.
+func (r *Registry) since(from int64) (list registryList, changed <-chan struct{}, ended bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.changed.Broadcast()
+	list = registryList{Generation: int64(len(r.log)), Instances: []Instance{}}
+	if from <= 0 || from > list.Generation {
+		list.Reset, list.Instances = true, slices.Clone(r.list)
+	} else {
+		for _, entries := range r.log[from:] {
+			list.Instances = append(list.Instances, entries...)
+		}
+	}
+	return list, r.changed, r.closed
 }
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -20,13 +20,18 @@
 	changed  *sync.Cond
 	values   map[string]float64
 	ends     map[string]time.Time
-	added    float64 // all amounts ever added
+	sweep    time.Time // when names that nobody asks for any more are forgotten next
+	added    float64   // all amounts ever added
 	silent   bool
 	conns    []net.Conn
 	texts    map[string]string      // values that scripts wrote
 	scripts  map[string]storeScript // by the checksum of their text
 }
 
+// sweepEvery is the time between two looks at all names: at each call it would make a call cost as much as there are
+// names.
+const sweepEvery = time.Second
+
 // storeScript is what a script does. It returns a bulk string, or nil for false.
 type storeScript func(get func(string) (string, bool), set func(key, value string), keys, args []string) (string, bool)
 
@@ -240,12 +245,15 @@
 
 func (s *Store) run(args []string) string {
 	now := time.Now()
-	for key, end := range s.ends {
-		if now.After(end) {
-			delete(s.ends, key)
-			delete(s.values, key)
+	if now.After(s.sweep) {
+		s.sweep = now.Add(sweepEvery)
+		for key := range s.ends {
+			s.expire(key, now)
 		}
 	}
+	if len(args) > 1 {
+		s.expire(args[1], now)
+	}
 	switch strings.ToUpper(args[0]) {
 	case "SET":
 		return s.set(args, now)
@@ -262,6 +270,14 @@
 	return "-ERR unknown command\r\n"
 }
 
+// expire forgets a name whose time has passed.
+func (s *Store) expire(key string, now time.Time) {
+	if end, ends := s.ends[key]; ends && now.After(end) {
+		delete(s.ends, key)
+		delete(s.values, key)
+	}
+}
+
 // set takes SET key value with the options NX, EX and PX in any order.
 func (s *Store) set(args []string, now time.Time) string {
 	value, err := strconv.ParseFloat(args[2], 64)
