--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -18,6 +18,7 @@
 
 	"junctionring/internal/lab"
 	"junctionring/internal/lab/leases"
+	"junctionring/internal/lab/scale"
 	"junctionring/internal/standin"
 )
 
@@ -142,7 +143,7 @@
 }
 
 func main() {
-	if leases.Role() { // a process that a play of leases started
+	if leases.Role() || scale.Role() { // a process that a scenario started
 		return
 	}
 	var cli struct {
@@ -151,6 +152,7 @@
 		Fleet    fleetCommand    `cmd:"" help:"Play a whole fleet: releases and drains under a load, with faults between its processes."`
 		Spread   spreadCommand   `cmd:"" help:"Measure how evenly many gateways spread a thin load over table servers, and under faults."`
 		Lease    leaseCommand    `cmd:"" help:"Play coordinators, holders and faults between them, and judge by what they did."`
+		Scale    scaleCommand    `cmd:"" help:"Measure what control costs as the fleet grows: hollow gateways against real coordinators and stand-ins."`
 		Load     loadCommand     `cmd:"" help:"Offer an open-loop load to gateways on loopback."`
 		Tables   tablesCommand   `cmd:"" help:"Start stand-in table servers."`
 		Store    storeCommand    `cmd:"" help:"Start a stand-in Redis store."`
