--- /dev/null
+++ b/internal/coordinator/apply.go
@@ -0,0 +1,187 @@
+package coordinator
+
+import (
+	"encoding/binary"
+	"fmt"
+	"slices"
+
+	"go.etcd.io/raft/v3"
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"junctionring/lease"
+	"junctionring/rollout"
+)
+
+// work writes, sends and applies until there is nothing left to do. What is sent was written before.
+func (n *Node) work() error {
+	if len(n.waiting) > 0 {
+		n.round++
+		n.reads[n.round] = n.waiting
+		n.waiting = nil
+		n.raft.ReadIndex(binary.BigEndian.AppendUint64(nil, n.round))
+	}
+	for n.raft.HasReady() {
+		rd := n.raft.Ready()
+		if n.full != nil {
+			if err := n.full(); err != nil {
+				return err
+			}
+		}
+		if err := n.disk.save(&rd); err != nil {
+			return err
+		}
+		if !raft.IsEmptySnap(rd.Snapshot) {
+			if err := n.restored(rd.Snapshot); err != nil {
+				return err
+			}
+			n.peers.set(n.known())
+		}
+		n.peers.send(rd.Messages)
+		for _, e := range rd.CommittedEntries {
+			if err := n.apply(e); err != nil {
+				return err
+			}
+		}
+		for _, r := range rd.ReadStates {
+			if len(r.RequestCtx) != 8 {
+				continue
+			}
+			round := binary.BigEndian.Uint64(r.RequestCtx)
+			n.confirmed = append(n.confirmed, confirmation{r.Index, n.reads[round]})
+			delete(n.reads, round)
+		}
+		n.raft.Advance(rd)
+		n.office()
+		n.answerReads()
+	}
+	n.awaited = slices.DeleteFunc(n.awaited, func(a awaited) bool {
+		if a.so() {
+			a.then(nil)
+			return true
+		}
+		return false
+	})
+	if n.applied >= n.disk.taken+n.c.Entries || n.joined > n.disk.taken {
+		return n.disk.compact(n.applied, n.conf, encode(n.g))
+	}
+	return nil
+}
+
+func (n *Node) apply(e *raftpb.Entry) error {
+	n.applied = e.GetIndex()
+	switch e.GetType() {
+	case raftpb.EntryConfChange:
+		var cc raftpb.ConfChange
+		if err := proto.Unmarshal(e.GetData(), &cc); err != nil {
+			return err
+		}
+		if err := n.g.change(&cc); err != nil {
+			return err
+		}
+		n.conf = n.raft.ApplyConfChange(&cc)
+		if cc.GetType() == raftpb.ConfChangeAddLearnerNode {
+			n.joined = n.applied
+		}
+		n.changing = false
+		if cc.GetNodeId() == n.id.ID {
+			n.id.Joins = false
+		}
+		n.log.Info("coordinators", "change", cc.GetType(), "id", cc.GetNodeId(), "voters", n.conf.GetVoters(), "learners", n.conf.GetLearners())
+		n.peers.set(n.known())
+	case raftpb.EntryNormal:
+		if len(e.GetData()) == 0 {
+			return nil
+		}
+		var x entry
+		if err := decode(e.GetData(), &x); err != nil {
+			return fmt.Errorf("entry %d of the log: %w", e.GetIndex(), err)
+		}
+		if x.Meet != nil {
+			n.g.meet(*x.Meet)
+			n.peers.set(n.known())
+		}
+		if x.Cmd != nil {
+			n.command(x)
+		}
+		if x.Roll != nil {
+			r := n.g.Fleet.Apply(*x.Roll)
+			if x.Roll.Op == rollout.Claim {
+				delete(n.lates, x.Roll.Unit) // it has its whole time again
+			}
+			if then := n.rolls[x.ID]; then != nil {
+				delete(n.rolls, x.ID)
+				then(r, nil)
+			}
+		}
+	}
+	return nil
+}
+
+func (n *Node) command(x entry) {
+	e := n.g.State.Apply(*x.Cmd)
+	if s := n.raft.BasicStatus(); x.Cmd.Op == lease.Lead && x.Cmd.Term == s.GetTerm() && s.RaftState == raft.StateLeader {
+		n.watch = lease.NewWatch(n.clock(), n.g.State, n.c.Life.Duration)
+		n.log.Info("in office", "term", x.Cmd.Term, "sessions", len(n.g.State.Sessions), "sealed", n.g.State.Sealed)
+	} else if n.watch != nil {
+		n.watch.Applied(n.clock(), n.g.State, *x.Cmd, e)
+	}
+	then := n.pending[x.ID]
+	delete(n.pending, x.ID)
+	if then != nil {
+		then(e, nil)
+	}
+	if n.watch == nil {
+		return
+	}
+	n.report(x.Cmd, e)
+	for _, id := range e.Touched {
+		st := n.streams[id]
+		if st == nil {
+			continue
+		}
+		if v, ok := n.g.State.View(id); ok {
+			st.told(v)
+		} else {
+			st.gone()
+			delete(n.streams, id)
+		}
+	}
+	for _, c := range e.Changes { // without who sees it a unit is out of sight
+		if (c.Kind == lease.Silent || c.Kind == lease.Left) && (c.Member.Kind == AgentKind || c.Member.Kind == WardenKind) {
+			for unit, u := range n.g.Fleet.Budget.Units {
+				if u.By == c.Member.Name {
+					n.roll(rollout.Command{Op: rollout.Lose, Unit: unit}, nil)
+				}
+			}
+		}
+	}
+	if len(e.Changes) > 0 {
+		for w := range n.watchers {
+			if !w.push(false, e.Changes, n.g.State.Seq) {
+				delete(n.watchers, w)
+			}
+		}
+	}
+}
+
+// report logs what a command led to, at the coordinator that leads.
+func (n *Node) report(c *lease.Command, e lease.Effect) {
+	switch {
+	case e.Status == lease.Stale || e.Status == lease.Unknown || e.Status == lease.Full:
+		n.log.Debug("without effect", "op", c.Op, "session", c.Session, "lease", c.Name, "token", c.Token, "status", e.Status)
+	case c.Op == lease.Expire:
+		n.log.Warn("session over", "session", c.Session, "cause", "its life passed without a renewal")
+	case c.Op == lease.Close:
+		n.log.Info("session over", "session", c.Session, "cause", "closed")
+	case c.Op == lease.Revoke:
+		n.log.Warn("lease revoked", "lease", c.Name, "token", e.Token, "by", c.By)
+	case c.Op == lease.Release || c.Op == lease.Free:
+		n.log.Info("lease free", "lease", c.Name, "token", c.Token, "session", c.Session, "cause", c.Op)
+	case c.Op == lease.Unseal:
+		n.log.Info("leases are given from now on")
+	}
+	for _, g := range e.Given {
+		n.log.Info("lease given", "lease", g.Name, "token", g.Token, "session", g.Session)
+	}
+}
