--- /dev/null
+++ b/internal/leaseholder/connection.go
@@ -0,0 +1,88 @@
+package leaseholder
+
+import (
+	"cmp"
+	"context"
+	"time"
+
+	"junctionring/internal/coordinator/leasepb"
+	"junctionring/lease"
+)
+
+func viewIn(v *leasepb.View) (out lease.View) {
+	out.Rev = v.GetRev()
+	for _, g := range v.GetHeld() {
+		out.Held = append(out.Held, lease.Grant{Name: g.Name, Token: g.Token})
+	}
+	for _, p := range v.GetPlaces() {
+		out.Places = append(out.Places, lease.Place{Name: p.Name, Before: int(p.Before)})
+	}
+	return out
+}
+
+// connection is one stream to a coordinator. Its writer and its reader wait for the network; the client never does.
+type connection struct {
+	address string
+	in      chan *leasepb.ToHolder
+	failed  chan error
+	out     chan *leasepb.FromHolder
+	end     context.CancelFunc
+	opened  bool // it has answered
+	heard   time.Duration
+}
+
+func open(ctx context.Context, address string, via map[string]string) (*connection, error) {
+	conn, err := leasepb.Dial(cmp.Or(via[address], address))
+	if err != nil {
+		return nil, err
+	}
+	ctx, end := context.WithCancel(ctx)
+	c := &connection{address: address, in: make(chan *leasepb.ToHolder, 16), failed: make(chan error, 1), out: make(chan *leasepb.FromHolder, 16), end: end}
+	go func() {
+		defer conn.Close()
+		defer end()
+		late := time.AfterFunc(openWait, end)
+		g, err := leasepb.NewLeasesClient(conn).Session(ctx)
+		if err != nil {
+			late.Stop()
+			c.failed <- err
+			return
+		}
+		go func() {
+			for {
+				select {
+				case m := <-c.out:
+					if g.Send(m) != nil {
+						return // the reader is told why
+					}
+				case <-ctx.Done():
+					return
+				}
+			}
+		}()
+		for {
+			m, err := g.Recv()
+			late.Stop()
+			if err != nil {
+				c.failed <- err
+				return
+			}
+			select {
+			case c.in <- m:
+			case <-ctx.Done():
+				c.failed <- ctx.Err()
+				return
+			}
+		}
+	}()
+	return c, nil
+}
+
+func (c *connection) send(m *leasepb.FromHolder) bool {
+	select {
+	case c.out <- m:
+		return true
+	default:
+		return false // it doesn't read
+	}
+}
