Measure the data path beside a plain proxy, and a fleet's recovery from faults, with lab scale

'lab scale path' plays a real gateway and httputil.ReverseProxy in turn, each on one core, by active tenants and servers; 'lab scale fault' lets something happen to a scenario's fleet and measures until every gateway has everything again: pushes while one in 20 restart, all restart, a third of the gateways' processes killed, the leading coordinator killed, readers that stand still. BenchmarkHandleAtSize has the module's own cost by customers and by servers.

--- a/cmd/lab/scale.go
+++ b/cmd/lab/scale.go
@@ -7,7 +7,9 @@
 	"os"
 	"path/filepath"
 	"text/tabwriter"
+	"time"
 
+	"github.com/parquet-go/parquet-go"
 	"github.com/schollz/progressbar/v3"
 
 	"junctionring/internal/lab/scale"
@@ -17,6 +19,8 @@
 	Run     scaleRunCommand     `cmd:"" help:"Run scenarios at all their sizes, and fit lines to what was measured."`
 	Fit     scaleFitCommand     `cmd:"" help:"Fit lines to raw data of earlier runs."`
 	Compare scaleCompareCommand `cmd:"" help:"Run a scenario with two builds in turn, size by size."`
+	Path    scalePathCommand    `cmd:"" help:"Measure a real gateway beside a plain reverse proxy, in turn, each on one core."`
+	Fault   scaleFaultCommand   `cmd:"" help:"Let a fault happen to a scenario's fleet, and measure its recovery."`
 	List    scaleListCommand    `cmd:"" help:"List the scenarios that come with the program."`
 }
 
@@ -106,6 +110,7 @@
 	Files []string `arg:"" type:"existingfile" help:"Raw data (Parquet)."`
 	Join  string   `help:"Write all rows to this file."`
 	Plots string   `help:"Draw each line into this folder."`
+	At    []int    `help:"Show what each line says at these values."`
 }
 
 func (c scaleFitCommand) Run() error {
@@ -118,6 +123,9 @@
 			return err
 		}
 	}
+	if len(c.At) > 0 {
+		return scale.WritePredictions(os.Stdout, scale.FitAll(rows), c.At)
+	}
 	return show(c.Plots, rows, c.Plots != "")
 }
 
@@ -186,3 +194,100 @@
 	}
 	return nil
 }
+
+type scalePathCommand struct {
+	Tenants []int         `default:"100" help:"Active tenants; each with each number of servers."`
+	Servers []int         `default:"100"`
+	Rate    int           `default:"267" help:"Requests a second."`
+	Rounds  int           `default:"3"`
+	For     time.Duration `default:"6s" help:"Of each round, of each of the two."`
+	Out     string        `default:"lab-out/scale" help:"Folder for raw data and logs."`
+	Gateway string        `help:"The gateway; default: junctionring beside this program."`
+}
+
+func (c scalePathCommand) Run(ctx context.Context) error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	dir, err := filepath.Abs(c.Out)
+	if err != nil {
+		return err
+	}
+	var rows []scale.PathRow
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "TENANTS\tSERVERS\tGATEWAY us\tPROXY us\tTIMES\tADDED p50 ms\tADDED p99 ms\tRANGE\tGATEWAY p99 ms\tSERVED\tRESIDENT MB")
+	for _, tenants := range c.Tenants {
+		for _, servers := range c.Servers {
+			o := scale.PathOptions{Tenants: tenants, Servers: servers, Rate: c.Rate, Rounds: c.Rounds, For: c.For}
+			o.Program, o.Gateway = []string{self}, gatewayBeside(c.Gateway, self)
+			o.Dir = filepath.Join(dir, "logs", fmt.Sprintf("path-%d-%d", tenants, servers))
+			some, err := scale.Path(ctx, o)
+			if err != nil {
+				return err
+			}
+			rows = append(rows, some...)
+			s := scale.SummarisePath(some)
+			fmt.Fprintf(w, "%d\t%d\t%.1f\t%.1f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%d of %d\t%.0f\n", s.Tenants, s.Servers, s.Gateway, s.Proxy, s.Gateway/s.Proxy,
+				s.AddedP50, s.AddedP99, s.Spread, s.GatewayP99, s.Served, s.Asked, s.Resident/1e6)
+		}
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	name := fmt.Sprintf("path-%dx%d.parquet", len(c.Tenants), len(c.Servers))
+	return parquet.WriteFile(filepath.Join(dir, name), rows)
+}
+
+type scaleFaultCommand struct {
+	Scenario string   `arg:"" help:"Name of a scenario, or a file."`
+	Faults   []string `arg:"" help:"none, push, restart-all, zone, leader, slow-reader."`
+	Value    int      `required:"" help:"Of the scenario's factor."`
+	Out      string   `default:"lab-out/scale" help:"Folder for raw data and logs."`
+}
+
+func (c scaleFaultCommand) Run(ctx context.Context) error {
+	s, err := scale.Load(c.Scenario)
+	if err != nil {
+		return err
+	}
+	s.Sizes, s.HeldOut = []int{c.Value}, nil
+	for _, name := range c.Faults {
+		if _, known := scale.Faults[name]; !known {
+			return fmt.Errorf("there is no fault %q", name)
+		}
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	dir, err := filepath.Abs(c.Out)
+	if err != nil {
+		return err
+	}
+	for _, name := range c.Faults {
+		o := scale.Options{Program: []string{self}, Build: "here", Dir: filepath.Join(dir, "logs", "fault-"+name)}
+		if err := os.RemoveAll(o.Dir); err != nil {
+			return err
+		}
+		rows, err := scale.RunFault(ctx, o, s, c.Value, name)
+		if err != nil {
+			return fmt.Errorf("%s: %w; logs: %s", name, err, o.Dir)
+		}
+		if err := scale.Save(dir, rows); err != nil {
+			return err
+		}
+		showFault(name, rows)
+	}
+	return nil
+}
+
+func showFault(name string, rows []scale.Row) {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "FAULT\tROLE\tPHASE\tSECONDS\tCPU s/s\tBYTES/s\tRESIDENT MB\tFAILURES\tIN FORCE p50, p99, max s\tOUT OF ORDER")
+	for _, r := range rows {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%.1f\t%.4f\t%.0f\t%.0f\t%.0f\t%.2f, %.2f, %.2f\t%.0f\n", name, r.Role, r.Phase, r.Seconds, r.CPU/r.Seconds, r.Bytes/r.Seconds,
+			r.Resident/1e6, r.Failures, r.DelayP50, r.DelayP99, r.DelayMax, r.Disorder)
+	}
+	w.Flush()
+}
--- /dev/null
+++ b/control/scale_test.go
@@ -0,0 +1,73 @@
+package control_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"junctionring/control"
+)
+
+// BenchmarkHandleAtSize is what a request costs the module at the planned rate of a gateway, with all its answers: by
+// how many customers are active, and by how many servers there are.
+func BenchmarkHandleAtSize(b *testing.B) {
+	for _, customers := range []int{100, 800, 3200, 12_000, 98_000} {
+		b.Run(fmt.Sprintf("customers=%d", customers), func(b *testing.B) { benchmarkAt(b, customers, 100) })
+	}
+	for _, servers := range []int{10, 100, 1000, 4000, 13_000} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) { benchmarkAt(b, 100, servers) })
+	}
+}
+
+func benchmarkAt(b *testing.B, customers, servers int) {
+	const rate = 267 // requests a second, as the plan has it for a gateway
+	s := settings()
+	s.Gateways = 1200
+	g, err := control.New(s, 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	now, acts, calls := 1000.0, []control.Action(nil), 0
+	before := heap()
+	g.Handle(now, control.Members{Kind: control.Cached, Entries: warm(named(servers)...)}, nil)
+	due := now
+	request := func(i int) {
+		now += 1.0 / rate
+		acts = g.Handle(now, control.Request{ID: uint64(i), Customer: uint64(i % customers), TimeLeft: 3, Units: 1, Spread: 1200}, acts[:0])
+		if due <= now {
+			acts = g.Handle(now, control.Timer{}, acts)
+		}
+		for i := 0; i < len(acts); i++ { // what an answer calls for is answered in turn
+			switch a := acts[i].(type) {
+			case control.Send:
+				acts = g.Handle(now, control.Outcome{ID: a.ID, Server: a.Server, Status: control.OK, Closed: true}, acts)
+			case control.Count:
+				calls++
+				acts = g.Handle(now, control.Counted{Name: a.Name, Total: a.Amount, Elapsed: 0.002}, acts)
+			case control.SetTimer:
+				due = now + a.Delay
+			}
+		}
+	}
+	for i := range max(customers, 2000) { // all are known, and times are learned
+		request(i)
+	}
+	after := heap()
+	calls = 0
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		request(customers + 2000 + i)
+	}
+	b.StopTimer()
+	b.ReportMetric(float64(calls)/float64(b.N), "calls/op")
+	b.ReportMetric(float64(after-before)/1024, "state-KB")
+	runtime.KeepAlive(g)
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/internal/lab/scale/fit.go
+++ b/internal/lab/scale/fit.go
@@ -164,3 +164,21 @@
 	}
 	return w.Flush()
 }
+
+// WritePredictions writes what each line says at some values of its driver.
+func WritePredictions(to io.Writer, fits []Fit, at []int) error {
+	w := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
+	fmt.Fprint(w, "SCENARIO\tROLE\tPHASE\tFIGURE")
+	for _, x := range at {
+		fmt.Fprintf(w, "\t%d", x)
+	}
+	fmt.Fprintln(w)
+	for _, f := range fits {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s", f.Scenario, f.Role, f.Phase, f.Figure)
+		for _, x := range at {
+			fmt.Fprintf(w, "\t%.4g", f.Line.At(float64(x)))
+		}
+		fmt.Fprintln(w)
+	}
+	return w.Flush()
+}
--- a/internal/lab/scale/hollow.go
+++ b/internal/lab/scale/hollow.go
@@ -39,49 +39,61 @@
 // gatewaysActor holds hollow gateways.
 type gatewaysActor struct {
 	role
-	all []*hollow
-	mu  sync.Mutex
-	end context.CancelFunc // of the gateways' lives
-	ran sync.WaitGroup
-	log *slog.Logger
+	all      []*hollow
+	restarts int
 }
 
 func (a *gatewaysActor) start(_ context.Context, log *slog.Logger) (string, error) {
-	a.log = log
 	for i := range a.Count {
 		a.all = append(a.all, &hollow{role: a.role, number: a.First + i, log: log})
 	}
 	return "", nil
 }
 
-// do starts the gateways, ends them, or does both at once.
+// Commands to a process of hollow gateways.
+const (
+	commandGo      = "go"
+	commandRestart = "restart" // all
+	commandSome    = "some"    // one in someOf restarts, others each time
+)
+
+// someOf is how many gateways there are to one that restarts.
+const someOf = 20
+
+// do starts the gateways, or restarts them.
 func (a *gatewaysActor) do(command string) error {
 	switch command {
-	case "go":
-		a.begin()
-	case "stop":
-		a.stop()
-	case "restart":
-		a.stop()
-		a.begin()
+	case commandGo:
+		for _, h := range a.all {
+			h.begin()
+		}
+	case commandRestart:
+		a.restart(a.all)
+	case commandSome:
+		var some []*hollow
+		for _, h := range a.all {
+			if h.number%someOf == a.restarts%someOf {
+				some = append(some, h)
+			}
+		}
+		a.restarts++
+		a.restart(some)
 	default:
 		return fmt.Errorf("%w: %q", errCommand, command)
 	}
 	return nil
 }
 
-func (a *gatewaysActor) begin() {
-	ctx, end := context.WithCancel(context.Background())
-	a.end = end
-	for _, h := range a.all {
-		h.reset()
-		a.ran.Go(func() { h.run(ctx) })
+// restart ends gateways at once, and starts each again when it has ended.
+func (a *gatewaysActor) restart(some []*hollow) {
+	var all sync.WaitGroup
+	for _, h := range some {
+		all.Go(func() {
+			h.stop()
+			h.begin()
+		})
 	}
-}
-
-func (a *gatewaysActor) stop() {
-	a.end()
-	a.ran.Wait()
+	all.Wait()
 }
 
 func (a *gatewaysActor) report() (r Report) {
@@ -98,6 +110,8 @@
 	log      *slog.Logger
 	messages atomic.Int64
 	failures atomic.Int64
+	end      context.CancelFunc // of its life
+	ended    chan struct{}
 
 	mu       sync.Mutex
 	heard    map[Part]bool
@@ -109,16 +123,29 @@
 
 func (h *hollow) name() string { return fmt.Sprintf("gateway-%05d", h.number) }
 
-func (h *hollow) reset() {
+// begin starts the gateway. What it had in force it has again, as from its disk.
+func (h *hollow) begin() {
 	h.mu.Lock()
-	defer h.mu.Unlock()
 	h.heard = map[Part]bool{}
+	h.mu.Unlock()
+	ctx, end := context.WithCancel(context.Background())
+	h.end, h.ended = end, make(chan struct{})
+	go func() {
+		defer close(h.ended)
+		h.run(ctx)
+	}()
+}
+
+func (h *hollow) stop() {
+	h.end()
+	<-h.ended
 }
 
-func (h *hollow) hear(p Part) {
+// hear notes whether a part is in order.
+func (h *hollow) hear(p Part, inOrder bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.heard[p] = true
+	h.heard[p] = inOrder
 }
 
 // clients are what each part runs in a gateway.
@@ -162,7 +189,7 @@
 // discover watches the list of servers.
 func (h *hollow) discover(ctx context.Context) {
 	d := routetable.Discovery{Address: h.role.Discovery, Gateways: h.Size.Gateways, Log: h.log, Dial: h.dial,
-		Tell: func(core.Table) { h.hear(Discovery) }}
+		Tell: func(core.Table) { h.hear(Discovery, true) }}
 	d.Run(ctx)
 }
 
@@ -224,11 +251,11 @@
 }
 
 // session begins this gateway's session at the coordinators.
-func (h *hollow) session(ctx context.Context, kind string, p Part) *leaseholder.Client {
+func (h *hollow) session(ctx context.Context, kind string, renewed func()) *leaseholder.Client {
 	c, err := leaseholder.Start(ctx, leaseholder.Options{Coordinators: h.Coordinators, Life: sessionLife, Log: h.log,
 		Member: lease.Member{Kind: kind, Name: h.name()}, Renewed: func(time.Duration) {
 			h.messages.Add(bothWays)
-			h.hear(p)
+			renewed()
 		}})
 	if err != nil {
 		panic(err) // the options are all this package's own
@@ -238,7 +265,7 @@
 
 // join keeps a member in the fleet's list, as the process beside a gateway does that has no agent.
 func (h *hollow) join(ctx context.Context) {
-	c := h.session(context.WithoutCancel(ctx), "gateway", Sessions)
+	c := h.session(context.WithoutCancel(ctx), "gateway", func() { h.hear(Sessions, true) })
 	<-ctx.Done()
 	leave(c)
 }
@@ -252,7 +279,7 @@
 // speak does what an agent does while nothing is rolled out: it holds the lease of its name, tells how its gateway is,
 // and asks what there is to do.
 func (h *hollow) speak(ctx context.Context) {
-	c := h.session(context.WithoutCancel(ctx), coordinator.AgentKind, Agents)
+	c := h.session(context.WithoutCancel(ctx), coordinator.AgentKind, func() {})
 	defer leave(c)
 	l, err := c.Acquire(ctx, "agent:"+h.name())
 	if err != nil {
@@ -275,7 +302,10 @@
 			err = h.ask(ctx, group)
 		}
 		h.messages.Add(bothWays)
-		if err != nil && ctx.Err() == nil {
+		if ctx.Err() != nil {
+			return
+		}
+		if h.hear(Agents, err == nil); err != nil {
 			h.failures.Add(1)
 		}
 	}
@@ -321,7 +351,7 @@
 		tenant := uint64(rand.IntN(max(1, h.Size.Tenants)))
 		store.Add(tenant, 1, counterLife, func(s control.Status, _ float64) {
 			h.messages.Add(bothWays)
-			h.hear(Counter)
+			h.hear(Counter, true)
 			if s != control.OK {
 				h.failures.Add(1)
 			}
--- a/internal/lab/scale/measure.go
+++ b/internal/lab/scale/measure.go
@@ -52,6 +52,7 @@
 	at      time.Time
 	used    map[*process]usage
 	reports map[Kind]Report
+	delays  []float64 // since the snapshot before
 }
 
 // take takes a snapshot. The reports come last: they cost the processes something.
@@ -61,22 +62,30 @@
 		s.used[p] = p.usage()
 	}
 	for _, p := range f.all {
-		r, err := p.tell(ctx, commandCollect)
+		r, err := f.ask(ctx, p, commandCollect)
 		if err != nil {
 			return s, err
 		}
 		s.reports[p.kind] = joined(s.reports[p.kind], r)
 	}
+	s.delays, f.delays = f.delays, nil
 	return s, nil
 }
 
+// ask asks a process for its report, and keeps the delays that it tells.
+func (f *fleet) ask(ctx context.Context, p *process, command string) (Report, error) {
+	r, err := p.tell(ctx, command)
+	f.delays = append(f.delays, r.Delays...)
+	return r, err
+}
+
 func joined(a, b Report) Report {
 	lowest := min(a.Lowest, b.Lowest)
 	if a.Lowest == 0 {
 		lowest = b.Lowest
 	}
 	return Report{Knowing: a.Knowing + b.Knowing, Messages: a.Messages + b.Messages, Failures: a.Failures + b.Failures, Disorder: a.Disorder + b.Disorder,
-		Lowest: lowest, Highest: max(a.Highest, b.Highest), Delays: append(a.Delays, b.Delays...), Heap: a.Heap + b.Heap}
+		Lowest: lowest, Highest: max(a.Highest, b.Highest), Heap: a.Heap + b.Heap}
 }
 
 // measure has the gateways begin, and measures until they know everything, and then for the scenario's window.
@@ -88,7 +97,7 @@
 	if err := f.watchers(ctx); err != nil {
 		return nil, err
 	}
-	if err := f.tellGateways(ctx, "go"); err != nil {
+	if err := f.tellGateways(ctx, commandGo); err != nil {
 		return nil, err
 	}
 	if err := f.awaitKnowing(ctx); err != nil {
@@ -151,23 +160,28 @@
 	if !f.hollow() {
 		return nil
 	}
+	return f.await(ctx, func(r Report) bool { return true })
+}
+
+// await waits until every hollow gateway has heard from all its parts, and the report of all is as it should be.
+func (f *fleet) await(ctx context.Context, so func(Report) bool) error {
 	for {
-		knowing := 0
+		var all Report
 		for _, p := range f.all {
 			if p.kind != KindGateways {
 				continue
 			}
-			r, err := p.tell(ctx, commandReport)
+			r, err := f.ask(ctx, p, commandReport)
 			if err != nil {
 				return err
 			}
-			knowing += r.Knowing
+			all = joined(all, r)
 		}
-		if knowing == f.size.Gateways {
+		if all.Knowing == f.size.Gateways && so(all) {
 			return nil
 		}
 		if proc.Wait(ctx, lookEvery); ctx.Err() != nil {
-			return fmt.Errorf("%d of %d gateways know everything: %w", knowing, f.size.Gateways, context.Cause(ctx))
+			return fmt.Errorf("%d of %d gateways know everything, versions from %d to %d: %w", all.Knowing, f.size.Gateways, all.Lowest, all.Highest, context.Cause(ctx))
 		}
 	}
 }
@@ -193,13 +207,20 @@
 			Processes: counts[kind], Seconds: to.at.Sub(from.at).Seconds(), CPU: used.CPU.Seconds(), Bytes: float64(used.Bytes), Resident: float64(used.Resident),
 			Heap: float64(is.Heap), Messages: float64(is.Messages - was.Messages), Failures: float64(is.Failures - was.Failures),
 			Disorder: float64(is.Disorder), Size: f.size}
-		row.DelayP50, row.DelayP99, row.DelayMax = quantiles(is.Delays)
+		row.DelayP50, row.DelayP99, row.DelayMax = quantiles(f.delaysOf(kind, to))
 		rows = append(rows, row)
 	}
 	slices.SortFunc(rows, func(a, b Row) int { return cmp.Compare(a.Role, b.Role) })
 	return rows
 }
 
+func (f *fleet) delaysOf(kind Kind, s snapshot) []float64 {
+	if kind != KindGateways {
+		return nil
+	}
+	return s.delays
+}
+
 func quantiles(all []float64) (p50, p99, most float64) {
 	if len(all) == 0 {
 		return 0, 0, 0
--- a/internal/lab/scale/process.go
+++ b/internal/lab/scale/process.go
@@ -27,6 +27,7 @@
 type process struct {
 	proc.Process
 	kind    Kind
+	role    role
 	stdin   io.WriteCloser
 	answers chan string
 	logPath string
@@ -38,7 +39,7 @@
 	if err != nil {
 		return nil, "", err
 	}
-	p := &process{Process: proc.Process{Name: name}, kind: r.Kind, answers: make(chan string, 1), logPath: filepath.Join(dir, name+".log")}
+	p := &process{Process: proc.Process{Name: name}, kind: r.Kind, role: r, answers: make(chan string, 1), logPath: filepath.Join(dir, name+".log")}
 	cmd := exec.Command(program[0], program[1:]...)
 	cmd.Env = append(os.Environ(), roleEnv+"="+string(text), "GOMAXPROCS=2")
 	out, err := os.OpenFile(p.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
@@ -63,6 +64,16 @@
 	return p, address, err
 }
 
+// close ends the process at once.
+func (p *process) close() {
+	if p.stdin != nil {
+		p.stdin.Close()
+	}
+	if p.Cmd != nil && p.Running() {
+		p.Kill()
+	}
+}
+
 // listen passes the process's answers on, line by line.
 func (p *process) listen(out io.Reader) {
 	defer close(p.answers)
--- a/internal/lab/scale/role.go
+++ b/internal/lab/scale/role.go
@@ -164,6 +164,8 @@
 		return &wardenActor{role: r}, nil
 	case KindConductor:
 		return &conductorActor{role: r}, nil
+	case KindProxy:
+		return &proxyActor{role: r}, nil
 	}
 	return nil, fmt.Errorf("there is no role %q", r.Kind)
 }
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -43,6 +43,8 @@
 	size Size
 	all  []*process
 	to   role // the addresses
+
+	delays []float64 // told since the last snapshot
 }
 
 // Run runs a scenario at one value of its factor, and returns what each role has used while the fleet came to know
@@ -195,47 +197,44 @@
 		}
 	}
 	if f.s.Has(Gateway) {
-		return f.realGateway(ctx)
+		if _, err := f.realGateway(ctx); err != nil {
+			return err
+		}
 	}
 	return nil
 }
 
-// realGateway starts the built gateway, and waits until it is ready.
-func (f *fleet) realGateway(ctx context.Context) error {
-	listen, err := standin.Free()
+// realGateway starts the built gateway, waits until it is ready, and returns where it serves.
+func (f *fleet) realGateway(ctx context.Context) (listen string, err error) {
+	listen, err = standin.Free()
 	if err != nil {
-		return err
+		return "", err
 	}
 	path := filepath.Join(f.o.Dir, "gateway.toml")
 	text := lab.GatewayConfig(listen, 0, 1, f.to.Counter, f.to.Discovery) + routesOf(f.size.Routes, lab.Classes[0].Name)
 	if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
-		return err
+		return "", err
 	}
 	p := &process{Process: proc.Process{Name: "gateway"}, kind: KindGateway, logPath: filepath.Join(f.o.Dir, "gateway.log")}
 	out, err := os.Create(p.logPath)
 	if err != nil {
-		return err
+		return "", err
 	}
 	defer out.Close()
 	cmd := exec.Command(f.o.Gateway, "serve", "--operator", path)
 	cmd.Env = []string{"TMPDIR=" + f.o.Dir}
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := p.Start(cmd); err != nil {
-		return err
+		return "", err
 	}
 	f.all = append(f.all, p)
-	return awaitReady(ctx, p, "http://"+listen+"/health/ready")
+	return listen, awaitReady(ctx, p, "http://"+listen+"/health/ready")
 }
 
 // close ends all processes.
 func (f *fleet) close() {
 	for _, p := range f.all {
-		if p.stdin != nil {
-			p.stdin.Close()
-		}
-		if p.Running() {
-			p.Kill()
-		}
+		p.close()
 	}
 }
 
--- a/internal/lab/scale/scale_test.go
+++ b/internal/lab/scale/scale_test.go
@@ -223,3 +223,56 @@
 		t.Errorf("%v, want %v", err, ErrMemory)
 	}
 }
+
+// After a fault every gateway comes back to everything, and has the newest version, in order.
+func TestSmallFleetRecovers(t *testing.T) {
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{"push", "restart-all", "zone", "leader"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, err := Parse([]byte(small))
+			if err != nil {
+				t.Fatal(err)
+			}
+			ctx, done := context.WithTimeout(t.Context(), 2*time.Minute)
+			defer done()
+			rows, err := RunFault(ctx, Options{Program: []string{self}, Dir: t.TempDir()}, s, 6, name)
+			if err != nil {
+				t.Fatal(err)
+			}
+			recovered := slices.IndexFunc(rows, func(r Row) bool { return r.Role == KindGateways && r.Phase == Recovery })
+			if recovered < 0 || rows[recovered].Disorder != 0 || rows[recovered].Scenario != "fault-"+name {
+				t.Errorf("%+v", rows)
+			}
+		})
+	}
+	if _, err := RunFault(t.Context(), Options{}, nil, 1, "flood"); err == nil || !strings.Contains(err.Error(), `no fault "flood"`) {
+		t.Errorf("an unknown fault: %v", err)
+	}
+}
+
+// A size at which nothing would be measured is refused before anything starts.
+func TestPathRefusesNothing(t *testing.T) {
+	for name, o := range map[string]PathOptions{
+		"no tenants": {Servers: 1, Rate: 1, Rounds: 1, For: 1}, "no servers": {Tenants: 1, Rate: 1, Rounds: 1, For: 1},
+		"no rate": {Tenants: 1, Servers: 1, Rounds: 1, For: 1}, "no time": {Tenants: 1, Servers: 1, Rate: 1, Rounds: 1},
+	} {
+		if _, err := Path(t.Context(), o); err == nil || !strings.Contains(err.Error(), "must be above 0") {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+func TestPathIsSummarised(t *testing.T) {
+	s := SummarisePath([]PathRow{
+		{Program: "gateway", CPU: 100, P99: 5, Asked: 10, Served: 10, Tenants: 3, Servers: 4}, {Program: "proxy", CPU: 50, P99: 2},
+		{Program: "gateway", CPU: 300, P99: 9, Asked: 10, Served: 9, Tenants: 3, Servers: 4}, {Program: "proxy", CPU: 60, P99: 3},
+		{Program: "gateway", CPU: 120, P99: 6, Asked: 10, Served: 10, Tenants: 3, Servers: 4}, {Program: "proxy", CPU: 55, P99: 2},
+	})
+	if s.Gateway != 120 || s.Proxy != 55 || s.AddedP99 != 4 || s.Spread != 3 || s.Asked != 30 || s.Served != 29 || s.Tenants != 3 || s.Servers != 4 {
+		t.Errorf("%+v", s)
+	}
+}
--- a/internal/lab/scale/servers.go
+++ b/internal/lab/scale/servers.go
@@ -79,6 +79,7 @@
 	role
 	service  *controlservice.Service
 	document string
+	newest   atomic.Int64
 }
 
 func (a *configurationActor) start(ctx context.Context, _ *slog.Logger) (address string, err error) {
@@ -91,11 +92,20 @@
 	return a.service.Addr(), nil
 }
 
-func (a *configurationActor) push() { a.service.Push(time.Now().UnixNano(), a.document, false) }
+// report tells the newest version.
+func (a *configurationActor) report() Report { return Report{Highest: a.newest.Load()} }
+
+func (a *configurationActor) push() {
+	a.newest.Store(time.Now().UnixNano())
+	a.service.Push(a.newest.Load(), a.document, false)
+}
+
+// commandPush has the control service push a version.
+const commandPush = "push"
 
 // do pushes a version.
 func (a *configurationActor) do(command string) error {
-	if command != "push" {
+	if command != commandPush {
 		return a.silentActor.do(command)
 	}
 	a.push()
