Take a stream that opens from the version in force as heard by a hollow gateway

Cause: TestSmallFleetRecovers/restart-all never ended: a control service sends nothing to a node that runs the newest version, so a restarted hollow gateway with it was never counted as knowing everything.

--- a/internal/lab/scale/hollow.go
+++ b/internal/lab/scale/hollow.go
@@ -243,10 +243,11 @@
 	return "", nil
 }
 
-// Running implements controlplane.Gateway.
+// Running implements controlplane.Gateway. A stream that opens from a version in force may have nothing more to say.
 func (h *hollow) Running(context.Context) (int64, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.heard[Configuration] = h.version > 0
 	return h.version, nil
 }
 
