List hollow servers as warm, and ask a gateway's quota on the data path

Change: the first list's servers started an hour ago, one that comes back starts now; the data path's tenants have a plan of 10 a second, at a gateway that is told of 1,200.

--- a/internal/lab/scale/datapath.go
+++ b/internal/lab/scale/datapath.go
@@ -83,6 +83,8 @@
 const (
 	warmWorkers = 8
 	warmMost    = time.Minute
+
+	plannedGateways = 1200 // that share the counter, as the gateway is told
 )
 
 // Path measures a real gateway beside a plain proxy, in turn, at one size: processor time a request, and latency.
@@ -95,7 +97,7 @@
 	if err := os.MkdirAll(o.Dir, 0o755); err != nil {
 		return nil, err
 	}
-	f := &fleet{o: o.Options, s: &Scenario{Parts: []Part{Gateway}}, size: Size{Gateways: 1, Servers: o.Servers, Zones: 1}}
+	f := &fleet{o: o.Options, s: &Scenario{Parts: []Part{Gateway}}, size: Size{Gateways: plannedGateways, Servers: o.Servers, Zones: 1}}
 	defer f.close()
 	if err := f.start(ctx); err != nil {
 		return nil, err
@@ -155,7 +157,7 @@
 		return false
 	}
 	r.Header.Set("X-Auth-Account", "tenant"+strconv.Itoa(tenant))
-	r.Header.Set("X-Auth-Plan", "club")
+	r.Header.Set("X-Auth-Plan", quotaPlan)
 	resp, err := client.Do(r)
 	if err != nil {
 		return false
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -204,6 +204,9 @@
 	return nil
 }
 
+// quotaPlan is a plan with a quota that is near: a gateway asks the counter about its tenants.
+const quotaPlan = "quota"
+
 // realGateway starts the built gateway, waits until it is ready, and returns where it serves.
 func (f *fleet) realGateway(ctx context.Context) (listen string, err error) {
 	listen, err = standin.Free()
@@ -211,7 +214,8 @@
 		return "", err
 	}
 	path := filepath.Join(f.o.Dir, "gateway.toml")
-	text := lab.GatewayConfig(listen, 0, 1, f.to.Counter, f.to.Discovery) + routesOf(f.size.Routes, lab.Classes[0].Name)
+	text := lab.GatewayConfig(listen, 0, max(1, f.size.Gateways), f.to.Counter, f.to.Discovery) + routesOf(f.size.Routes, lab.Classes[0].Name)
+	text += fmt.Sprintf("[[plan]]\nname = %q\nrate = 10.0\nburst = 20.0\nworth = 1.0\nover_cost = 1.0\n", quotaPlan)
 	if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
 		return "", err
 	}
--- a/internal/lab/scale/servers.go
+++ b/internal/lab/scale/servers.go
@@ -50,16 +50,19 @@
 	}
 	var all []standin.Instance
 	for i := range a.Size.Servers {
-		all = append(all, a.entry(i, "SERVING"))
+		all = append(all, a.entry(i, "SERVING", time.Now().Add(-warmFor)))
 	}
 	a.registry.Put(all...)
 	go every(ctx, a.Size.ServerChanges, a.change)
 	return a.registry.Addr(), nil
 }
 
-func (a *discoveryActor) entry(i int, lifecycle string) standin.Instance {
+// warmFor is how long the servers of the first list have served: longer than any counts as cold.
+const warmFor = time.Hour
+
+func (a *discoveryActor) entry(i int, lifecycle string, started time.Time) standin.Instance {
 	return standin.Instance{ID: fmt.Sprintf("server-%06d", i), HostPort: a.address, Zone: fmt.Sprintf("zone-%d", i%a.Size.Zones),
-		Lifecycle: lifecycle, Weight: 1, StartedAt: time.Now().UnixMilli()}
+		Lifecycle: lifecycle, Weight: 1, StartedAt: started.UnixMilli()}
 }
 
 // change is the next step of a server's restart: it drains, is gone, and serves again.
@@ -68,7 +71,7 @@
 		return
 	}
 	steps := [...]string{"DRAINING", "DELETED", "SERVING"}
-	a.registry.Put(a.entry(a.next/len(steps)%a.Size.Servers, steps[a.next%len(steps)]))
+	a.registry.Put(a.entry(a.next/len(steps)%a.Size.Servers, steps[a.next%len(steps)], time.Now()))
 	a.next++
 }
 
