Hand a coordinator's reply over through its channel: a call that ended raced with the actor

The service's methods had the actor write to a named result, and service.do returns when the call's context ends, so that the actor wrote while the caller read. The fault is older; a busy machine, on which calls end before the actor gets to them, showed it. The same shape stood in eight methods.

Change: do and leading are generic and return the actor's reply, which comes through the channel with its error.

--- a/internal/coordinator/fleet.go
+++ b/internal/coordinator/fleet.go
@@ -15,7 +15,7 @@
 )
 
 // Change implements the service: one command of the fleet, answered once it is in the log.
-func (s service) Change(ctx context.Context, in *leasepb.FleetCommand) (out *leasepb.FleetReply, err error) {
+func (s service) Change(ctx context.Context, in *leasepb.FleetCommand) (*leasepb.FleetReply, error) {
 	var c rollout.Command
 	if err := decode(in.Command, &c); err != nil {
 		return nil, status.Errorf(codes.InvalidArgument, "the command can't be read: %v", err)
@@ -26,40 +26,36 @@
 	if c.Op == rollout.Late || c.Op == rollout.Lose {
 		return nil, status.Errorf(codes.InvalidArgument, "%s is the coordinators' own word", c.Op)
 	}
-	err = s.do(ctx, func(n *Node, done func(error)) {
+	return do(ctx, s, func(n *Node, done func(*leasepb.FleetReply, error)) {
 		switch {
 		case n.watch == nil:
-			done(errNotLeading)
+			done(nil, errNotLeading)
 			return
 		case len(n.rolls) >= n.c.Bounds.Asks:
-			done(status.Errorf(codes.ResourceExhausted, "too many changes are under way: come back in %v", busyPause))
+			done(nil, status.Errorf(codes.ResourceExhausted, "too many changes are under way: come back in %v", busyPause))
 			return
 		}
 		n.roll(c, func(r rollout.Reply, err error) {
 			if errors.Is(err, raft.ErrProposalDropped) {
 				err = status.Errorf(codes.ResourceExhausted, "the log is behind: come back in %v", busyPause)
 			}
-			out = &leasepb.FleetReply{Error: r.Error, Token: r.Token, Waits: r.Waits}
-			done(err)
+			done(&leasepb.FleetReply{Error: r.Error, Token: r.Token, Waits: r.Waits}, err)
 		})
 	})
-	return out, err
 }
 
 // Fleet implements the service: all that is known of units, permits, releases and drains, as it stands now.
-func (s service) Fleet(ctx context.Context, a *leasepb.FleetAsk) (out *leasepb.FleetView, err error) {
-	return out, s.leading(ctx, func(n *Node) error {
+func (s service) Fleet(ctx context.Context, a *leasepb.FleetAsk) (*leasepb.FleetView, error) {
+	return leading(ctx, s, func(n *Node) (*leasepb.FleetView, error) {
 		if a.Unit != "" {
-			out = &leasepb.FleetView{Fleet: encode(n.g.Fleet.Brief(a.Unit))}
-			return nil
+			return &leasepb.FleetView{Fleet: encode(n.g.Fleet.Brief(a.Unit))}, nil
 		}
 		view := *n.g.Fleet
 		from := slices.IndexFunc(view.Notes, func(note rollout.Note) bool { return note.Seq > a.Seq })
 		if view.Notes = nil; from >= 0 {
 			view.Notes = n.g.Fleet.Notes[from:]
 		}
-		out = &leasepb.FleetView{Fleet: encode(&view)}
-		return nil
+		return &leasepb.FleetView{Fleet: encode(&view)}, nil
 	})
 }
 
--- a/internal/coordinator/service.go
+++ b/internal/coordinator/service.go
@@ -305,9 +305,9 @@
 func (s service) Watch(a *leasepb.WatchAsk, g grpc.ServerStreamingServer[leasepb.WatchAnswer]) error {
 	w := &watcher{newOutbox[*leasepb.WatchAnswer](g.Context())}
 	defer w.close()
-	err := s.leading(g.Context(), func(n *Node) error {
+	_, err := leading(g.Context(), s, func(n *Node) (struct{}, error) {
 		if len(n.watchers) >= n.c.Bounds.Sessions {
-			return status.Errorf(codes.ResourceExhausted, "%d watch already, the most that are told here: come back in %v", len(n.watchers), fullPause)
+			return struct{}{}, status.Errorf(codes.ResourceExhausted, "%d watch already, the most that are told here: come back in %v", len(n.watchers), fullPause)
 		}
 		state := n.g.State
 		missed, ok := state.Missed(a.After)
@@ -321,7 +321,7 @@
 			w.push(false, missed, state.Seq)
 		}
 		n.watchers[w] = struct{}{}
-		return nil
+		return struct{}{}, nil
 	})
 	if err != nil {
 		return err
@@ -333,52 +333,59 @@
 	return status.Error(codes.Unavailable, "the stream ended here: come again with the newest change known")
 }
 
-// do has the actor do something and waits for what it says.
-func (s service) do(ctx context.Context, f func(n *Node, done func(error))) error {
-	answer := make(chan error, 1)
+// reply is what the actor says to a call: a value, or why there is none.
+type reply[T any] struct {
+	value T
+	err   error
+}
+
+// do has the actor do something and waits for its reply, which comes through done: a call that ends first shares nothing
+// with the actor.
+func do[T any](ctx context.Context, s service, f func(n *Node, done func(T, error))) (value T, err error) {
+	replies := make(chan reply[T], 1)
 	leader := ""
 	if !s.n.post(s.n.asks, call{func() {
-		f(s.n, func(err error) {
+		f(s.n, func(value T, err error) {
 			leader = s.n.leaderAddress()
-			answer <- err
+			replies <- reply[T]{value, err}
 		})
 	}}) {
-		return status.Error(codes.ResourceExhausted, "too much is waiting here: come back in 500ms")
+		return value, status.Error(codes.ResourceExhausted, "too much is waiting here: come back in 500ms")
 	}
 	select {
-	case err := <-answer:
-		if errors.Is(err, errNotLeading) {
+	case r := <-replies:
+		if errors.Is(r.err, errNotLeading) {
 			grpc.SetTrailer(ctx, metadata.Pairs("leader", leader))
-			return status.Error(codes.FailedPrecondition, err.Error())
+			return value, status.Error(codes.FailedPrecondition, r.err.Error())
 		}
-		if _, is := status.FromError(err); err != nil && !is {
-			return status.Error(codes.Aborted, err.Error())
+		if _, is := status.FromError(r.err); r.err != nil && !is {
+			return value, status.Error(codes.Aborted, r.err.Error())
 		}
-		return err
+		return r.value, r.err
 	case <-ctx.Done():
-		return status.FromContextError(ctx.Err()).Err()
+		return value, status.FromContextError(ctx.Err()).Err()
 	case <-s.n.ended:
-		return status.Error(codes.Unavailable, "this coordinator has ended")
+		return value, status.Error(codes.Unavailable, "this coordinator has ended")
 	}
 }
 
 // leading has the actor do something once it is sure that it leads.
-func (s service) leading(ctx context.Context, f func(n *Node) error) error {
-	return s.do(ctx, func(n *Node, done func(error)) {
+func leading[T any](ctx context.Context, s service, f func(n *Node) (T, error)) (T, error) {
+	return do(ctx, s, func(n *Node, done func(T, error)) {
 		n.confirm(func(err error) {
+			var value T
 			if err == nil {
-				err = f(n)
+				value, err = f(n)
 			}
-			done(err)
+			done(value, err)
 		})
 	})
 }
 
 // List implements the service.
-func (s service) List(ctx context.Context, _ *leasepb.ListAsk) (a *leasepb.ListAnswer, err error) {
-	a = &leasepb.ListAnswer{}
-	return a, s.leading(ctx, func(n *Node) error {
-		state := n.g.State
+func (s service) List(ctx context.Context, _ *leasepb.ListAsk) (*leasepb.ListAnswer, error) {
+	return leading(ctx, s, func(n *Node) (*leasepb.ListAnswer, error) {
+		a, state := &leasepb.ListAnswer{}, n.g.State
 		a.Sealed = state.Sealed
 		for _, name := range slices.Sorted(maps.Keys(state.Leases)) {
 			l := state.Leases[name]
@@ -393,31 +400,29 @@
 			a.Sessions = append(a.Sessions, &leasepb.Session{Id: id, Member: leasepb.FromMember(who.Member), LifeMs: who.Life.Milliseconds(),
 				LeftMs: n.watch.Left(n.clock(), id).Milliseconds()})
 		}
-		return nil
+		return a, nil
 	})
 }
 
 // Revoke implements the service. The lease is given on once its holder has said that it stopped, or can't act any more.
-func (s service) Revoke(ctx context.Context, a *leasepb.RevokeAsk) (o *leasepb.Outcome, err error) {
-	err = s.do(ctx, func(n *Node, done func(error)) {
+func (s service) Revoke(ctx context.Context, a *leasepb.RevokeAsk) (*leasepb.Outcome, error) {
+	return do(ctx, s, func(n *Node, done func(*leasepb.Outcome, error)) {
 		if n.watch == nil {
-			done(errNotLeading)
+			done(nil, errNotLeading)
 			return
 		}
 		n.propose(lease.Command{Op: lease.Revoke, Name: a.Name, Token: a.Token, By: a.By}, func(e lease.Effect, err error) {
-			o = outcomeOut(e.Outcome)
-			done(err)
+			done(outcomeOut(e.Outcome), err)
 		})
 	})
-	return o, err
 }
 
 // Status implements the service; every coordinator answers for itself.
-func (s service) Status(ctx context.Context, _ *leasepb.StatusAsk) (a *leasepb.StatusAnswer, err error) {
-	return a, s.do(ctx, func(n *Node, done func(error)) {
+func (s service) Status(ctx context.Context, _ *leasepb.StatusAsk) (*leasepb.StatusAnswer, error) {
+	return do(ctx, s, func(n *Node, done func(*leasepb.StatusAnswer, error)) {
 		st := n.raft.Status()
 		last, err := n.disk.mem.LastIndex()
-		a = &leasepb.StatusAnswer{Name: n.id.Name, Id: n.id.ID, Group: n.id.Group, Term: st.GetTerm(), Leader: st.Lead, LeaderAddress: n.leaderAddress(),
+		a := &leasepb.StatusAnswer{Name: n.id.Name, Id: n.id.ID, Group: n.id.Group, Term: st.GetTerm(), Leader: st.Lead, LeaderAddress: n.leaderAddress(),
 			Applied: n.applied, Last: last, Snapshot: n.disk.taken, Sessions: int32(len(n.g.State.Sessions)), Leases: int32(len(n.g.State.Leases)),
 			Elections: n.elections, Token: n.g.State.Token, Sealed: n.g.State.Sealed}
 		for _, id := range slices.Sorted(maps.Keys(n.g.Peers)) {
@@ -433,14 +438,14 @@
 			}
 			a.Coordinators = append(a.Coordinators, c)
 		}
-		done(err)
+		done(a, err)
 	})
 }
 
 // Backup implements the service.
 func (s service) Backup(_ *leasepb.BackupAsk, g grpc.ServerStreamingServer[leasepb.Piece]) error {
-	var all []byte
-	if err := s.leading(g.Context(), func(n *Node) error { all = encode(n.g); return nil }); err != nil {
+	all, err := leading(g.Context(), s, func(n *Node) ([]byte, error) { return encode(n.g), nil })
+	if err != nil {
 		return err
 	}
 	for piece := range slices.Chunk(all, pieceSize) {
@@ -454,70 +459,69 @@
 var errChanging = status.Error(codes.Unavailable, "another change of the group is under way: come back when 'coordinator status' shows it done")
 
 // AddCoordinator implements the service: the new one reads the log at first, and votes once it has caught up.
-func (s service) AddCoordinator(ctx context.Context, c *leasepb.Coordinator) (a *leasepb.Coordinator, err error) {
-	err = s.do(ctx, func(n *Node, done func(error)) {
+func (s service) AddCoordinator(ctx context.Context, c *leasepb.Coordinator) (*leasepb.Coordinator, error) {
+	return do(ctx, s, func(n *Node, done func(*leasepb.Coordinator, error)) {
 		p, there := n.g.named(c.Name)
 		switch {
 		case n.watch == nil:
-			done(errNotLeading)
+			done(nil, errNotLeading)
 			return
 		case there && p.Address == c.Address && p.Incarnation == 0: // asked again
-			a = &leasepb.Coordinator{Id: p.ID, Name: p.Name, Address: p.Address}
-			done(nil)
+			done(&leasepb.Coordinator{Id: p.ID, Name: p.Name, Address: p.Address}, nil)
 			return
 		case there:
-			done(status.Errorf(codes.AlreadyExists, "%s is coordinator %d already; if its disk was lost, remove it first", c.Name, p.ID))
+			done(nil, status.Errorf(codes.AlreadyExists, "%s is coordinator %d already; if its disk was lost, remove it first", c.Name, p.ID))
 			return
 		case n.changing || len(n.conf.GetLearners()) > 0:
-			done(errChanging)
+			done(nil, errChanging)
 			return
 		case c.Name == "" || c.Address == "" || len(c.Name)+len(c.Address) > nameMost:
-			done(status.Error(codes.InvalidArgument, "a coordinator needs a name and an address"))
+			done(nil, status.Error(codes.InvalidArgument, "a coordinator needs a name and an address"))
 			return
 		}
 		p = Peer{ID: n.g.Next, Name: c.Name, Address: c.Address}
 		if err := n.changeConf(raftpb.ConfChangeAddLearnerNode, p); err != nil {
-			done(err)
+			done(nil, err)
 			return
 		}
-		a = &leasepb.Coordinator{Id: p.ID, Name: p.Name, Address: p.Address}
-		n.awaited = append(n.awaited, awaited{func() bool { _, in := n.g.Peers[p.ID]; return in }, done})
+		n.awaited = append(n.awaited, awaited{func() bool { _, in := n.g.Peers[p.ID]; return in }, func(err error) {
+			done(&leasepb.Coordinator{Id: p.ID, Name: p.Name, Address: p.Address}, err)
+		}})
 	})
-	return a, err
 }
 
 // RemoveCoordinator implements the service.
-func (s service) RemoveCoordinator(ctx context.Context, c *leasepb.Coordinator) (a *leasepb.Coordinator, err error) {
-	err = s.do(ctx, func(n *Node, done func(error)) {
+func (s service) RemoveCoordinator(ctx context.Context, c *leasepb.Coordinator) (*leasepb.Coordinator, error) {
+	return do(ctx, s, func(n *Node, done func(*leasepb.Coordinator, error)) {
 		p, there := n.g.named(c.Name)
 		switch {
 		case n.watch == nil:
-			done(errNotLeading)
+			done(nil, errNotLeading)
 			return
 		case !there:
-			done(status.Errorf(codes.NotFound, "no coordinator is called %q", c.Name))
+			done(nil, status.Errorf(codes.NotFound, "no coordinator is called %q", c.Name))
 			return
 		case n.changing:
-			done(errChanging)
+			done(nil, errChanging)
 			return
 		}
 		if err := n.staysAble(p.ID); err != nil {
-			done(err)
+			done(nil, err)
 			return
 		}
 		if p.ID == n.id.ID { // another one leads first, and is asked again
 			n.handOver()
-			done(errNotLeading)
+			done(nil, errNotLeading)
 			return
 		}
 		if err := n.changeConf(raftpb.ConfChangeRemoveNode, p); err != nil {
-			done(err)
+			done(nil, err)
 			return
 		}
-		a = &leasepb.Coordinator{Id: p.ID, Name: p.Name, Address: p.Address}
-		n.awaited = append(n.awaited, awaited{func() bool { _, in := n.g.Peers[p.ID]; return !in }, done})
+		n.awaited = append(n.awaited, awaited{func() bool { _, in := n.g.Peers[p.ID]; return !in }, func(err error) {
+			done(&leasepb.Coordinator{Id: p.ID, Name: p.Name, Address: p.Address}, err)
+		}})
 	})
-	return a, err
 }
 
 // staysAble refuses a removal after which no majority would be at work.
@@ -543,18 +547,18 @@
 
 // Join implements the service: a new process, started for a coordinator that was added, is told its number. A number
 // goes to one process only.
-func (s service) Join(ctx context.Context, j *leasepb.JoinAsk) (a *leasepb.JoinAnswer, err error) {
-	err = s.do(ctx, func(n *Node, done func(error)) {
+func (s service) Join(ctx context.Context, j *leasepb.JoinAsk) (*leasepb.JoinAnswer, error) {
+	return do(ctx, s, func(n *Node, done func(*leasepb.JoinAnswer, error)) {
 		p, there := n.g.named(j.Name)
 		switch {
 		case n.watch == nil:
-			done(errNotLeading)
+			done(nil, errNotLeading)
 		case !there:
-			done(status.Errorf(codes.NotFound, "no coordinator %q was added to this group", j.Name))
+			done(nil, status.Errorf(codes.NotFound, "no coordinator %q was added to this group", j.Name))
 		case p.Incarnation != 0 && p.Incarnation != j.Incarnation:
-			done(status.Errorf(codes.AlreadyExists, "%s is at work already; if its disk was lost, remove it and add it again", j.Name))
+			done(nil, status.Errorf(codes.AlreadyExists, "%s is at work already; if its disk was lost, remove it and add it again", j.Name))
 		default:
-			a = &leasepb.JoinAnswer{Group: n.id.Group, Id: p.ID}
+			a := &leasepb.JoinAnswer{Group: n.id.Group, Id: p.ID}
 			for id, p := range n.g.Peers {
 				a.Coordinators = append(a.Coordinators, &leasepb.Coordinator{Id: id, Name: p.Name, Address: p.Address})
 			}
@@ -563,11 +567,10 @@
 				if err == nil && n.g.Peers[p.ID].Incarnation != j.Incarnation {
 					err = status.Error(codes.AlreadyExists, "another process joined under this name")
 				}
-				done(err)
+				done(a, err)
 			}})
 		}
 	})
-	return a, err
 }
 
 func outcomeOut(o lease.Outcome) *leasepb.Outcome {
