Cut an answer that its client takes no piece of for 10 s, and count it

Cause: nothing bounded a write to a client. One that does not read a long answer held its slot and its server's connection until it went or the process ended (docs/rare-moments.md, "one that doesn't read its answer").

A cut is counted as the figure `answers_unread`, written behind the others.

The existing TestFiguresKeepTheirNames gains the new line; nothing in it is weaker.

Test: TestUnreadAnswerFreesItsSlot. Without the time limit:

--- FAIL: TestUnreadAnswerFreesItsSlot (20.00s) the answer is held for a client that does not read

Measured: with the limit at 0.2 s the only slot is free again and the next client served; the count is 1.

--- a/cmd/junctionring/serve.go
+++ b/cmd/junctionring/serve.go
@@ -184,6 +184,7 @@
 		}
 	}
 	server := front.NewServer(ingress.PlatformLive(names.Load, c, log), front.MaxHeader, &figures.Concurrent, log)
+	figures.Unread = server.Unread
 	doors := openDoors(log, p.Listen, p.Management)
 	if p.Management != "" {
 		l, err := doors.listen(p.Management)
@@ -217,6 +218,7 @@
 		o.Operations.Listen = own
 	}
 	server := front.NewServer(g.Front(), o.MaxHeader, &g.Figures.Concurrent, log)
+	g.Figures.Unread = server.Unread
 	doors := openDoors(log, o.Listen, o.Operations.Listen)
 	if o.Operations.Listen != "" {
 		l, err := doors.listen(o.Operations.Listen)
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -19,6 +19,9 @@
 	*net.TCPConn
 	parted func(*net.TCPConn) // told once a connection has been taken back; it owns it then
 
+	writeStall time.Duration // for a piece of an answer
+	unread     func()        // told when one did not go out in that time
+
 	mu       sync.Mutex
 	phase    phase
 	leaving  bool
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -38,11 +38,13 @@
 	slots     atomic.Pointer[slots]
 	serving   chan struct{} // closed when slots is there
 	taken     *atomic.Int64 // requests held now; nil: not counted
+	unread    atomic.Int64  // answers cut since their clients did not read them
+	stall     time.Duration // for a piece of an answer to be read
 }
 
 // NewServer serves h, with the readiness path in front of it. taken, where not nil, counts the requests held.
 func NewServer(h http.Handler, maxHeader int, taken *atomic.Int64, log *slog.Logger) *Server {
-	s := &Server{taken: taken, serving: make(chan struct{})}
+	s := &Server{taken: taken, serving: make(chan struct{}), stall: writeStall}
 	s.http = &http.Server{
 		MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerWait, IdleTimeout: idleWait,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
@@ -74,6 +76,9 @@
 	return s.ready.Load() && !s.draining.Load() && !s.evacuated.Load()
 }
 
+// Unread is how many answers were cut since their clients did not read them.
+func (s *Server) Unread() int64 { return s.unread.Load() }
+
 // sendsAway tells whether answers close their connections: clients keep one for as long as it stays open.
 func (s *Server) sendsAway() bool { return s.closing.Load() || s.evacuated.Load() }
 
@@ -106,6 +111,7 @@
 // Serve takes connections until Drain has ended, at most so many at once.
 func (s *Server) Serve(l net.Listener, most int) error {
 	limited := newSlots(l, most)
+	limited.writeStall, limited.unread = s.stall, func() { s.unread.Add(1) }
 	s.http.ConnState = limited.state
 	s.slots.Store(limited)
 	close(s.serving)
--- a/internal/front/slots.go
+++ b/internal/front/slots.go
@@ -42,6 +42,9 @@
 	closed   chan struct{} // when no more arrive
 	once     sync.Once
 
+	writeStall time.Duration // for a piece of an answer
+	unread     func()        // told of each answer that its client did not read
+
 	mu      sync.Mutex
 	open    int
 	resting *list.List // of *rest: those without an open request, the longest first
@@ -63,6 +66,7 @@
 func newSlots(l net.Listener, most int) *slots {
 	return &slots{Listener: l, most: most, freed: make(chan struct{}, 1), stopped: make(chan struct{}),
 		arriving: make(chan arrival), closed: make(chan struct{}), changed: make(chan struct{}),
+		writeStall: writeStall, unread: func() {},
 		resting: list.New(), rests: map[net.Conn]*list.Element{}, conns: map[*conn]struct{}{}}
 }
 
@@ -119,7 +123,7 @@
 	if !ok {
 		return nc
 	}
-	c := &conn{TCPConn: tcp, parted: s.parted}
+	c := &conn{TCPConn: tcp, parted: s.parted, writeStall: s.writeStall, unread: s.unread}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
--- /dev/null
+++ b/internal/front/unread_test.go
@@ -0,0 +1,54 @@
+package front
+
+import (
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// A client that never reads its answer has its connection ended after a bounded time, which is counted: its slot goes
+// to the next one. One that reads on is served whole, whatever it takes it in all.
+func TestUnreadAnswerFreesItsSlot(t *testing.T) {
+	const long = 32 << 20 // more than the system holds for both ends
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	over := make(chan struct{}, 8)
+	s := NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer func() { over <- struct{}{} }()
+		if r.URL.Path == "/long" {
+			w.Write(make([]byte, long))
+			return
+		}
+		io.WriteString(w, "here")
+	}), MaxHeader, nil, slog.New(slog.DiscardHandler))
+	s.stall = 200 * time.Millisecond
+	go s.Serve(l, 1)
+	t.Cleanup(func() { s.http.Close() })
+
+	silent := dialed(t, l.Addr().String())
+	io.WriteString(silent, "GET /long HTTP/1.1\r\nHost: g\r\n\r\n")
+	select {
+	case <-over:
+	case <-time.After(20 * time.Second):
+		t.Fatal("the answer is held for a client that does not read")
+	}
+	for s.Unread() != 1 {
+		runtime.Gosched()
+	}
+	reader := dialed(t, l.Addr().String())
+	if got := reader.ask(t, "GET /long HTTP/1.1\r\nHost: g\r\nConnection: close\r\n\r\n"); len(got) != long {
+		t.Errorf("a client that reads got %d bytes of %d", len(got), long)
+	}
+	if got := dialed(t, l.Addr().String()).ask(t, request); got != "here" {
+		t.Errorf("answered %q", got)
+	}
+	if n := s.Unread(); n != 1 {
+		t.Errorf("%d answers counted as unread", n)
+	}
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -26,6 +26,7 @@
 	Disabled      atomic.Int64 // of those, avoided now
 	ReloadSuccess atomic.Int64
 	ReloadFailure atomic.Int64
+	Unread        func() int64                   // answers cut since their clients did not read them; nil: none are counted
 	Draining      atomic.Pointer[map[string]int] // attempts out at each target that takes nothing new; nil: none does so
 	Prefix        string                         // of every name
 	mu            sync.Mutex
@@ -104,6 +105,7 @@
 		{"concurrent", "g", max(0, f.Concurrent.Load())}, {"targets", "g", f.Targets.Load()},
 		{"targets_disabled", "g", f.Disabled.Load()},
 		{"reload_success", "c", f.ReloadSuccess.Load()}, {"reload_failure", "c", f.ReloadFailure.Load()},
+		{"answers_unread", "c", f.unread()},
 	} {
 		if err := line(x.name, x.v, x.kind); err != nil {
 			return written, err
@@ -111,3 +113,10 @@
 	}
 	return written, nil
 }
+
+func (f *Figures) unread() int64 {
+	if f.Unread == nil {
+		return 0
+	}
+	return f.Unread()
+}
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -20,12 +20,13 @@
 	}
 	f.Concurrent.Add(-1) // a moment's skew between taking and ending is never written below 0
 	f.ReloadFailure.Add(1)
+	f.Unread = func() int64 { return 2 }
 	var b bytes.Buffer
 	f.WriteTo(&b)
 	want := "svc.replies.view.success:0|c\nsvc.replies.view.overload:0|c\nsvc.replies.view.error:0|c\nsvc.replies.view.dispatches:2|c\nsvc.replies.view.late:0|c\n" +
 		"svc.replies.move.success:4|c\nsvc.replies.move.overload:0|c\nsvc.replies.move.error:0|c\nsvc.replies.move.dispatches:0|c\nsvc.replies.move.late:0|c\n" +
 		"svc.replies.view-ii.success:0|c\nsvc.replies.view-ii.overload:1|c\nsvc.replies.view-ii.error:0|c\nsvc.replies.view-ii.dispatches:0|c\nsvc.replies.view-ii.late:0|c\n" +
-		"svc.concurrent:0|g\nsvc.targets:0|g\nsvc.targets_disabled:0|g\nsvc.reload_success:0|c\nsvc.reload_failure:1|c\n"
+		"svc.concurrent:0|g\nsvc.targets:0|g\nsvc.targets_disabled:0|g\nsvc.reload_success:0|c\nsvc.reload_failure:1|c\nsvc.answers_unread:2|c\n"
 	if b.String() != want {
 		t.Errorf("written:\n%s\nwant:\n%s", b.String(), want)
 	}
