Refuse settings with a class that no request line can name, with the reason

Cause: a class name with a space stands in the settings and cannot stand in a request line: its clients got a bare "400 Bad Request" from net/http for every request (docs/rare-moments.md, "What is left").

Ruled out: serving it. The line would have to be rewritten before net/http reads it, on a stream in which heads and bodies follow one another.

Change: front.CheckClassNames reads a request line with each name as it is, as the server does, and says why one is not found. The platform's start and SIGHUP check it: the program does not start, or the settings in force stay, logged and counted as reload_failure. The simulator's settings are not checked: no request line is read there.

Tests: TestCheckClassNames, TestRefusesAClassNameThatNoRequestCanHold (program). Before, the program started with it.

--- a/cmd/junctionring/serve.go
+++ b/cmd/junctionring/serve.go
@@ -78,6 +78,14 @@
 	return ctx
 }
 
+// checkClassNames refuses settings with a class that no request could name.
+func checkClassNames(path string, names []string) error {
+	if err := front.CheckClassNames(names); err != nil {
+		return fmt.Errorf("%s: settings.RequestClasses: %w", path, err)
+	}
+	return nil
+}
+
 // longestWait is the longest deadline among classes.
 func longestWait(classes []control.Class) (longest time.Duration) {
 	for _, c := range classes {
@@ -88,6 +96,9 @@
 
 func servePlatform(ctx, work context.Context, hup <-chan os.Signal, path string, log *slog.Logger) error {
 	p, err := config.LoadPlatform(path)
+	if err == nil {
+		err = checkClassNames(path, p.Settings.Classes)
+	}
 	if err != nil {
 		return err
 	}
@@ -145,6 +156,9 @@
 		if err == nil {
 			err = config.CheckReload(p.SettingsRaw)
 		}
+		if err == nil {
+			err = checkClassNames(path, p.Settings.Classes)
+		}
 		if err != nil {
 			figures.ReloadFailure.Add(1)
 			log.Error("the new configuration is not taken: the old one stays", "err", err)
