Look at the listener's queue before closing it: a process held up for 1 ms reset what waited

Cause: a draining listener accepts with a deadline 1 ms ahead and closes when none came. An Accept whose deadline has passed by the time that it begins returns at once, with no look at the queue: a process that was held up for a millisecond between the two closed the listener over the connections in it, each with its request, and they were reset (slots.Accept). Seen with clients of seven habits on the program, at the end of the drain:

rests until the end: 1 without an answer 808.515755ms after the signal, again false: ... read: connection reset by peer rests until the end: 1 without an answer 810.184191ms after the signal, again true: dial tcp ...: connection refused

Change: with the time up, the kernel is asked whether a connection waits (socket.Arrived), and the loop goes on while one does. What is left is a handshake that ends between that look and the close, some microseconds.

Tests: TestStopTakesWhatWaits now also on a listener whose deadlines have passed; TestEveryRequestIsAnswered (program). Without the change:

--- FAIL: TestStopTakesWhatWaits/held_up 0 of the 5 connections that waited were taken

--- a/internal/front/slots.go
+++ b/internal/front/slots.go
@@ -97,7 +97,10 @@
 		if !ok || !e.Timeout() {
 			return nil, err
 		}
-		if s.stopping.Load() { // none is waiting: close now
+		if s.stopping.Load() {
+			if socket.Arrived(s.Listener) {
+				continue // the deadline had passed before the look at the queue
+			}
 			s.Listener.Close()
 			close(s.stopped)
 			return nil, errStopped
--- a/internal/front/slots_test.go
+++ b/internal/front/slots_test.go
@@ -19,6 +19,29 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Run("in time", func(t *testing.T) { stopTakesWhatWaits(t, l) })
+	if l, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	t.Run("held up", func(t *testing.T) { stopTakesWhatWaits(t, &heldUp{TCPListener: l.(*net.TCPListener), times: 3}) })
+}
+
+// heldUp is a listener on a machine that is held up: the first deadlines that are set have passed by the time that the
+// queue is to be looked at.
+type heldUp struct {
+	*net.TCPListener
+	times int
+}
+
+func (l *heldUp) SetDeadline(t time.Time) error {
+	if l.times--; l.times >= 0 {
+		t = time.Unix(1, 0)
+	}
+	return l.TCPListener.SetDeadline(t)
+}
+
+func stopTakesWhatWaits(t *testing.T, l net.Listener) {
+	var err error
 	s := newSlots(l, 64)
 	waiting := make([]net.Conn, 5)
 	for i := range waiting { // the kernel completes their handshakes: they wait in the queue, unaccepted
--- a/internal/socket/listen.go
+++ b/internal/socket/listen.go
@@ -9,6 +9,24 @@
 	"golang.org/x/sys/unix"
 )
 
+// Arrived tells, without waiting, whether a connection waits to be accepted.
+func Arrived(l net.Listener) (waits bool) {
+	sc, ok := l.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	raw.Control(func(fd uintptr) {
+		look := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(look, 0)
+		waits = err == nil && n > 0 && look[0].Revents&unix.POLLIN != 0
+	})
+	return waits
+}
+
 // Listen listens on a TCP address that another process may listen on too: a process that replaces this one is
 // started beside it with the same address, and the kernel spreads new connections over both until this one
 // closes. Without SO_REUSEPORT the second bind fails and the new process cannot start.
