Part the program's start and end into short functions: platform, listeners, drain

It is parted by job, with no change of behaviour: platform.go makes, runs and reloads the platform's gateway (platformGateway), listeners.go holds the sockets that are served (once "doors"), drain.go takes a service from its start to its end. serve.go keeps the command, the signals and the operator's gateway.

--- /dev/null
+++ b/cmd/junctionring/drain.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"time"
+
+	"junctionring/ending"
+	"junctionring/internal/core"
+	"junctionring/internal/front"
+	"junctionring/internal/handover"
+)
+
+// service is a process that serves, up to its end.
+type service struct {
+	core        *core.Core
+	server      *front.Server
+	sockets     *listeners
+	connections int                              // of clients, at most
+	plan        func(told time.Time) ending.Plan // of its end
+	log         *slog.Logger
+
+	elder *handover.Elder
+}
+
+// serve takes connections until ctx ends, then hands them to a successor, or drains by the plan.
+func (s *service) serve(ctx, work context.Context) error {
+	if ctx.Err() != nil {
+		return nil // told to end before anything was taken
+	}
+	l, err := s.sockets.listen(s.sockets.addresses[0])
+	if err != nil {
+		return err
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- s.server.Serve(l, s.connections) }()
+	s.core.Settle()
+	s.server.Ready()
+	adopts, enough := context.WithCancel(work)
+	defer enough()
+	s.elder = handover.NewElder(os.TempDir(), s.sockets.addresses[0], s.sockets.open, s.log)
+	s.adopt(adopts)
+	go s.elder.Run(work)
+	s.log.Info("serving", "listen", l.Addr().String())
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	told := timeTold(ctx)
+	s.end(told, s.plan(told), enough)
+	return nil
+}
+
+// timeTold is when the process was told to end.
+func timeTold(ctx context.Context) time.Time {
+	if at, ok := context.Cause(ctx).(toldAt); ok {
+		return at.Time
+	}
+	return time.Now()
+}
+
+// adopt takes over the connections of the process that this one replaces.
+func (s *service) adopt(ctx context.Context) {
+	if s.sockets.heir == nil {
+		return
+	}
+	go func() {
+		if err := s.sockets.heir.Run(ctx, s.server.Adopt); err != nil {
+			s.log.Warn("handover: broken off", "err", err)
+		}
+	}()
+}
+
+// end hands all to a successor, or drains by the plan. enough ends the adoption of connections.
+func (s *service) end(told time.Time, due ending.Plan, enough func()) {
+	s.log.Info("draining", "close", due.Close, "stop", due.Stop, "shed", due.Shed)
+	drain, done := context.WithDeadline(context.Background(), told.Add(due.Shed))
+	defer done()
+	if s.handOver(drain, told.Add(due.Close)) {
+		s.finish()
+		return
+	}
+	// What the process before this one has left is better kept by it from here on: it learns of that by the link's end.
+	time.AfterFunc(time.Until(told.Add(due.Close)), enough)
+	if err := s.server.Drain(drain, told.Add(due.Close), told.Add(due.Stop)); err == nil {
+		s.finish()
+		return
+	}
+	s.shed(told)
+}
+
+// handOver gives every connection to a successor; false: there is none, or it did not take all. One that asked and does
+// not serve yet is waited for until latest.
+func (s *service) handOver(drain context.Context, latest time.Time) bool {
+	begun, alone, lost := s.elder.Told()
+	wait, waited := context.WithDeadline(drain, latest)
+	defer waited()
+	select {
+	case <-begun:
+	case <-alone:
+		return false
+	case <-wait.Done():
+		return false
+	}
+	if err := s.server.HandOver(drain, s.elder.Give, lost); err != nil {
+		s.log.Warn("handover: not all could be handed over", "err", err)
+		return false
+	}
+	s.log.Info("handover: done")
+	return true
+}
+
+// shed gives all that is still held its last answer, and adds what was used to the counter meanwhile.
+func (s *service) shed(told time.Time) {
+	s.log.Warn("not all held exchanges ended in time: the rest is shed")
+	s.core.Shed()
+	added := make(chan struct{})
+	go func() { // no more is used from here on
+		defer close(added)
+		s.finish()
+	}()
+	last, over := context.WithTimeout(context.Background(), ending.LastWords)
+	defer over()
+	if err := s.server.Drain(last, told, told); err != nil {
+		s.log.Warn("connections are cut: their clients neither read nor went", "err", err)
+	}
+	<-added
+}
+
+// finish adds to the counter what this process has used, before it ends.
+func (s *service) finish() {
+	last, done := context.WithTimeout(context.Background(), ending.LastUnits)
+	defer done()
+	if err := s.core.Finish(last); err != nil {
+		s.log.Warn("quota", "err", err)
+	}
+}
