--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -49,19 +49,22 @@
 	}
 	p := &peer{l, make(chan *received, 64), make(chan net.Conn, 64)}
 	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			p.open <- c
-			go p.read(c, bufio.NewReader(c))
-		}
-	}()
+	go p.accept()
 	return p
 }
 
+// accept takes connections until the listener is closed.
+func (p *peer) accept() {
+	for {
+		c, err := p.Accept()
+		if err != nil {
+			return
+		}
+		p.open <- c
+		go p.read(c, bufio.NewReader(c))
+	}
+}
+
 // read takes one message in; answer reads the next one.
 func (p *peer) read(c net.Conn, in *bufio.Reader) {
 	r, err := http.ReadRequest(in)
@@ -114,8 +117,14 @@
 // startLimited is startCounted with other limits on what a gateway may do.
 func startLimited(t testing.TB, most int, fleet *egress.Fleet, figures *telemetry.Figures, limits control.Limits, peers ...*peer) (string, *core.Core, *front.Server) {
 	t.Helper()
-	log := slog.New(slog.DiscardHandler)
-	c, err := core.New(control.Settings{
+	settings := defaultSettings()
+	settings.Limits = limits
+	return startSettings(t, most, fleet, figures, settings, uncounted{}, peers...)
+}
+
+// defaultSettings have a class of each kind of repeat, and no counter.
+func defaultSettings() control.Settings {
+	return control.Settings{
 		Gateways: 1,
 		Classes: []control.Class{
 			{Aim: 1, Deadline: 5, Worth: 2, Repeat: control.Safe},
@@ -125,7 +134,14 @@
 		Plans:      []control.Plan{{Rate: 100, Burst: 100, Worth: 1, OverCost: 1}},
 		Limits:     limits,
 		Guarantees: control.Guarantees{ColdFrom: 0.2, Ramp: 5, FallMultiple: 3, FallAfter: 1.5},
-	}, 1, fleet, uncounted{}, log)
+	}
+}
+
+// startSettings is startCounted with settings and a counter of the test's own.
+func startSettings(t testing.TB, most int, fleet *egress.Fleet, figures *telemetry.Figures, settings control.Settings, totals core.Counter, peers ...*peer) (string, *core.Core, *front.Server) {
+	t.Helper()
+	log := slog.New(slog.DiscardHandler)
+	c, err := core.New(settings, 1, fleet, totals, log)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -139,7 +155,7 @@
 	go c.Run(ctx)
 	c.Routes(table(control.Ready, peers...))
 	names := &front.Names{Classes: []string{"table-view", "move-submit", "stake"}, Plans: []string{"club"},
-		Repeats: []control.Repeat{control.Safe, control.Keyed, control.Unsafe}, Gateways: 1, MaxUnits: 6}
+		Repeats: []control.Repeat{control.Safe, control.Keyed, control.Unsafe}, Gateways: settings.Gateways, MaxUnits: 6}
 	s := front.NewServer(ingress.Platform(names, c, log), front.MaxHeader, taken, log)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
