--- a/cmd/junctionring/drain.go
+++ b/cmd/junctionring/drain.go
@@ -6,10 +6,10 @@
 	"os"
 	"time"
 
-	"junctionring/ending"
 	"junctionring/internal/core"
 	"junctionring/internal/front"
 	"junctionring/internal/handover"
+	"junctionring/shutdown"
 )
 
 // service is a process that serves, up to its end.
@@ -17,8 +17,8 @@
 	core        *core.Core
 	server      *front.Server
 	sockets     *listeners
-	connections int                              // of clients, at most
-	plan        func(told time.Time) ending.Plan // of its end
+	connections int                                // of clients, at most
+	plan        func(told time.Time) shutdown.Plan // of its end
 	log         *slog.Logger
 
 	elder *handover.Elder
@@ -74,7 +74,7 @@
 }
 
 // end hands all to a successor, or drains by the plan. enough ends the adoption of connections.
-func (s *service) end(told time.Time, due ending.Plan, enough func()) {
+func (s *service) end(told time.Time, due shutdown.Plan, enough func()) {
 	s.log.Info("draining", "close", due.Close, "stop", due.Stop, "shed", due.Shed)
 	drain, done := context.WithDeadline(context.Background(), told.Add(due.Shed))
 	defer done()
@@ -121,7 +121,7 @@
 		defer close(added)
 		s.finish()
 	}()
-	last, over := context.WithTimeout(context.Background(), ending.LastWords)
+	last, over := context.WithTimeout(context.Background(), shutdown.LastWords)
 	defer over()
 	if err := s.server.Drain(last, told, told); err != nil {
 		s.log.Warn("connections are cut: their clients neither read nor went", "err", err)
@@ -131,7 +131,7 @@
 
 // finish adds to the counter what this process has used, before it ends.
 func (s *service) finish() {
-	last, done := context.WithTimeout(context.Background(), ending.LastUnits)
+	last, done := context.WithTimeout(context.Background(), shutdown.LastUnits)
 	defer done()
 	if err := s.core.Finish(last); err != nil {
 		s.log.Warn("quota", "err", err)
--- a/cmd/junctionring/platform.go
+++ b/cmd/junctionring/platform.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"junctionring/control"
-	"junctionring/ending"
 	"junctionring/internal/config"
 	"junctionring/internal/core"
 	"junctionring/internal/counter"
@@ -22,6 +21,7 @@
 	"junctionring/internal/retune"
 	"junctionring/internal/routetable"
 	"junctionring/internal/telemetry"
+	"junctionring/shutdown"
 )
 
 // platformGateway is a process that serves the platform's protocol.
@@ -42,7 +42,7 @@
 // deadlineHistory is the deadlines of all settings that requests are held under.
 type deadlineHistory struct {
 	mu    sync.Mutex
-	all   ending.Deadlines
+	all   shutdown.Deadlines
 	since time.Time
 }
 
@@ -53,10 +53,10 @@
 }
 
 // plan is the plan of a process that was told to end then.
-func (d *deadlineHistory) plan(told time.Time) ending.Plan {
+func (d *deadlineHistory) plan(told time.Time) shutdown.Plan {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return ending.Before(ending.Time(d.all.Shortest(told.Sub(d.since))))
+	return shutdown.Before(shutdown.Time(d.all.Shortest(told.Sub(d.since))))
 }
 
 func servePlatform(ctx, work context.Context, hup <-chan os.Signal, path string, log *slog.Logger) error {
--- a/cmd/junctionring/serve.go
+++ b/cmd/junctionring/serve.go
@@ -14,12 +14,12 @@
 	"syscall"
 	"time"
 
-	"junctionring/ending"
 	"junctionring/internal/config"
 	"junctionring/internal/front"
 	"junctionring/internal/gateway"
 	"junctionring/internal/management"
 	"junctionring/internal/telemetry"
+	"junctionring/shutdown"
 )
 
 const (
@@ -96,7 +96,7 @@
 	}
 	s := &service{
 		core: g.Core, server: server, sockets: sockets, connections: ingressConns(o.Limits.Sockets),
-		plan: func(time.Time) ending.Plan { return ending.Within(o.Drain.Duration) }, log: log,
+		plan: func(time.Time) shutdown.Plan { return shutdown.Within(o.Drain.Duration) }, log: log,
 	}
 	return s.serve(ctx, work)
 }
--- a/ending/ending.go
+++ b/shutdown/shutdown.go
@@ -1,6 +1,6 @@
-// Package ending says when each step of a process's end is due. It does no I/O and reads no clock: all times run
-// from the moment at which the process was told to end.
-package ending
+// Package shutdown plans a graceful shutdown: it says when each step is due. It does no I/O and reads no clock: all
+// times run from the moment at which the process was told to end.
+package shutdown
 
 import "time"
 
--- a/ending/ending_test.go
+++ b/shutdown/shutdown_test.go
@@ -1,4 +1,4 @@
-package ending
+package shutdown
 
 import (
 	"testing"
