Call the two sides of a process replacement predecessor and successor

Heir and Elder become Successor and Predecessor in succession, internal/handover and the program; files follow. The words on the socket between two processes, its path and the log's texts stay as they are.

--- a/cmd/junctionring/drain.go
+++ b/cmd/junctionring/drain.go
@@ -21,7 +21,7 @@
 	plan        func(told time.Time) shutdown.Plan // of its end
 	log         *slog.Logger
 
-	elder *handover.Elder
+	predecessor *handover.Predecessor
 }
 
 // serve takes connections until ctx ends, then hands them to a successor, or drains by the plan.
@@ -39,9 +39,9 @@
 	s.server.Ready()
 	adopts, enough := context.WithCancel(work)
 	defer enough()
-	s.elder = handover.NewElder(os.TempDir(), s.sockets.addresses[0], s.sockets.open, s.log)
+	s.predecessor = handover.NewPredecessor(os.TempDir(), s.sockets.addresses[0], s.sockets.open, s.log)
 	s.adopt(adopts)
-	go s.elder.Run(work)
+	go s.predecessor.Run(work)
 	s.log.Info("serving", "listen", l.Addr().String())
 	select {
 	case err := <-failed:
@@ -63,11 +63,11 @@
 
 // adopt takes over the connections of the process that this one replaces.
 func (s *service) adopt(ctx context.Context) {
-	if s.sockets.heir == nil {
+	if s.sockets.successor == nil {
 		return
 	}
 	go func() {
-		if err := s.sockets.heir.Run(ctx, s.server.Adopt); err != nil {
+		if err := s.sockets.successor.Run(ctx, s.server.Adopt); err != nil {
 			s.log.Warn("handover: broken off", "err", err)
 		}
 	}()
@@ -94,7 +94,7 @@
 // handOver gives every connection to a successor; false: there is none, or it did not take all. One that asked and does
 // not serve yet is waited for until latest.
 func (s *service) handOver(drain context.Context, latest time.Time) bool {
-	begun, alone, lost := s.elder.Told()
+	begun, alone, lost := s.predecessor.Told()
 	wait, waited := context.WithDeadline(drain, latest)
 	defer waited()
 	select {
@@ -104,7 +104,7 @@
 	case <-wait.Done():
 		return false
 	}
-	if err := s.server.HandOver(drain, s.elder.Give, lost); err != nil {
+	if err := s.server.HandOver(drain, s.predecessor.Give, lost); err != nil {
 		s.log.Warn("handover: not all could be handed over", "err", err)
 		return false
 	}
--- a/cmd/junctionring/listeners.go
+++ b/cmd/junctionring/listeners.go
@@ -14,7 +14,7 @@
 // listeners are the sockets of the addresses that a process serves, the clients' first.
 type listeners struct {
 	addresses []string
-	heir      *handover.Heir // nil: this process replaces nobody
+	successor *handover.Successor // nil: this process replaces nobody
 	open      map[string]net.Listener
 	log       *slog.Logger
 }
@@ -22,10 +22,10 @@
 // openListeners asks the process that serves these addresses, if there is one, for their sockets.
 func openListeners(log *slog.Logger, addresses ...string) *listeners {
 	l := &listeners{addresses: addresses, open: map[string]net.Listener{}, log: log}
-	heir, err := handover.Ask(os.TempDir(), log, addresses...)
+	successor, err := handover.Ask(os.TempDir(), log, addresses...)
 	switch {
 	case err == nil:
-		l.heir = heir
+		l.successor = successor
 		log.Info("handover: this process replaces another")
 	case !errors.Is(err, os.ErrNotExist):
 		log.Warn("handover: none from the process before; the addresses are opened anew", "err", err)
@@ -35,8 +35,8 @@
 
 // listen is the socket of an address: the old process's, or a new one that it may share (SO_REUSEPORT).
 func (l *listeners) listen(address string) (listener net.Listener, err error) {
-	if l.heir != nil {
-		listener = l.heir.Listener(address)
+	if l.successor != nil {
+		listener = l.successor.Listener(address)
 	}
 	if listener == nil {
 		if listener, err = socket.Listen(context.Background(), address); err != nil {
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -21,7 +21,7 @@
 
 // old is a process that serves, as far as a handover sees it.
 type old struct {
-	*Elder
+	*Predecessor
 	dir, address string
 	l            net.Listener
 }
@@ -34,7 +34,7 @@
 	}
 	t.Cleanup(func() { l.Close() })
 	o := &old{dir: t.TempDir(), address: l.Addr().String(), l: l}
-	o.Elder = NewElder(o.dir, o.address, map[string]net.Listener{o.address: l}, quiet)
+	o.Predecessor = NewPredecessor(o.dir, o.address, map[string]net.Listener{o.address: l}, quiet)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { o.Run(ctx); close(done) }()
--- a/internal/handover/elder.go
+++ b/internal/handover/predecessor.go
@@ -18,9 +18,9 @@
 	mailbox    = 256
 )
 
-// Elder is the old process's side of a handover: it can be found from the start, and is asked by its successor.
+// Predecessor is the old process's side of a handover: it can be found from the start, and is asked by its successor.
 // One goroutine runs it, and waits on nobody but its mailbox.
-type Elder struct {
+type Predecessor struct {
 	path    string
 	address string
 	lent    map[string]net.Listener
@@ -29,9 +29,9 @@
 	ended   chan struct{}
 
 	machine *succession.Machine
-	last    int // heirs and connections are numbered
-	links   map[succession.Heir]link
-	wants   map[succession.Heir][]string // the addresses that it asked for
+	last    int // successors and connections are numbered
+	links   map[succession.Successor]link
+	wants   map[succession.Successor][]string // the addresses that it asked for
 	waiting map[succession.Conn]*passing
 	begun   chan struct{}
 	lost    chan struct{}
@@ -48,31 +48,31 @@
 type (
 	came  struct{ link link }
 	heard struct {
-		heir    succession.Heir
-		message message
-		err     error
+		successor succession.Successor
+		message   message
+		err       error
 	}
 	tell struct{}
 	give struct{ *passing }
 	late struct {
-		heir succession.Heir
-		conn succession.Conn
+		successor succession.Successor
+		conn      succession.Conn
 	}
 )
 
-// NewElder makes the old side of a process that serves the listeners, by their addresses as its successor will
+// NewPredecessor makes the old side of a process that serves the listeners, by their addresses as its successor will
 // write them; that of the first address names the place where it is found.
-func NewElder(dir, address string, lent map[string]net.Listener, log *slog.Logger) *Elder {
-	return &Elder{
+func NewPredecessor(dir, address string, lent map[string]net.Listener, log *slog.Logger) *Predecessor {
+	return &Predecessor{
 		path: Path(dir, address), address: address, lent: lent, log: log, mail: make(chan any, mailbox), ended: make(chan struct{}),
-		machine: succession.New(), links: map[succession.Heir]link{}, wants: map[succession.Heir][]string{}, waiting: map[succession.Conn]*passing{},
+		machine: succession.New(), links: map[succession.Successor]link{}, wants: map[succession.Successor][]string{}, waiting: map[succession.Conn]*passing{},
 		begun: make(chan struct{}), lost: make(chan struct{}), alone: make(chan struct{}),
 	}
 }
 
 // Run can be found, and answers successors, until ctx ends. Where no socket can be made (a folder that is full, a
 // platform without them), this process is replaced without a handover; it says so once.
-func (e *Elder) Run(ctx context.Context) {
+func (e *Predecessor) Run(ctx context.Context) {
 	defer close(e.ended)
 	go e.listen(ctx)
 	for {
@@ -89,7 +89,7 @@
 }
 
 // listen claims the path, at once or when the process that is found there has ended, and takes successors.
-func (e *Elder) listen(ctx context.Context) {
+func (e *Predecessor) listen(ctx context.Context) {
 	in, err := claim(e.path)
 	for said := false; err != nil; in, err = claim(e.path) {
 		if !errors.Is(err, errHeld) && !said {
@@ -120,7 +120,7 @@
 	}
 }
 
-func (e *Elder) post(m any) bool {
+func (e *Predecessor) post(m any) bool {
 	select {
 	case e.mail <- m:
 		return true
@@ -131,14 +131,14 @@
 
 // Told says that this process is to end. begun is closed once the successor serves and connections go to it, alone
 // once it is known that there is none; lost when one that there was is gone.
-func (e *Elder) Told() (begun, alone, lost <-chan struct{}) {
+func (e *Predecessor) Told() (begun, alone, lost <-chan struct{}) {
 	e.post(tell{})
 	return e.begun, e.alone, e.lost
 }
 
 // Give passes a connection to the successor, and returns false if that has not taken it: then it is still the
 // caller's, and nobody else has read from it.
-func (e *Elder) Give(c *net.TCPConn) bool {
+func (e *Predecessor) Give(c *net.TCPConn) bool {
 	p := &passing{conn: c, taken: make(chan bool, 1)}
 	if !e.post(give{p}) {
 		return false
@@ -151,7 +151,7 @@
 	}
 }
 
-func (e *Elder) handle(ctx context.Context, m any) {
+func (e *Predecessor) handle(ctx context.Context, m any) {
 	switch m := m.(type) {
 	case came:
 		if err := m.link.peer(); err != nil {
@@ -160,12 +160,12 @@
 			return
 		}
 		e.last++
-		heir := succession.Heir(e.last)
-		e.links[heir] = m.link
+		successor := succession.Successor(e.last)
+		e.links[successor] = m.link
 		go func() {
 			for {
 				msg, err := m.link.receive()
-				if !e.post(heard{heir, msg, err}) {
+				if !e.post(heard{successor, msg, err}) {
 					msg.close()
 				}
 				if err != nil {
@@ -186,61 +186,61 @@
 	case late:
 		if e.waiting[m.conn] != nil {
 			e.log.Warn("handover: the successor is silent", "conn", m.conn)
-			e.cut(m.heir)
+			e.cut(m.successor)
 		}
 	}
 }
 
 // heard takes in what a successor says.
-func (e *Elder) heard(m heard) {
+func (e *Predecessor) heard(m heard) {
 	defer m.message.close()
-	l, known := e.links[m.heir]
+	l, known := e.links[m.successor]
 	if !known {
 		return
 	}
 	if m.err != nil {
 		l.Close()
-		delete(e.links, m.heir)
-		delete(e.wants, m.heir)
-		e.do(succession.Lost{Heir: m.heir})
+		delete(e.links, m.successor)
+		delete(e.wants, m.successor)
+		e.do(succession.Lost{Successor: m.successor})
 		return
 	}
 	conn := succession.Conn(m.message.Conn)
 	switch m.message.Kind {
 	case ask:
-		e.wants[m.heir] = m.message.Listen
-		e.do(succession.Asked{Heir: m.heir})
+		e.wants[m.successor] = m.message.Listen
+		e.do(succession.Asked{Successor: m.successor})
 	case ready:
-		e.do(succession.Ready{Heir: m.heir})
+		e.do(succession.Ready{Successor: m.successor})
 	case took:
-		e.do(succession.Took{Heir: m.heir, Conn: conn})
+		e.do(succession.Took{Successor: m.successor, Conn: conn})
 	case decline:
-		e.do(succession.Declined{Heir: m.heir, Conn: conn})
+		e.do(succession.Declined{Successor: m.successor, Conn: conn})
 	default:
-		e.cut(m.heir)
+		e.cut(m.successor)
 	}
 }
 
 // cut ends a successor's part. It can acknowledge nothing more from here on; what it has acknowledged is still
 // read, up to the end, and only then is it lost: no connection has two readers.
-func (e *Elder) cut(heir succession.Heir) {
-	if l, ok := e.links[heir]; ok {
+func (e *Predecessor) cut(successor succession.Successor) {
+	if l, ok := e.links[successor]; ok {
 		l.CloseRead()
 	}
 }
 
 // do has the machine decide, and carries it out.
-func (e *Elder) do(event any) {
+func (e *Predecessor) do(event any) {
 	for _, a := range e.machine.Handle(event, nil) {
 		switch a := a.(type) {
 		case succession.Lend:
-			if err := e.lend(a.Heir); err != nil {
+			if err := e.lend(a.Successor); err != nil {
 				e.log.Warn("handover: the listening sockets cannot be lent", "err", err)
-				e.cut(a.Heir)
+				e.cut(a.Successor)
 			}
 		case succession.TurnAway:
 			e.log.Info("handover: a process is turned away", "why", a.Why)
-			e.links[a.Heir].send(message{Kind: refuse, Why: a.Why})
+			e.links[a.Successor].send(message{Kind: refuse, Why: a.Why})
 		case succession.Begin:
 			e.log.Info("handover: begins")
 			close(e.begun)
@@ -260,12 +260,12 @@
 }
 
 // lend gives a successor the listening sockets of the addresses that it asked for and that are served here.
-func (e *Elder) lend(heir succession.Heir) error {
+func (e *Predecessor) lend(successor succession.Successor) error {
 	m := message{Kind: lend}
 	var send func(addresses []string, fds []int) error
 	send = func(addresses []string, fds []int) error { // each descriptor is held while the next is looked up
 		if len(addresses) == 0 {
-			return e.links[heir].send(m, fds...)
+			return e.links[successor].send(m, fds...)
 		}
 		c, ok := e.lent[addresses[0]].(syscall.Conn)
 		if !ok {
@@ -274,23 +274,23 @@
 		m.Listen = append(m.Listen, addresses[0])
 		return control(c, func(fd int) error { return send(addresses[1:], append(fds, fd)) })
 	}
-	wants := e.wants[heir]
+	wants := e.wants[successor]
 	return send(wants[:min(len(wants), mostFDs)], nil)
 }
 
 // pass sends a connection's descriptor. It stays open here until it is acknowledged.
-func (e *Elder) pass(a succession.Pass) {
+func (e *Predecessor) pass(a succession.Pass) {
 	p := e.waiting[a.Conn]
 	err := control(p.conn, func(fd int) error {
-		return e.links[a.Heir].send(message{Kind: pass, Conn: int(a.Conn)}, fd)
+		return e.links[a.Successor].send(message{Kind: pass, Conn: int(a.Conn)}, fd)
 	})
 	if err != nil {
-		e.cut(a.Heir)
+		e.cut(a.Successor)
 	}
-	p.late = time.AfterFunc(takeWait, func() { e.post(late{a.Heir, a.Conn}) })
+	p.late = time.AfterFunc(takeWait, func() { e.post(late{a.Successor, a.Conn}) })
 }
 
-func (e *Elder) settle(c succession.Conn, taken bool) {
+func (e *Predecessor) settle(c succession.Conn, taken bool) {
 	p := e.waiting[c]
 	if p == nil {
 		return
--- a/internal/handover/heir.go
+++ b/internal/handover/successor.go
@@ -14,8 +14,8 @@
 
 const answerWait = time.Second // a process that serves answers at once
 
-// Heir is the new process's side of a handover.
-type Heir struct {
+// Successor is the new process's side of a handover.
+type Successor struct {
 	link    link
 	address string // whose connections come
 	lent    map[string]net.Listener
@@ -24,12 +24,12 @@
 
 // Ask looks for the process that serves the first address and asks it for the listening sockets of all of them. An
 // error says why this process has to open them itself.
-func Ask(dir string, log *slog.Logger, addresses ...string) (*Heir, error) {
+func Ask(dir string, log *slog.Logger, addresses ...string) (*Successor, error) {
 	l, err := dial(Path(dir, addresses[0]))
 	if err != nil {
 		return nil, err
 	}
-	h := &Heir{link: l, address: addresses[0], lent: map[string]net.Listener{}, log: log}
+	h := &Successor{link: l, address: addresses[0], lent: map[string]net.Listener{}, log: log}
 	if err := h.ask(addresses); err != nil {
 		h.Close()
 		return nil, err
@@ -37,7 +37,7 @@
 	return h, nil
 }
 
-func (h *Heir) ask(addresses []string) error {
+func (h *Successor) ask(addresses []string) error {
 	if err := h.link.send(message{Kind: ask, Listen: addresses}); err != nil {
 		return err
 	}
@@ -70,14 +70,14 @@
 }
 
 // Listener is the socket lent for an address, or nil. It is the caller's.
-func (h *Heir) Listener(address string) net.Listener {
+func (h *Successor) Listener(address string) net.Listener {
 	l := h.lent[address]
 	delete(h.lent, address)
 	return l
 }
 
 // Close ends the handover, and closes what nobody asked for.
-func (h *Heir) Close() {
+func (h *Successor) Close() {
 	h.link.Close()
 	for _, l := range h.lent {
 		l.Close()
@@ -86,7 +86,7 @@
 
 // Run says that this process serves, and has it adopt what the old one passes, until that one ends. adopt returns
 // false for a connection that it does not want.
-func (h *Heir) Run(ctx context.Context, adopt func(*net.TCPConn) bool) error {
+func (h *Successor) Run(ctx context.Context, adopt func(*net.TCPConn) bool) error {
 	defer h.Close()
 	stop := context.AfterFunc(ctx, func() { h.link.Close() })
 	defer stop()
@@ -130,7 +130,7 @@
 }
 
 // connection makes a connection of a message's descriptor.
-func (h *Heir) connection(m *message) (*net.TCPConn, error) {
+func (h *Successor) connection(m *message) (*net.TCPConn, error) {
 	defer m.close()
 	if len(m.fds) != 1 {
 		return nil, fmt.Errorf("%d descriptors where one belongs", len(m.fds))
--- a/succession/succession.go
+++ b/succession/succession.go
@@ -15,8 +15,8 @@
 	Draining              // told to end with no successor: it serves on, and closes with its answers
 )
 
-// Heir is a process that asked to succeed, numbered by the caller from 1.
-type Heir int
+// Successor is a process that asked to succeed, numbered by the caller from 1.
+type Successor int
 
 // Conn is a connection, numbered by the caller.
 type Conn int
@@ -24,35 +24,35 @@
 // Events.
 type (
 	// Asked: a process wants to succeed.
-	Asked struct{ Heir Heir }
+	Asked struct{ Successor Successor }
 	// Ready: it serves.
-	Ready struct{ Heir Heir }
+	Ready struct{ Successor Successor }
 	// Lost: it ended, fell silent, or spoke what cannot be read. What it still acknowledged came before.
-	Lost struct{ Heir Heir }
+	Lost struct{ Successor Successor }
 	// Told: this process is to end.
 	Told struct{}
 	// Rested: a connection has nothing of a request read from it, and nobody reads it here any more.
 	Rested struct{ Conn Conn }
 	// Took: the successor has a connection, and has not read from it yet.
 	Took struct {
-		Heir Heir
-		Conn Conn
+		Successor Successor
+		Conn      Conn
 	}
 	// Declined: the successor does not want it, or could not be given it.
 	Declined struct {
-		Heir Heir
-		Conn Conn
+		Successor Successor
+		Conn      Conn
 	}
 )
 
 // Actions.
 type (
 	// Lend gives the listening sockets to a process.
-	Lend struct{ Heir Heir }
+	Lend struct{ Successor Successor }
 	// TurnAway tells a process that it does not succeed.
 	TurnAway struct {
-		Heir Heir
-		Why  string
+		Successor Successor
+		Why       string
 	}
 	// Begin: accept no more, and report each connection that rests. The listening sockets stay open.
 	Begin struct{}
@@ -60,8 +60,8 @@
 	Resume struct{}
 	// Pass gives a connection's descriptor to the successor; this process keeps its own, and reads nothing.
 	Pass struct {
-		Heir Heir
-		Conn Conn
+		Successor Successor
+		Conn      Conn
 	}
 	// Release closes this process's descriptor of a connection that is the successor's.
 	Release struct{ Conn Conn }
@@ -73,10 +73,10 @@
 
 // Machine is the old process's side.
 type Machine struct {
-	state  State
-	told   bool
-	heir   Heir // 0: none
-	passed map[Conn]struct{}
+	state     State
+	told      bool
+	successor Successor // 0: none
+	passed    map[Conn]struct{}
 }
 
 // New is a process that serves alone.
@@ -90,15 +90,15 @@
 	switch e := event.(type) {
 	case Asked:
 		switch {
-		case m.heir != 0:
-			return append(do, TurnAway{e.Heir, "another process succeeds already"})
+		case m.successor != 0:
+			return append(do, TurnAway{e.Successor, "another process succeeds already"})
 		case m.told:
-			return append(do, TurnAway{e.Heir, "this process is ending"})
+			return append(do, TurnAway{e.Successor, "this process is ending"})
 		}
-		m.heir, m.state = e.Heir, Paired
+		m.successor, m.state = e.Successor, Paired
 		return append(do, Lend(e))
 	case Ready:
-		if e.Heir == m.heir && m.state == Paired {
+		if e.Successor == m.successor && m.state == Paired {
 			m.state = Both
 			return m.begin(do)
 		}
@@ -107,7 +107,7 @@
 			return do
 		}
 		m.told = true
-		if m.heir == 0 {
+		if m.successor == 0 {
 			m.state = Draining
 			return append(do, Drain{})
 		}
@@ -117,24 +117,24 @@
 			return append(do, Keep(e))
 		}
 		m.passed[e.Conn] = struct{}{}
-		return append(do, Pass{m.heir, e.Conn})
+		return append(do, Pass{m.successor, e.Conn})
 	case Took:
-		if m.mine(e.Heir, e.Conn) {
+		if m.mine(e.Successor, e.Conn) {
 			return append(do, Release{e.Conn})
 		}
 	case Declined:
-		if m.mine(e.Heir, e.Conn) {
+		if m.mine(e.Successor, e.Conn) {
 			return append(do, Keep{e.Conn})
 		}
 	case Lost:
-		if e.Heir == 0 || e.Heir != m.heir {
+		if e.Successor == 0 || e.Successor != m.successor {
 			return do
 		}
 		for c := range m.passed { // never acknowledged, so never read by it
 			do = append(do, Keep{c})
 		}
 		clear(m.passed)
-		m.heir = 0
+		m.successor = 0
 		was := m.state
 		m.state = Alone
 		if m.told {
@@ -158,9 +158,9 @@
 }
 
 // mine tells whether a connection was passed to the successor and not settled yet, and settles it.
-func (m *Machine) mine(h Heir, c Conn) bool {
+func (m *Machine) mine(h Successor, c Conn) bool {
 	_, ok := m.passed[c]
-	if h != m.heir || !ok {
+	if h != m.successor || !ok {
 		return false
 	}
 	delete(m.passed, c)
--- a/succession/succession_test.go
+++ b/succession/succession_test.go
@@ -9,11 +9,11 @@
 type world struct {
 	m         *Machine
 	told      bool
-	lent      Heir // holds the listening sockets
-	serves    bool // that one said so
+	lent      Successor // holds the listening sockets
+	serves    bool      // that one said so
 	accepting bool
 	drains    bool
-	dead      map[Heir]bool
+	dead      map[Successor]bool
 	owner     map[Conn]string // here, none, passed, there
 }
 
@@ -28,7 +28,7 @@
 	case Told:
 		w.told = true
 	case Ready:
-		w.serves = w.serves || e.Heir == w.lent
+		w.serves = w.serves || e.Successor == w.lent
 	case Rested:
 		w.owner[e.Conn] = "none"
 	case Took:
@@ -36,18 +36,18 @@
 			w.owner[e.Conn] = "there"
 		}
 	case Lost:
-		w.dead[e.Heir] = true
+		w.dead[e.Successor] = true
 	}
 	for _, a := range w.m.Handle(event, nil) {
 		switch a := a.(type) {
 		case Lend:
 			if w.lent != 0 && !w.dead[w.lent] {
-				fail("lent to %d while %d succeeds", a.Heir, w.lent)
+				fail("lent to %d while %d succeeds", a.Successor, w.lent)
 			}
-			w.lent, w.serves = a.Heir, false
+			w.lent, w.serves = a.Successor, false
 		case TurnAway:
-			if a.Heir == w.lent || a.Why == "" {
-				fail("%d turned away (%q)", a.Heir, a.Why)
+			if a.Successor == w.lent || a.Why == "" {
+				fail("%d turned away (%q)", a.Successor, a.Why)
 			}
 		case Begin:
 			if !w.told || !w.serves || w.dead[w.lent] {
@@ -59,8 +59,8 @@
 		case Drain:
 			w.drains = true
 		case Pass:
-			if w.owner[a.Conn] != "none" || w.dead[a.Heir] || a.Heir != w.lent {
-				fail("%v is passed to %d while it is %s", a.Conn, a.Heir, w.owner[a.Conn])
+			if w.owner[a.Conn] != "none" || w.dead[a.Successor] || a.Successor != w.lent {
+				fail("%v is passed to %d while it is %s", a.Conn, a.Successor, w.owner[a.Conn])
 			}
 			w.owner[a.Conn] = "passed"
 		case Release:
@@ -89,7 +89,7 @@
 // does not serve or is dead, and a process that loses its successor serves on and drains.
 func TestEveryOrder(t *testing.T) {
 	events := []any{Told{}}
-	for h := Heir(1); h <= 2; h++ {
+	for h := Successor(1); h <= 2; h++ {
 		events = append(events, Asked{h}, Ready{h}, Lost{h}, Took{h, 1}, Declined{h, 2}, Took{h, 2})
 	}
 	events = append(events, Rested{1}, Rested{2})
@@ -98,7 +98,7 @@
 	var walk func(trail []any)
 	walk = func(trail []any) {
 		if len(trail) > 0 { // replayed from the start: a machine is not copied
-			w := &world{m: New(), accepting: true, dead: map[Heir]bool{}, owner: map[Conn]string{1: "here", 2: "here"}}
+			w := &world{m: New(), accepting: true, dead: map[Successor]bool{}, owner: map[Conn]string{1: "here", 2: "here"}}
 			for i := range trail {
 				if !possible(w, trail[i]) {
 					return
@@ -126,13 +126,13 @@
 func possible(w *world, event any) bool {
 	switch e := event.(type) {
 	case Asked:
-		return !w.dead[e.Heir] && e.Heir != w.lent
+		return !w.dead[e.Successor] && e.Successor != w.lent
 	case Ready:
-		return !w.dead[e.Heir]
+		return !w.dead[e.Successor]
 	case Took:
-		return !w.dead[e.Heir] && e.Heir == w.lent
+		return !w.dead[e.Successor] && e.Successor == w.lent
 	case Declined:
-		return !w.dead[e.Heir]
+		return !w.dead[e.Successor]
 	case Rested:
 		return w.owner[e.Conn] == "here"
 	}
