Rename succession to replacement and internal/handover to internal/handoff

Process replacement by socket handoff is the standard name of what they do. The words between two processes, the path of their socket, the log's texts and the page docs/handover.md keep their names.

Measured: go test -race ./replacement ./internal/handoff ./cmd/junctionring passes (54.4 s).

--- a/cmd/junctionring/drain.go
+++ b/cmd/junctionring/drain.go
@@ -8,7 +8,7 @@
 
 	"junctionring/internal/core"
 	"junctionring/internal/front"
-	"junctionring/internal/handover"
+	"junctionring/internal/handoff"
 	"junctionring/shutdown"
 )
 
@@ -21,7 +21,7 @@
 	plan        func(told time.Time) shutdown.Plan // of its end
 	log         *slog.Logger
 
-	predecessor *handover.Predecessor
+	predecessor *handoff.Predecessor
 }
 
 // serve takes connections until ctx ends, then hands them to a successor, or drains by the plan.
@@ -39,7 +39,7 @@
 	s.server.Ready()
 	adopts, enough := context.WithCancel(work)
 	defer enough()
-	s.predecessor = handover.NewPredecessor(os.TempDir(), s.sockets.addresses[0], s.sockets.open, s.log)
+	s.predecessor = handoff.NewPredecessor(os.TempDir(), s.sockets.addresses[0], s.sockets.open, s.log)
 	s.adopt(adopts)
 	go s.predecessor.Run(work)
 	s.log.Info("serving", "listen", l.Addr().String())
--- a/cmd/junctionring/listeners.go
+++ b/cmd/junctionring/listeners.go
@@ -7,14 +7,14 @@
 	"net"
 	"os"
 
-	"junctionring/internal/handover"
+	"junctionring/internal/handoff"
 	"junctionring/internal/socket"
 )
 
 // listeners are the sockets of the addresses that a process serves, the clients' first.
 type listeners struct {
 	addresses []string
-	successor *handover.Successor // nil: this process replaces nobody
+	successor *handoff.Successor // nil: this process replaces nobody
 	open      map[string]net.Listener
 	log       *slog.Logger
 }
@@ -22,7 +22,7 @@
 // openListeners asks the process that serves these addresses, if there is one, for their sockets.
 func openListeners(log *slog.Logger, addresses ...string) *listeners {
 	l := &listeners{addresses: addresses, open: map[string]net.Listener{}, log: log}
-	successor, err := handover.Ask(os.TempDir(), log, addresses...)
+	successor, err := handoff.Ask(os.TempDir(), log, addresses...)
 	switch {
 	case err == nil:
 		l.successor = successor
--- a/internal/handover/handover_test.go
+++ b/internal/handoff/handoff_test.go
@@ -1,4 +1,4 @@
-package handover
+package handoff
 
 import (
 	"bufio"
--- a/internal/handover/link.go
+++ b/internal/handoff/link.go
@@ -1,8 +1,8 @@
-// Package handover carries out what succession decides: the process that serves and the one that replaces it find
+// Package handoff carries out what replacement decides: the process that serves and the one that replaces it find
 // each other through a Unix socket in a shared folder, and listening sockets and connections go over it as
 // descriptors. Nothing that comes over it is taken on trust: the socket's owner, the peer's, the form of each
 // message and what a descriptor stands for are checked.
-package handover
+package handoff
 
 import (
 	"encoding/json"
--- a/internal/handover/predecessor.go
+++ b/internal/handoff/predecessor.go
@@ -1,4 +1,4 @@
-package handover
+package handoff
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 	"syscall"
 	"time"
 
-	"junctionring/succession"
+	"junctionring/replacement"
 )
 
 const (
@@ -28,11 +28,11 @@
 	mail    chan any
 	ended   chan struct{}
 
-	machine *succession.Machine
+	machine *replacement.Machine
 	last    int // successors and connections are numbered
-	links   map[succession.Successor]link
-	wants   map[succession.Successor][]string // the addresses that it asked for
-	waiting map[succession.Conn]*passing
+	links   map[replacement.Successor]link
+	wants   map[replacement.Successor][]string // the addresses that it asked for
+	waiting map[replacement.Conn]*passing
 	begun   chan struct{}
 	lost    chan struct{}
 	alone   chan struct{}
@@ -48,15 +48,15 @@
 type (
 	came  struct{ link link }
 	heard struct {
-		successor succession.Successor
+		successor replacement.Successor
 		message   message
 		err       error
 	}
 	tell struct{}
 	give struct{ *passing }
 	late struct {
-		successor succession.Successor
-		conn      succession.Conn
+		successor replacement.Successor
+		conn      replacement.Conn
 	}
 )
 
@@ -65,7 +65,7 @@
 func NewPredecessor(dir, address string, lent map[string]net.Listener, log *slog.Logger) *Predecessor {
 	return &Predecessor{
 		path: Path(dir, address), address: address, lent: lent, log: log, mail: make(chan any, mailbox), ended: make(chan struct{}),
-		machine: succession.New(), links: map[succession.Successor]link{}, wants: map[succession.Successor][]string{}, waiting: map[succession.Conn]*passing{},
+		machine: replacement.New(), links: map[replacement.Successor]link{}, wants: map[replacement.Successor][]string{}, waiting: map[replacement.Conn]*passing{},
 		begun: make(chan struct{}), lost: make(chan struct{}), alone: make(chan struct{}),
 	}
 }
@@ -160,7 +160,7 @@
 			return
 		}
 		e.last++
-		successor := succession.Successor(e.last)
+		successor := replacement.Successor(e.last)
 		e.links[successor] = m.link
 		go func() {
 			for {
@@ -177,12 +177,12 @@
 		e.heard(m)
 	case tell:
 		e.log.Info("handover: told to end", "state", e.machine.State())
-		e.do(succession.Told{})
+		e.do(replacement.Told{})
 	case give:
 		e.last++
-		id := succession.Conn(e.last)
+		id := replacement.Conn(e.last)
 		e.waiting[id] = m.passing
-		e.do(succession.Rested{Conn: id})
+		e.do(replacement.Rested{Conn: id})
 	case late:
 		if e.waiting[m.conn] != nil {
 			e.log.Warn("handover: the successor is silent", "conn", m.conn)
@@ -202,20 +202,20 @@
 		l.Close()
 		delete(e.links, m.successor)
 		delete(e.wants, m.successor)
-		e.do(succession.Lost{Successor: m.successor})
+		e.do(replacement.Lost{Successor: m.successor})
 		return
 	}
-	conn := succession.Conn(m.message.Conn)
+	conn := replacement.Conn(m.message.Conn)
 	switch m.message.Kind {
 	case ask:
 		e.wants[m.successor] = m.message.Listen
-		e.do(succession.Asked{Successor: m.successor})
+		e.do(replacement.Asked{Successor: m.successor})
 	case ready:
-		e.do(succession.Ready{Successor: m.successor})
+		e.do(replacement.Ready{Successor: m.successor})
 	case took:
-		e.do(succession.Took{Successor: m.successor, Conn: conn})
+		e.do(replacement.Took{Successor: m.successor, Conn: conn})
 	case decline:
-		e.do(succession.Declined{Successor: m.successor, Conn: conn})
+		e.do(replacement.Declined{Successor: m.successor, Conn: conn})
 	default:
 		e.cut(m.successor)
 	}
@@ -223,7 +223,7 @@
 
 // cut ends a successor's part. It can acknowledge nothing more from here on; what it has acknowledged is still
 // read, up to the end, and only then is it lost: no connection has two readers.
-func (e *Predecessor) cut(successor succession.Successor) {
+func (e *Predecessor) cut(successor replacement.Successor) {
 	if l, ok := e.links[successor]; ok {
 		l.CloseRead()
 	}
@@ -233,34 +233,34 @@
 func (e *Predecessor) do(event any) {
 	for _, a := range e.machine.Handle(event, nil) {
 		switch a := a.(type) {
-		case succession.Lend:
+		case replacement.Lend:
 			if err := e.lend(a.Successor); err != nil {
 				e.log.Warn("handover: the listening sockets cannot be lent", "err", err)
 				e.cut(a.Successor)
 			}
-		case succession.TurnAway:
+		case replacement.TurnAway:
 			e.log.Info("handover: a process is turned away", "why", a.Why)
 			e.links[a.Successor].send(message{Kind: refuse, Why: a.Why})
-		case succession.Begin:
+		case replacement.Begin:
 			e.log.Info("handover: begins")
 			close(e.begun)
-		case succession.Resume:
+		case replacement.Resume:
 			e.log.Warn("handover: the successor is lost; this process drains")
 			close(e.lost)
-		case succession.Drain:
+		case replacement.Drain:
 			close(e.alone)
-		case succession.Pass:
+		case replacement.Pass:
 			e.pass(a)
-		case succession.Release:
+		case replacement.Release:
 			e.settle(a.Conn, true)
-		case succession.Keep:
+		case replacement.Keep:
 			e.settle(a.Conn, false)
 		}
 	}
 }
 
 // lend gives a successor the listening sockets of the addresses that it asked for and that are served here.
-func (e *Predecessor) lend(successor succession.Successor) error {
+func (e *Predecessor) lend(successor replacement.Successor) error {
 	m := message{Kind: lend}
 	var send func(addresses []string, fds []int) error
 	send = func(addresses []string, fds []int) error { // each descriptor is held while the next is looked up
@@ -279,7 +279,7 @@
 }
 
 // pass sends a connection's descriptor. It stays open here until it is acknowledged.
-func (e *Predecessor) pass(a succession.Pass) {
+func (e *Predecessor) pass(a replacement.Pass) {
 	p := e.waiting[a.Conn]
 	err := control(p.conn, func(fd int) error {
 		return e.links[a.Successor].send(message{Kind: pass, Conn: int(a.Conn)}, fd)
@@ -290,7 +290,7 @@
 	p.late = time.AfterFunc(takeWait, func() { e.post(late{a.Successor, a.Conn}) })
 }
 
-func (e *Predecessor) settle(c succession.Conn, taken bool) {
+func (e *Predecessor) settle(c replacement.Conn, taken bool) {
 	p := e.waiting[c]
 	if p == nil {
 		return
--- a/succession/succession.go
+++ b/replacement/replacement.go
@@ -1,7 +1,7 @@
-// Package succession decides how a process hands its listening sockets and its clients' connections to the one
+// Package replacement decides how a process hands its listening sockets and its clients' connections to the one
 // that replaces it: who may succeed, when connections pass, and whose each of them is. It does no I/O and has no
 // clock; what silence means, and when, its caller says with Lost.
-package succession
+package replacement
 
 // State is how far the old process has come.
 type State int
--- a/succession/succession_test.go
+++ b/replacement/replacement_test.go
@@ -1,4 +1,4 @@
-package succession
+package replacement
 
 import (
 	"fmt"
