--- a/internal/front/slots.go
+++ b/internal/front/slots.go
@@ -14,12 +14,8 @@
 )
 
 const (
-	restful    = 2 * time.Second        // without an open request: the platform lets it be closed then
-	firstWord  = 250 * time.Millisecond // clients that mean to ask send as they connect; where no slot is left
-	spareSlots = 8                      // one part in so many is kept free, lest a client wait for a close
-	evictTries = 16                     // connections looked at for one that can be closed
-	slotPause  = 20 * time.Millisecond  // between looks while every slot is taken
-	stopLook   = time.Millisecond       // how long a stopping listener waits for one more connection
+	slotPause = 20 * time.Millisecond // between looks while every slot is taken
+	stopLook  = time.Millisecond      // how long a stopping listener waits for one more connection
 )
 
 // slots is a listener that takes so many connections at once, since descriptors are few, and makes room:
@@ -41,6 +37,9 @@
 	closed   chan struct{} // when no more arrive
 	once     sync.Once
 
+	writeStall time.Duration // for a piece of an answer
+	unread     func()        // told of each answer that its client did not read
+
 	mu      sync.Mutex
 	open    int
 	resting *list.List // of *rest: those without an open request, the longest first
@@ -62,6 +61,7 @@
 func newSlots(l net.Listener, most int) *slots {
 	return &slots{Listener: l, most: most, freed: make(chan struct{}, 1), stopped: make(chan struct{}),
 		arriving: make(chan arrival), closed: make(chan struct{}), changed: make(chan struct{}),
+		writeStall: writeStall, unread: func() {},
 		resting: list.New(), rests: map[net.Conn]*list.Element{}, conns: map[*conn]struct{}{}}
 }
 
@@ -92,7 +92,10 @@
 		if !ok || !e.Timeout() {
 			return nil, err
 		}
-		if s.stopping.Load() { // none is waiting: close now
+		if s.stopping.Load() {
+			if socket.Arrived(s.Listener) {
+				continue // the deadline had passed before the look at the queue
+			}
 			s.Listener.Close()
 			close(s.stopped)
 			return nil, errStopped
@@ -118,7 +121,7 @@
 	if !ok {
 		return nc
 	}
-	c := &conn{TCPConn: tcp, parted: s.parted}
+	c := &conn{TCPConn: tcp, parted: s.parted, writeStall: s.writeStall, unread: s.unread}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
@@ -308,77 +311,6 @@
 	s.Listener.Close() // it cannot be asked without waiting
 }
 
-// take takes a slot if one is free, and closes one connection if few are.
-func (s *slots) take() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	full := s.open >= s.most
-	if !full {
-		s.open++
-	}
-	if s.open > s.most-s.most/spareSlots {
-		s.evict(full)
-	}
-	return !full
-}
-
-// evict closes the connection that has rested longest. Where no slot is left it need not have rested long: one
-// that finds no slot waits in vain. A connection with a request that is not read yet is passed over: the first
-// request on a connection is lost by a close, and each later one costs a new connection.
-func (s *slots) evict(full bool) {
-	least := restful
-	if full {
-		least = firstWord
-	}
-	for e, tries := s.resting.Front(), 0; e != nil && tries < evictTries; e, tries = e.Next(), tries+1 {
-		r := e.Value.(*rest)
-		if time.Since(r.since) < least {
-			return // those behind have rested less
-		}
-		if socket.Quiet(r.conn) {
-			s.forget(r.conn)
-			takeBack(r.conn) // its slot is free once net/http has noticed
-			return
-		}
-	}
-}
-
-// takeBack has a connection closed that rests, unless a request comes in on it meanwhile.
-func takeBack(c net.Conn) {
-	if c, ok := c.(*conn); ok {
-		c.leave()
-		return
-	}
-	c.Close()
-}
-
-// closeResting closes each connection that has rested at least so long, unless a request comes in on it, and
-// says how many still rest. One that has had no request yet is left for firstWord: a client that has just
-// connected sends its request next, and a close then would lose it.
-func (s *slots) closeResting(least time.Duration) (left int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for e := s.resting.Front(); e != nil; e = e.Next() {
-		r := e.Value.(*rest)
-		if time.Since(r.since) < least {
-			return left // those behind have rested less
-		}
-		if r.fresh && time.Since(r.since) < firstWord {
-			continue
-		}
-		left++
-		takeBack(r.conn)
-	}
-	return left
-}
-
-func (s *slots) forget(c net.Conn) {
-	if e := s.rests[c]; e != nil {
-		s.resting.Remove(e)
-		delete(s.rests, c)
-	}
-}
-
 func (s *slots) release() {
 	s.mu.Lock()
 	s.open--
@@ -400,6 +332,10 @@
 		if known != nil {
 			known.rests()
 		}
+	case http.StateActive:
+		if known != nil {
+			known.begins()
+		}
 	case http.StateClosed, http.StateHijacked:
 		delete(s.conns, known)
 		s.change()
