Let many connections to one server rest too once something unasked came on one

A second answer that crosses a request was taken for that request's where a server had over eight connections (hasRested: none rests there), and for all that followed on the connection, one off: there is always an answer too many on it, but never at the moment of the look. take() also preferred the connection used last, the one least rested.

Matching an answer to its request by content is not to be had: bodies and headers are the server's own.

Now: of many connections one that has rested is preferred, else the longest rested, at no cost. When something unasked is found on a resting connection, all of that server's rest 20 ms for the next 10 s; others are opened meanwhile while fewer than eight rest (of more, one has rested soon). A second answer before the first one was seen, or one later than 20 ms, may still cross.

Tests set the actor's time by hand, the old ones unchanged; and an unsafe request that is reset at 50 to 99 % of its deadline: one attempt, answered at that moment. Both new tests of the actor fail before: they name what is new (unasked, waryFor).

--- a/internal/egress/target.go
+++ b/internal/egress/target.go
@@ -8,6 +8,7 @@
 
 	"junctionring/control"
 	"junctionring/internal/core"
+	"junctionring/internal/socket"
 )
 
 const (
@@ -19,11 +20,14 @@
 
 	// An answer may come twice, the second time some milliseconds later: a request that crosses it on the connection
 	// would take it for its own. So a connection rests before it is used again, for a part of the time that answers
-	// take, lest a fast target be held up; where there are many connections none does.
+	// take, lest a fast target be held up. Where there are many connections one that has rested is preferred, but none
+	// is waited for. Where something unasked was seen lately all rest, and for longer; others are opened meanwhile.
 	answersOver = 8 // answers, for the time that they take
 	restShare   = 4
 	restMost    = 10 * time.Millisecond
 	restFew     = 8
+	restWary    = 2 * restMost
+	waryFor     = 10 * time.Second
 )
 
 // Options are the figures that all targets share.
@@ -77,6 +81,7 @@
 	answers time.Duration // that they take, averaged
 	heard   time.Time
 	failed  time.Time // last dial that did not come up
+	unasked time.Time // when a connection last had something on it that nobody had asked for
 }
 
 func (t *target) post(m any) bool {
@@ -200,34 +205,55 @@
 	}
 }
 
-// take is the connection used last of the idle ones that have rested, or nil.
+// take is an idle connection that is fit for the next attempt, or nil.
 func (t *target) take() *conn {
-	for i := len(t.idle) - 1; i >= 0; i-- {
+	for i := t.choose(); i >= 0; i = t.choose() {
 		c := t.idle[i]
-		if !t.hasRested(c) {
-			continue
-		}
 		t.idle = slices.Delete(t.idle, i, i+1)
 		if time.Since(c.used) < t.idleLimit() && c.alive() {
 			return c
 		}
-		c.Close() // closed, or something unasked came that must not be read as the next answer
+		if socket.Unread(c.Conn) {
+			t.unasked = time.Now() // it must not be read as the next answer
+		}
+		c.Close()
 		t.release()
 	}
 	return nil
 }
 
-func (t *target) hasRested(c *conn) bool {
-	return !c.answered || t.open > restFew || time.Since(c.used) >= t.rest()
+// choose is the place of the idle connection to be used next: the one used last of those that have rested, else, where
+// there are many, the one that has rested longest; -1: none yet.
+func (t *target) choose() int {
+	for i := len(t.idle) - 1; i >= 0; i-- {
+		if c := t.idle[i]; !c.answered || time.Since(c.used) >= t.rest() {
+			return i
+		}
+	}
+	if len(t.idle) > 0 && t.open > restFew && !t.wary() {
+		return 0
+	}
+	return -1
 }
 
+// wary tells whether the target has sent something unasked lately.
+func (t *target) wary() bool { return time.Since(t.unasked) < waryFor }
+
 // rest is how long a connection rests between two uses.
-func (t *target) rest() time.Duration { return min(restMost, t.answers/restShare) }
+func (t *target) rest() time.Duration {
+	if t.wary() {
+		return restWary
+	}
+	return min(restMost, t.answers/restShare)
+}
 
 // dial opens connections for those that wait, where none that rests will do soon, and those that are to rest warm,
 // within the bounds. One that failed is not tried again for the sake of warmth before the next sweep.
 func (t *target) dial() {
 	cold, wanted := 0, max(0, len(t.waiting)-len(t.idle))
+	if t.wary() && len(t.idle) < restFew { // of more, one has rested soon
+		wanted = len(t.waiting)
+	}
 	if time.Since(t.failed) >= t.idleLimit()/4 {
 		cold = max(0, t.site.Warm-len(t.idle))
 	}
--- a/internal/egress/target_test.go
+++ b/internal/egress/target_test.go
@@ -177,3 +177,58 @@
 		t.Error("it is held back")
 	}
 }
+
+// two is reused with a second connection that has been used after the first, and a target that has many.
+func two(t *testing.T) (a *target, first, second *conn, far net.Conn) {
+	t.Helper()
+	a, first, far = reused(t)
+	near, other := net.Pipe()
+	t.Cleanup(func() { near.Close(); other.Close() })
+	a.site.permits, a.open = make(chan struct{}, 2*restFew), restFew+1
+	for range a.open {
+		a.site.permits <- struct{}{}
+	}
+	second = newConn(near, a.address)
+	second.answered, second.used = true, first.used.Add(time.Millisecond)
+	a.idle = append(a.idle, second)
+	return a, first, second, far
+}
+
+// Where there are many connections that have not rested, the one that has rested longest is used, and none is waited for.
+func TestManyConnectionsUseTheOneThatRestedLongest(t *testing.T) {
+	a, first, _, _ := two(t)
+	next := &lease{got: make(chan *conn, 1)}
+	a.handle(next)
+	if len(next.got) == 0 {
+		t.Fatal("it is held back")
+	}
+	if got := <-next.got; got != first {
+		t.Error("the connection that was used last is used again")
+	}
+}
+
+// A target that has sent something unasked has all its connections rest, many or few, and others are opened meanwhile;
+// some seconds later it is as before.
+func TestSecondAnswerMakesAllConnectionsRest(t *testing.T) {
+	a, first, second, far := two(t)
+	far.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmore")) // on loopback it lies there at once
+	next := &lease{got: make(chan *conn, 1)}
+	a.handle(next)
+	if len(next.got) > 0 {
+		t.Fatal("a connection is used again that has not rested")
+	}
+	if _, err := first.Write(nil); err == nil {
+		t.Error("the connection with an answer on it is still open")
+	}
+	if a.dialing != 1 {
+		t.Errorf("%d connections are being opened for the one that waits", a.dialing)
+	}
+	a.unasked = time.Now().Add(-waryFor)
+	a.handle(rested{})
+	if len(next.got) == 0 || <-next.got != second {
+		t.Error("it is still held back")
+	}
+	if a.rest() > restMost {
+		t.Errorf("it rests for %v", a.rest())
+	}
+}
--- a/internal/egress/timeleft_test.go
+++ b/internal/egress/timeleft_test.go
@@ -82,7 +82,7 @@
 			name := fmt.Sprintf("connections take %v, first attempt ends after %.0f %%", connect, 100*share)
 			t.Run(name, func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					attempts := timesTold(t, connect, share, deadline)
+					attempts, _ := timesTold(t, control.Safe, connect, share, deadline)
 					for i, a := range attempts {
 						if a.told > a.left {
 							t.Errorf("attempt %d tells %v with %v left", i+1, a.told, a.left)
@@ -100,13 +100,37 @@
 	}
 }
 
+// An unsafe request whose connection is reset long after it began is answered at once as failed, and not sent again.
+func TestUnsafeThatIsResetLateIsAnsweredAtOnce(t *testing.T) {
+	for _, share := range []float64{0.5, 0.9, 0.99} {
+		t.Run(fmt.Sprintf("after %.0f %%", 100*share), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const deadline = 20 * time.Second
+				attempts, answer := timesTold(t, control.Unsafe, 0, share, deadline)
+				if len(attempts) != 1 || answer.Kind != core.Failed {
+					t.Errorf("%d attempts, ended as %v", len(attempts), answer.Kind)
+				}
+				if after := time.Duration(share * float64(deadline)); answer.took > after {
+					t.Errorf("answered after %v, reset after %v", answer.took, after)
+				}
+			})
+		})
+	}
+}
+
+// timedAnswer is the final answer of a request, and how long it took.
+type timedAnswer struct {
+	core.Answer
+	took time.Duration
+}
+
 // timesTold has one request sent whose first attempt ends after a share of its deadline.
-func timesTold(t *testing.T, connect time.Duration, share float64, deadline time.Duration) []toldTime {
+func timesTold(t *testing.T, repeat control.Repeat, connect time.Duration, share float64, deadline time.Duration) ([]toldTime, timedAnswer) {
 	s := &lateServers{connect: connect, hold: time.Duration(share * float64(deadline)), began: time.Now(), deadline: time.Now().Add(deadline)}
 	fleet := egress.NewFleet(egress.Options{ConnectTimeout: time.Second, ConnIdle: time.Minute, Conns: 16, Dial: s.dial})
 	c, err := core.New(control.Settings{
 		Gateways:   1,
-		Classes:    []control.Class{{Aim: 1, Deadline: deadline.Seconds(), Worth: 1, LateWorth: 1, Repeat: control.Safe}},
+		Classes:    []control.Class{{Aim: 1, Deadline: deadline.Seconds(), Worth: 1, LateWorth: 1, Repeat: repeat}},
 		Plans:      []control.Plan{{Rate: 100, Burst: 100, Worth: 1, OverCost: 1}},
 		Limits:     control.Limits{MaxAttempts: 3, Cancel: true},
 		Guarantees: control.Guarantees{ColdFrom: 0.2, Ramp: 5, FallMultiple: 3, FallAfter: 1.5},
@@ -122,13 +146,14 @@
 		table.Targets = append(table.Targets, core.Target{Member: control.Member{Server: id, State: control.Ready}, Address: id})
 	}
 	c.Routes(table)
-	c.Do(ctx, core.Exchange{Units: 1, Spread: 1, Deadline: s.deadline,
+	answer := c.Do(ctx, core.Exchange{Units: 1, Spread: 1, Deadline: s.deadline,
 		Payload: &egress.Request{Method: "GET", Head: []byte("GET /view HTTP/1.1\r\nHost: t\r\n")}})
+	timed := timedAnswer{answer, time.Since(s.began)}
 	fleet.Update(core.Table{Kind: control.Snapshot})
 	cancel()
 	ended.Wait()
 	time.Sleep(time.Minute) // of the bubble's time: what hangs has ended
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.attempts
+	return s.attempts, timed
 }
