Test the unsafe class over sockets, half lines at a close, and whole lists that leave a server out

Unsafe: 503 and 504 without X-Not-Processed, 504 with it, half a first line, a refused connection (12 of 12 served, once each), a break before the last byte (503: it never ran), a silent server (502 by the client's time, sent nowhere else). A reset before, in and after the answer, 500 and 503 with X-Not-Processed were there. Half a line as a server closes a connection at rest is no answer: the next request goes out once, elsewhere. A server that a whole list leaves out gets 0 of 40 later requests, though it still answers, and nothing that waits for a connection to it. Nothing was to be mended.

--- /dev/null
+++ b/internal/ingress/drain_test.go
@@ -0,0 +1,74 @@
+package ingress_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"junctionring/control"
+	"junctionring/internal/egress"
+)
+
+// A server that a whole list leaves out is gone, though it still answers: what is out is finished, and nothing new comes
+// to it from the moment the list is taken.
+func TestAbsentFromAWholeListGetsNothingNew(t *testing.T) {
+	const later = 40
+	absent, left := newPeer(t), newPeer(t)
+	address, c := start(t, fleet(), absent)
+	request := func(i int) string {
+		return strings.Replace(view, "9b1f03aa5c7e2d41", fmt.Sprintf("9b1f03aa5c7e%04d", i), 1)
+	}
+	one := dial(t, address)
+	io.WriteString(one, request(1))
+	out := <-absent.got
+	c.Routes(table(control.Ready, left))
+	c.Settle()
+	absent.answer(out, ok)
+	one.served(t)
+	go func() {
+		for r := range left.got {
+			left.answer(r, ok)
+		}
+	}()
+	for i := range later {
+		client := dial(t, address)
+		io.WriteString(client, request(100+i))
+		client.served(t)
+	}
+	if n := len(absent.got); n > 0 {
+		t.Errorf("%d of %d later requests went to the server that is gone", n, later)
+	}
+}
+
+// What waits for a connection to a server that a whole list leaves out is not sent there.
+func TestQueuedSendIsDroppedWhenAWholeListLeavesItsServerOut(t *testing.T) {
+	absent := newPeer(t)
+	f := egress.NewFleet(egress.Options{ConnectTimeout: time.Second, ConnIdle: time.Minute, Conns: 1})
+	address, c := start(t, f, absent)
+	one, two := dial(t, address), dial(t, address)
+	io.WriteString(one, view)
+	out := <-absent.got // it holds the only connection
+	io.WriteString(two, strings.Replace(view, "9b1f03aa5c7e2d41", "9b1f03aa5c7e2d42", 1))
+	waiting := make(chan int, 1)
+	go func() {
+		resp, err := http.ReadResponse(two.in, nil)
+		if err != nil {
+			waiting <- 0
+			return
+		}
+		waiting <- resp.StatusCode
+	}()
+	c.Settle()
+	c.Routes(table(control.Ready))
+	if status := <-waiting; status != 503 {
+		t.Errorf("the request that waited was answered %d", status)
+	}
+	absent.answer(out, ok)
+	one.served(t)
+	if len(absent.got) > 0 {
+		t.Error("a server that is gone got something new")
+	}
+}
--- a/internal/ingress/unsafe_test.go
+++ b/internal/ingress/unsafe_test.go
@@ -1,9 +1,12 @@
 package ingress_test
 
 import (
+	"fmt"
 	"io"
+	"net"
 	"strings"
 	"testing"
+	"time"
 )
 
 const stake = "POST /stake/3 HTTP/1.1\r\n" + headers + "Content-Length: 4\r\n\r\ne2e4"
@@ -29,7 +32,11 @@
 	}{
 		{"reset", "", false, 502},
 		{"cut in its answer", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nhe", false, 502},
+		{"cut in its first line", "HTTP/1.1 20", false, 502},
 		{"failed", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", false, 502},
+		{"503 that may have run", "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", false, 502},
+		{"504 that may have run", "HTTP/1.1 504 No\r\nContent-Length: 0\r\n\r\n", false, 502},
+		{"504 that never ran", "HTTP/1.1 504 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n", true, 200},
 		{"turned away", full, true, 200},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -61,3 +68,99 @@
 		t.Errorf("a GET of an unsafe class: answered %d", resp.StatusCode)
 	}
 }
+
+// An unsafe request whose server refuses the connection never ran there, and goes to another server, once.
+func TestUnsafeGoesOnFromARefusedConnection(t *testing.T) {
+	const requests = 12
+	gone, live := newPeer(t), newPeer(t)
+	gone.Close()
+	go func() {
+		for r := range live.got {
+			live.answer(r, ok)
+		}
+	}()
+	address, _ := start(t, fleet(), gone, live)
+	for i := range requests {
+		client := dial(t, address)
+		io.WriteString(client, strings.Replace(stake, "9b1f03aa5c7e2d41", fmt.Sprintf("9b1f03aa5c7e2d%02d", i), 1))
+		client.served(t)
+	}
+}
+
+// An unsafe request that breaks before its last byte is written never ran: its client is told that trying again is
+// harmless. It can't be sent again here, since its body was not kept.
+func TestUnsafeThatBreaksBeforeItsLastByte(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	connections := make(chan net.Conn, 16)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			connections <- c
+		}
+	}()
+	address, _ := start(t, fleet(), &peer{Listener: l})
+	const length = 1 << 20
+	client := dial(t, address)
+	io.WriteString(client, strings.Replace(strings.Replace(stake, "Content-Length: 4", fmt.Sprintf("Content-Length: %d", length), 1), "e2e4", "", 1))
+	client.Write(make([]byte, length/2))
+	server := <-connections
+	if _, err := io.ReadFull(server, make([]byte, 64)); err != nil {
+		t.Fatal(err)
+	}
+	server.(*net.TCPConn).SetLinger(0)
+	server.Close()
+	client.Write(make([]byte, length/2-1)) // it may be closed by now
+	if resp, _ := client.read(t); resp.StatusCode != 503 {
+		t.Errorf("answered %d, want 503", resp.StatusCode)
+	}
+	if len(connections) > 0 {
+		t.Error("sent again without its body")
+	}
+}
+
+// An unsafe request whose server is silent is answered by the client's time as failed, and is sent nowhere else.
+func TestUnsafeTimesOutInTime(t *testing.T) {
+	const wait, slack = 600 * time.Millisecond, 500 * time.Millisecond
+	one, two := newPeer(t), newPeer(t)
+	address, _ := start(t, fleet(), one, two)
+	client := dial(t, address)
+	began := time.Now()
+	io.WriteString(client, strings.Replace(stake, "X-Timeout: 3000m", "X-Timeout: 600m", 1))
+	either(one, two)
+	resp, _ := client.read(t)
+	if took := time.Since(began); resp.StatusCode != 502 || took > wait+slack {
+		t.Errorf("answered %d after %v", resp.StatusCode, took)
+	}
+	if len(one.got)+len(two.got) > 0 {
+		t.Error("sent again")
+	}
+}
+
+// Half a line that comes as a server closes a connection at rest is no answer to the next request: that goes out once,
+// on another connection.
+func TestHalfALineAtTheCloseIsNoAnswer(t *testing.T) {
+	p := newPeer(t)
+	address, _ := start(t, fleet(), p)
+	client := dial(t, address)
+	for _, text := range []string{"HTTP/1.1 4", "H", "\r\n", "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n\r\n"} {
+		io.WriteString(client, stake)
+		r := <-p.got
+		io.WriteString(r.conn, ok)
+		client.served(t)
+		io.WriteString(r.conn, text) // on loopback it lies there at once
+		r.conn.Close()
+	}
+	io.WriteString(client, stake)
+	p.answer(<-p.got, ok)
+	client.served(t)
+	if len(p.got) > 0 {
+		t.Error("sent twice")
+	}
+}
