--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,6 +45,7 @@
 	tally   *counter.Redis
 	roster  *routetable.Roster
 	fence   *fence.Gate // of the operators' calls
+	inUse   targetList  // as the core was told last
 	log     *slog.Logger
 }
 
@@ -108,8 +109,12 @@
 	return next, v.Number, v.Content
 }
 
-// targets has the targets of a version that comes into force used.
+// targets has the targets of a version that comes into force used. Most versions change none of them, and a list of
+// thousands costs the core more than all else of a version.
 func (g *Gateway) targets(o *config.Operator) {
+	if !g.inUse.change(o.Targets) {
+		return
+	}
 	if o.Discovery.Address == "" {
 		g.Core.Routes(routetable.Static(o))
 		return
@@ -134,8 +139,8 @@
 func (g *Gateway) Start(ctx, ready context.Context) bool {
 	go g.Core.Run(ctx)
 	go g.tally.Run(ctx)
+	g.targets(g.o) // before a version can come
 	go g.Steward.Run(ctx)
-	g.targets(g.o)
 	if g.o.Discovery.Address == "" {
 		return true
 	}
