Rename the steward to configuration manager, one job a file

internal/configuration: Manager in manager.go (the actor), the kept documents in documents.go, the steps of a version (check, stage, save, apply) in steps.go; Gateway.Configuration in place of Gateway.Steward. No behaviour changes; what operators see stays. Tests: internal/configuration, internal/gateway with -race.

--- a/internal/configuration/steward_test.go
+++ b/internal/configuration/manager_test.go
@@ -161,9 +161,9 @@
 }
 
 func (r *rig) running() int64 {
-	s, ok := r.g.Steward.Status()
+	s, ok := r.g.Configuration.Status()
 	if !ok {
-		r.t.Fatal("the steward has ended")
+		r.t.Fatal("the manager has ended")
 	}
 	return s.InForce.Number
 }
--- /dev/null
+++ b/internal/configuration/steps.go
@@ -0,0 +1,121 @@
+package configuration
+
+import (
+	"fmt"
+	"slices"
+
+	"junctionring/control"
+	"junctionring/internal/config"
+	"junctionring/internal/forwardauth"
+	"junctionring/internal/snapshot"
+	"junctionring/versions"
+)
+
+// staged is a version that was built beside the one in force.
+type staged struct {
+	o    *config.Operator
+	view *forwardauth.View
+}
+
+func finished(o versions.Offer, faults []string, waiting bool) versions.Done {
+	return versions.Done{Number: o.Number, Digest: o.Digest, Faults: faults, Waiting: waiting}
+}
+
+// check reads a document and looks at it against what the gateway knows, beside its own work.
+func (m *Manager) check(o versions.Offer) {
+	content, known, now := m.documents[key{o.Number, o.Digest}], m.roster, m.now.o
+	names := append([]string(nil), m.slots.PlanNames...)
+	go func() {
+		next, errs := m.reader.Read(content)
+		var faults []string
+		for _, err := range errs {
+			faults = append(faults, err.Error())
+		}
+		if len(faults) == 0 {
+			if err := next.Module.Check(); err != nil {
+				faults = append(faults, err.Error())
+			}
+			faults = append(faults, m.plansTaken(now, next, names)...)
+			faults = append(faults, m.front.InDoubt(next)...)
+		}
+		sound := len(faults) == 0
+		if m.base.Discovery.Address != "" {
+			for _, t := range next.Targets {
+				if !known[t.ID] {
+					faults = append(faults, fmt.Sprintf("target %s is not on the roster", t.ID))
+				}
+			}
+		}
+		m.post(done{finished(o, faults, sound && len(faults) > 0), &staged{o: next}})
+	}()
+}
+
+// plansTaken names the plans that a version no longer has while customers in service use them.
+func (m *Manager) plansTaken(now, next *config.Operator, names []string) (faults []string) {
+	kept := map[string]bool{}
+	for _, p := range next.Plans {
+		kept[p.Name] = true
+	}
+	gone := false
+	for _, p := range now.Plans {
+		gone = gone || !kept[p.Name]
+	}
+	if !gone {
+		return nil
+	}
+	by := map[string]int{}
+	for number, n := range m.core.PlansInUse() {
+		if number < len(names) {
+			by[names[number]] += n
+		}
+	}
+	for _, p := range now.Plans {
+		if n := by[p.Name]; n > 0 && !kept[p.Name] {
+			faults = append(faults, fmt.Sprintf("plan %s is taken away while %d customers in service use it; move them first", p.Name, n))
+		}
+	}
+	return faults
+}
+
+// stage builds what the version needs; after it nothing can fail but the disk.
+func (m *Manager) stage(o versions.Offer) {
+	next := m.next
+	go func() {
+		view, err := m.front.NewView(next.o, nil, nil)
+		var faults []string
+		if err != nil {
+			faults = []string{err.Error()}
+		}
+		m.post(done{finished(o, faults, false), &staged{next.o, view}})
+	}()
+}
+
+func (m *Manager) save(o versions.Offer) {
+	v, path := snapshot.Version{Number: o.Number, Content: m.documents[key{o.Number, o.Digest}]}, m.base.Versions.Snapshot
+	go func() {
+		var faults []string
+		if err := snapshot.Save(path, v); err != nil {
+			faults = []string{"it can't be saved, and would be lost with the next start: " + err.Error()}
+		}
+		m.post(done{finished(o, faults, false), nil})
+	}()
+}
+
+// apply puts the staged version in force. New requests are decided under it from here on; those that are held end
+// under the one they came in with, whose numbers stay for as long.
+func (m *Manager) apply(o versions.Offer) {
+	next := m.next
+	classes, customers, plans := m.front.Classes(), m.core.PlansInUse(), m.front.Plans()
+	c, p, from := m.slots.Take(next.o, func(n int) bool { return classes[n] },
+		func(n int) bool { return plans[n] || customers[n] > 0 })
+	m.core.Reconfigure(control.Reconfigured{
+		Classes: append([]control.Class(nil), m.slots.Classes...),
+		Plans:   append([]control.Plan(nil), m.slots.Plans...), From: from,
+	})
+	next.view.Number(c, p)
+	m.core.Name(slices.Clone(m.slots.ClassNames))
+	m.front.Install(next.view)
+	m.targets(next.o)
+	m.now, m.next = next, nil
+	m.leave(done{finished(o, nil, false), nil})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,16 +37,16 @@
 
 // Gateway is an operator's gateway.
 type Gateway struct {
-	Core    *core.Core
-	Figures *telemetry.Figures
-	Steward *configuration.Steward
-	front   *forwardauth.Front
-	o       *config.Operator
-	tally   *counter.Redis
-	roster  *routetable.Roster
-	fence   *fence.Gate // of the operators' calls
-	inUse   targetList  // as the core was told last
-	log     *slog.Logger
+	Core          *core.Core
+	Figures       *telemetry.Figures
+	Configuration *configuration.Manager
+	front         *forwardauth.Front
+	o             *config.Operator
+	tally         *counter.Redis
+	roster        *routetable.Roster
+	fence         *fence.Gate // of the operators' calls
+	inUse         targetList  // as the core was told last
+	log           *slog.Logger
 }
 
 // New joins the parts; nothing runs yet. base is what the file says; where a snapshot is kept the gateway begins
@@ -82,8 +82,8 @@
 		return nil, err
 	}
 	g := &Gateway{Core: c, Figures: figures, fence: gate, front: front, o: o, tally: tally, log: log, roster: &routetable.Roster{Tell: c.Routes}}
-	g.Steward = configuration.New(base, o, number, content, c, front, g.targets, log)
-	g.roster.Known = g.Steward.Roster
+	g.Configuration = configuration.New(base, o, number, content, c, front, g.targets, log)
+	g.roster.Known = g.Configuration.Roster
 	return g, nil
 }
 
@@ -132,7 +132,7 @@
 // Operations is the handler for operators. A call that carries a lease's token (fence.Header) is turned away once a
 // later holder has called.
 func (g *Gateway) Operations(hooks management.Hooks) http.Handler {
-	return g.fence.Guard(operations.New(g.o, g.Core, g.Steward, hooks, g.log))
+	return g.fence.Guard(operations.New(g.o, g.Core, g.Configuration, hooks, g.log))
 }
 
 // Start has the parts run until ctx ends, and returns once the route table is known; false: ready ended first.
@@ -140,7 +140,7 @@
 	go g.Core.Run(ctx)
 	go g.tally.Run(ctx)
 	g.targets(g.o) // before a version can come
-	go g.Steward.Run(ctx)
+	go g.Configuration.Run(ctx)
 	if g.o.Discovery.Address == "" {
 		return true
 	}
--- a/internal/operations/config.go
+++ b/internal/operations/config.go
@@ -56,9 +56,9 @@
 }
 
 // serveConfig adds the calls for versions: GET /config and /config/document, POST /config, /config/pin, /config/unpin.
-func serveConfig(mux *http.ServeMux, steward *configuration.Steward) {
+func serveConfig(mux *http.ServeMux, manager *configuration.Manager) {
 	show := func(w http.ResponseWriter) {
-		st, ok := steward.Status()
+		st, ok := manager.Status()
 		if !ok {
 			http.Error(w, "the gateway is ending", http.StatusServiceUnavailable)
 			return
@@ -78,7 +78,7 @@
 				return
 			}
 		}
-		text := steward.Document(number)
+		text := manager.Document(number)
 		if text == nil {
 			http.Error(w, "no such document is kept (version 0 is the file)", http.StatusNotFound)
 			return
@@ -105,7 +105,7 @@
 			}
 		}
 		answer := make(chan string, 2)
-		steward.Offer(configuration.Offer{Number: number, Content: content, Rollback: r.FormValue("rollback") == "true",
+		manager.Offer(configuration.Offer{Number: number, Content: content, Rollback: r.FormValue("rollback") == "true",
 			Source: source, Answer: func(reason string) {
 				select {
 				case answer <- reason:
@@ -128,7 +128,7 @@
 	})
 	for path, on := range map[string]bool{"POST /config/pin": true, "POST /config/unpin": false} {
 		mux.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
-			steward.Pin(on)
+			manager.Pin(on)
 			show(w)
 		})
 	}
--- a/internal/operations/operations.go
+++ b/internal/operations/operations.go
@@ -25,7 +25,7 @@
 }
 
 // New is the handler of the listener. It has the calls of package management too.
-func New(o *config.Operator, c *core.Core, steward *configuration.Steward, hooks management.Hooks, log *slog.Logger) http.Handler {
+func New(o *config.Operator, c *core.Core, manager *configuration.Manager, hooks management.Hooks, log *slog.Logger) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, r *http.Request) {
 		s := Status{Ordinal: o.Ordinal, Gateways: o.Gateways}
@@ -35,7 +35,7 @@
 		if report, ok := c.Sites(); ok {
 			s.Sites = &report
 		}
-		if st, ok := steward.Status(); ok {
+		if st, ok := manager.Status(); ok {
 			s.Config = configOf(st)
 		}
 		w.Header().Set("Content-Type", "application/json")
@@ -43,7 +43,7 @@
 		in.SetIndent("", "  ")
 		in.Encode(s)
 	})
-	serveConfig(mux, steward)
+	serveConfig(mux, manager)
 	management.Calls(mux, hooks, log)
 	return mux
 }
