--- a/cmd/configstream/program_test.go
+++ b/cmd/configstream/program_test.go
@@ -25,6 +25,7 @@
 	routeCount  = flag.Int("routes", 400, "routes of a version")
 	targetCount = flag.Int("targets", 200, "targets of a version")
 	changeCount = flag.Int("changes", 5, "changes of one route each")
+	memoryLimit = flag.Int("memory", 192, "MB that the gateway may use; near its limit it collects garbage all the time")
 )
 
 const clockTicks = 100 // a second, in /proc/PID/stat
@@ -113,8 +114,8 @@
 	}
 	w := &world{t: t, service: service, dir: t.TempDir(), operations: l.Addr().String(), increments: increments}
 	l.Close()
-	file := fmt.Sprintf("listen = \"127.0.0.1:0\"\nredis = {address = %q}\noperations = {listen = %q}\nversions = {snapshot = %q}\n",
-		store.Addr(), w.operations, filepath.Join(w.dir, "last-good")) + head + "[[target]]\nid = \"t1\"\naddress = \"127.0.0.1:9\"\n"
+	file := fmt.Sprintf("listen = \"127.0.0.1:0\"\nredis = {address = %q}\noperations = {listen = %q}\nversions = {snapshot = %q}\nlimits = {memory_mb = %d}\n",
+		store.Addr(), w.operations, filepath.Join(w.dir, "last-good"), *memoryLimit) + head + "[[target]]\nid = \"t1\"\naddress = \"127.0.0.1:9\"\n"
 	if err := os.WriteFile(filepath.Join(w.dir, "operator.toml"), []byte(file), 0o600); err != nil {
 		t.Fatal(err)
 	}
