Wait for the request before to be over in the test of the figures

TestFiguresCountEachAnswer failed once in a full run of the package on a busy machine:

inservice_test.go:49: 2 requests held while one is

The test is at fault: a request is held until just after its answer is written (it says so at its own end), and the next one was sent on another connection as soon as the answer had been read. It now waits for none to be held before each request; the check for exactly one while it is held stays.

--- a/internal/ingress/inservice_test.go
+++ b/internal/ingress/inservice_test.go
@@ -34,6 +34,7 @@
 		{view, "table-view", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhe"}, // cut: a reset
 		{move, "move-submit", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhe"},
 	} {
+		holds(t, figures, 0) // a request is held until just after its answer is written
 		c := dial(t, address)
 		io.WriteString(c, strings.Replace(script.message, "9b1f03aa5c7e2d41", "9b1f03aa5c7e2d4"+string(rune('a'+i)), 1))
 		answered := make(chan int, 1)
