Pause before dialling a counter again that resets connections as they come

The counter resets connections beyond the 32 that it holds. Line dialled again at once for each that broke (handle, broken), with no pause but for a refused one: before a counter that turns connections away that is a dial after another without end, one processor's worth, and each takes a descriptor.

Two connections in a row that ended with no answer on them now make it wait for 100 ms, as a refused one does, and dial again by itself then. A single reset costs no pause.

Tests, real connections: six dials take 0.4 s at least. And one that needed no mend: a counter that closes 40 connections at rest, half of them with half a line, leaves 0 of 40 calls in doubt, with at most two open at once. That an idle limit near 1 s crosses calls was read, not tested: the gateway pings after 1 to 2 s.

--- /dev/null
+++ b/internal/counter/limits_test.go
@@ -0,0 +1,107 @@
+package counter_test
+
+import (
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"junctionring/control"
+	"junctionring/internal/counter"
+)
+
+// A counter that resets each connection as it comes, as one that holds too many does, is not dialled without a pause.
+func TestCounterThatTurnsConnectionsAwayIsNotStormed(t *testing.T) {
+	const dials, pause = 6, 100 * time.Millisecond
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	came := make(chan time.Time, 1024)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			came <- time.Now()
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		}
+	}()
+	add := run(t, counter.NewLine(l.Addr().String(), 30*time.Millisecond))
+	enough := make(chan time.Duration, 1)
+	go func() {
+		first := <-came
+		for range dials - 1 {
+			<-came
+		}
+		enough <- time.Since(first)
+	}()
+	for {
+		select {
+		case took := <-enough:
+			if least := (dials - 2) * pause; took < least { // the first two may follow each other at once
+				t.Errorf("%d dials within %v, want %v at least", dials, took, least)
+			}
+			return
+		case a := <-add(7, 1):
+			if a.status == control.OK {
+				t.Fatal("a call that nobody answered was added")
+			}
+		}
+	}
+}
+
+// A counter that closes connections at rest, at once or with half a line on them, leaves no call in doubt that comes
+// after, and one connection at a time is all that the gateway has open.
+func TestCounterThatClosesAtRestLeavesNothingInDoubt(t *testing.T) {
+	const rounds = 40 // more than the 32 connections that a counter holds
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	var open, most atomic.Int64
+	served, ended := make(chan net.Conn), make(chan struct{})
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			most.Store(max(most.Load(), open.Add(1)))
+			go func() {
+				defer func() { open.Add(-1); c.Close(); ended <- struct{}{} }()
+				b := make([]byte, 256)
+				for {
+					if _, err := c.Read(b); err != nil {
+						return
+					}
+					io.WriteString(c, "ok 1\r\n")
+					served <- c
+				}
+			}()
+		}
+	}()
+	line := counter.NewLine(l.Addr().String(), 5*time.Second)
+	add := run(t, line)
+	for i := range rounds {
+		call := add(7, 1)
+		c := <-served
+		if a := <-call; a != (answer{control.OK, 1}) {
+			t.Errorf("call %d ended as %v", i, a)
+		}
+		if i%2 == 1 {
+			io.WriteString(c, "ok ")
+		}
+		c.(*net.TCPConn).CloseWrite()
+		<-ended // the gateway has seen the end, and closed too
+	}
+	if n := most.Load(); n > 2 {
+		t.Errorf("%d connections were open at once", n)
+	}
+	go func() { <-ended }() // the last one, when the actor ends
+}
--- a/internal/counter/line.go
+++ b/internal/counter/line.go
@@ -66,12 +66,14 @@
 	}
 	broken struct{ wire *wire }
 	moved  struct{ address string }
+	redial struct{} // a pause is over
 )
 
 // wire is a connection and the calls written to it that have no answer yet, in order.
 type wire struct {
 	net.Conn
-	out []*call
+	out      []*call
+	answered bool // it has brought an answer
 }
 
 // Line is the counter on the line protocol: an actor that pipelines calls over one connection. A call given
@@ -82,11 +84,12 @@
 	mailbox chan any
 	done    chan struct{}
 
-	wire    *wire // nil: none that takes calls
-	dialing bool
-	retryAt time.Time
-	waiting []*call // for a connection
-	lastUse time.Time
+	wire       *wire // nil: none that takes calls
+	dialing    bool
+	retryAt    time.Time
+	waiting    []*call // for a connection
+	unanswered int     // connections in a row that ended with no answer on them
+	lastUse    time.Time
 }
 
 // NewLine makes the actor for the counter at an address; each call is given up after timeout.
@@ -181,6 +184,8 @@
 	case broken:
 		l.drop(m.wire)
 		l.connect(ctx)
+	case redial:
+		l.connect(ctx)
 	case moved:
 		l.move(ctx, m.address)
 	}
@@ -251,6 +256,7 @@
 	w.Close()
 	if w == l.wire {
 		l.wire = nil
+		l.pauseDials(w)
 	}
 	for _, c := range w.out {
 		c.finish(control.Timeout, 0)
@@ -258,6 +264,18 @@
 	w.out = nil
 }
 
+// pauseDials keeps a counter that turns connections away, say because it holds too many, from being dialled without end.
+func (l *Line) pauseDials(ended *wire) {
+	l.unanswered++
+	if ended.answered {
+		l.unanswered = 0
+	}
+	if l.unanswered > 1 { // a single one may have been reset
+		l.retryAt = time.Now().Add(redialPause)
+		time.AfterFunc(redialPause, func() { l.post(redial{}) })
+	}
+}
+
 // tend pings an idle connection, lest the counter close it as a call is written.
 func (l *Line) tend(ctx context.Context, now time.Time) {
 	switch {
@@ -281,7 +299,7 @@
 		l.drop(w) // not the answer to this call: nor can any behind it be told apart from noise
 		return
 	}
-	w.out = w.out[1:]
+	w.out, w.answered = w.out[1:], true
 	c.finish(status, total)
 	if w != l.wire && len(w.out) == 0 {
 		w.Close() // the counter has moved, and this was the last answer
