Test three guards of increments that no test missed, and publish shown documents again

What was under way ends with a refused piece; a part that ends within a string over lines is read with the whole; the whole state is sent, once, after a refusal of the base. TestServiceGoneMidChange relied on the service being slow; it is scripted now. TestFleet restarts all gateways at once, with their bases known and forgotten. A document that tells its parts is published without the lines that do so.

--- a/configdelta/configdelta_test.go
+++ b/configdelta/configdelta_test.go
@@ -164,6 +164,40 @@
 	}
 }
 
+// A refused piece takes what waited for a verdict, or for its next piece, with it.
+func TestRefusedPieceEndsWhatWasUnderWay(t *testing.T) {
+	h := configdelta.NewHistory(8, 2<<10)
+	one := publish(t, h, 1, 1, document(200))
+	two := publish(t, h, 2, 1, document(200, 50))
+	step := configdelta.Between(&one, two, false, configdelta.MaxPieceBytes)[0]
+	bad := step
+	bad.Hash[0]++
+
+	r := configdelta.NewReader(one)
+	if state, err := r.Receive(step); err != nil || state == nil {
+		t.Fatal(state, err)
+	}
+	if _, err := r.Receive(bad); err == nil {
+		t.Fatal("taken")
+	}
+	r.Accept()
+	if r.Held().Ref() != one.Ref() {
+		t.Errorf("%v is held", r.Held().Ref())
+	}
+
+	whole := configdelta.Between(nil, two, false, 2<<10)
+	if _, err := r.Receive(whole[0]); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := r.Receive(bad); err == nil {
+		t.Fatal("taken")
+	}
+	if _, err := r.Receive(whole[1]); err == nil {
+		t.Error("an increment went on after a refusal")
+	}
+	receive(t, r, whole)
+}
+
 func TestRollback(t *testing.T) {
 	h := configdelta.NewHistory(8, 64<<10)
 	publish(t, h, 1, 1, document(100))
@@ -195,6 +229,16 @@
 	}
 }
 
+// An operator may publish what a gateway shows.
+func TestDocumentWithPartsIsPublishedAgain(t *testing.T) {
+	h := configdelta.NewHistory(8, 64<<10)
+	one := publish(t, h, 1, 1, document(300))
+	two := publish(t, h, 2, 1, string(one.Document()))
+	if two.Hash() != one.Hash() {
+		t.Error("the same document came out as another")
+	}
+}
+
 // A line like [[route]] in a string over several lines is none of the document's.
 func TestLinesInStringsAreNotCut(t *testing.T) {
 	text := "note = \"\"\"\n[[route]]\n" + strings.Repeat("[[route]]\nx\n", 500) + "\"\"\"\n"
--- a/configdelta/cut.go
+++ b/configdelta/cut.go
@@ -18,7 +18,7 @@
 // Cut divides a document into parts: whole top-level [[tables]], several of one kind in a part. Parts that previous
 // has already keep their names. A document with strings over several lines is not cut.
 func Cut(document string, previous State) ([]Part, error) {
-	contents := cutContents(document)
+	contents := cutContents(withoutMarks(document))
 	names, err := nameParts(contents, previous.parts)
 	if err != nil {
 		return nil, err
@@ -32,6 +32,19 @@
 	return parts, nil
 }
 
+// withoutMarks is a document that tells its parts without the lines that do so; any other is returned as it is.
+func withoutMarks(document string) string {
+	_, parts, err := SplitDocument(document)
+	if err != nil {
+		return document
+	}
+	var b strings.Builder
+	for _, p := range parts {
+		b.WriteString(p.Content)
+	}
+	return b.String()
+}
+
 // cutContents divides a document at the lines that begin a top-level array table.
 func cutContents(document string) (contents []string) {
 	if document != "" && !strings.HasSuffix(document, "\n") {
--- a/internal/config/parts_test.go
+++ b/internal/config/parts_test.go
@@ -59,6 +59,8 @@
 	}
 	for name, text := range map[string]string{
 		"a part that goes on with the one before": "#increments 1 epoch=1\n#part a\n[[route]]\npath = \"/x\"\n#part b\nmax_body = 5\n",
+		"a part that ends within a string": "#increments 1 epoch=1\n#part a\nlisten = \"\"\"\n" +
+			"#part b\n[[route]]\npath = \"/x\"\nclass = \"table-view\"\n#part c\n[[plan]]\n\"\"\"\n",
 		"without parts": good,
 		"parts swapped": "#increments 1 epoch=1\n#part b\n[[route]]\npath = \"/x\"\n#part a\n[[route]]\npath = \"/y\"\n",
 	} {
--- a/internal/controlplane/delta_test.go
+++ b/internal/controlplane/delta_test.go
@@ -241,25 +241,29 @@
 
 // The service goes in the middle of a whole state; the next one has it begin again. Nothing half comes into force.
 func TestServiceGoneMidChange(t *testing.T) {
-	first, second, g := service(t), service(t), newHollow()
-	l := standin.NewLink(standin.LinkOptions{Delay: 5 * time.Millisecond})
-	defer l.Close()
-	near, err := l.To(first.Addr())
-	if err != nil {
+	text := routesDocument(3000, "")
+	h := configdelta.NewHistory(1, 16<<10)
+	if err := h.Publish(1, 1, false, text); err != nil {
 		t.Fatal(err)
 	}
-	followIncrements(t, g, "gw-0", near, second.Addr())
-	text := routesDocument(10_000, "") // more than ten pieces, each answered over the link
-	pushIncrement(t, first, 1, 1, text)
-	for {
-		if sent, _ := first.Traffic(); sent > 100<<10 {
-			break
+	pieces := h.Whole()
+	first := &script{ends: true, answers: make(chan *discovery.DeltaDiscoveryRequest, 1000)}
+	for _, piece := range pieces[:len(pieces)/2] {
+		m, err := controlplane.EncodePiece(piece)
+		if err != nil {
+			t.Fatal(err)
+		}
+		first.send = append(first.send, m)
+	}
+	second, g := service(t), newHollow()
+	followIncrements(t, g, "gw-0", first.serve(t), second.Addr())
+	for range first.send {
+		if answer := <-first.answers; answer.ErrorDetail != nil {
+			t.Fatal(answer.ErrorDetail)
 		}
-		time.Sleep(time.Millisecond)
 	}
-	first.Vanish()
-	if len(g.applied) != 0 {
-		t.Fatalf("%v applied before all pieces came", g.applied)
+	if n, _ := g.Running(t.Context()); n != 0 {
+		t.Fatalf("version %d in force before all pieces came", n)
 	}
 	pushIncrement(t, second, 1, 1, text)
 	g.await(t, 1)
@@ -342,6 +346,7 @@
 type script struct {
 	discovery.UnimplementedAggregatedDiscoveryServiceServer
 	send    []*discovery.DeltaDiscoveryResponse
+	ends    bool // its stream ends after the last one
 	answers chan *discovery.DeltaDiscoveryRequest
 }
 
@@ -359,10 +364,27 @@
 		}
 		s.answers <- answer
 	}
+	if s.ends {
+		return errors.New("the service is gone")
+	}
 	<-stream.Context().Done()
 	return nil
 }
 
+// serve serves the script until the test ends, and returns where.
+func (s *script) serve(t *testing.T) (address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := grpc.NewServer()
+	discovery.RegisterAggregatedDiscoveryServiceServer(server, s)
+	go server.Serve(listener)
+	t.Cleanup(server.Stop)
+	return listener.Addr().String()
+}
+
 // Each kind of bad increment is refused at once with its reason, and the next good one is taken.
 func TestBadIncrementsAreRefused(t *testing.T) {
 	h := configdelta.NewHistory(8, 256<<10)
@@ -414,16 +436,8 @@
 	for _, c := range cases {
 		s.send = append(s.send, c.m)
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	server := grpc.NewServer()
-	discovery.RegisterAggregatedDiscoveryServiceServer(server, s)
-	go server.Serve(listener)
-	t.Cleanup(server.Stop)
 	g := newHollow()
-	followIncrements(t, g, "gw-0", listener.Addr().String())
+	followIncrements(t, g, "gw-0", s.serve(t))
 	for i, c := range cases {
 		select {
 		case answer := <-s.answers:
--- a/internal/controlplane/fleet_test.go
+++ b/internal/controlplane/fleet_test.go
@@ -132,7 +132,7 @@
 	f := &fleet{service: service(t), increments: increments, changed: make(chan struct{}, 1),
 		published: &published{documents: map[int64][]byte{}, digests: map[int64]uint64{}}}
 	h := configdelta.NewHistory(1, 1)
-	for n := range int64(*fleetChanges + 1) {
+	for n := range int64(*fleetChanges + 3) { // the first, the changes, and two while all are restarted
 		text := fleetDocument(int(n + 1))
 		if err := h.Publish(n+1, 1, false, text); err != nil {
 			t.Fatal(err)
@@ -261,10 +261,39 @@
 	return perChange
 }
 
+// restartAll ends all gateways, pushes a change, and starts all at once; what a gateway is sent until all are on it is
+// logged. With forget the service knows no base of theirs any more.
+func (f *fleet) restartAll(t *testing.T, number int64, forget bool) (perGateway float64) {
+	for _, stop := range f.stops {
+		stop()
+	}
+	f.push(t, number)
+	if forget {
+		f.service.ForgetBases()
+	}
+	sent0, _ := f.service.Traffic()
+	begun := time.Now()
+	for i := range f.gateways {
+		f.stops[i] = f.follow(t, i)
+	}
+	f.await(t, number)
+	sent, _ := f.service.Traffic()
+	perGateway = float64(sent-sent0) / float64(len(f.gateways))
+	t.Logf("all %d restarted at once, bases forgotten %v: %.0f bytes to a gateway, all on the newest after %v", len(f.gateways),
+		forget, perGateway, time.Since(begun).Round(time.Millisecond))
+	return perGateway
+}
+
 // A fleet of hollow gateways takes changes as whole documents and as increments, in one run.
 func TestFleet(t *testing.T) {
 	whole := startFleet(t, *fleetWhole, false).run(t, 0)
-	increments := startFleet(t, *fleetReaders, true).run(t, *fleetRestart)
+	f := startFleet(t, *fleetReaders, true)
+	increments := f.run(t, *fleetRestart)
+	last := int64(*fleetChanges + 1)
+	known, forgotten := f.restartAll(t, last+1, false), f.restartAll(t, last+2, true)
+	if known*2 > forgotten {
+		t.Errorf("%.0f bytes to a gateway that has its base, %.0f to one whose base is forgotten", known, forgotten)
+	}
 	t.Logf("%.0f times fewer bytes", whole/increments)
 	if *fleetRoutes >= plannedRoutes && increments*fewerBytesThan > whole {
 		t.Errorf("%.0f bytes a change as increments, %.0f whole", increments, whole)
