Test a relay between real processes

Service, relay, configstream and gateway: what is published comes into force behind the relay, what the gateway turns down does not.

--- a/cmd/configstream/program_test.go
+++ b/cmd/configstream/program_test.go
@@ -55,6 +55,7 @@
 	dir        string
 	operations string // of the gateway
 	increments bool
+	upstream   string // that the configstream follows: the service, or a relay
 	gateway    *exec.Cmd
 	stream     *exec.Cmd
 }
@@ -112,14 +113,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := &world{t: t, service: service, dir: t.TempDir(), operations: l.Addr().String(), increments: increments}
+	w := &world{t: t, service: service, dir: t.TempDir(), operations: l.Addr().String(), increments: increments, upstream: service.Addr()}
 	l.Close()
 	file := fmt.Sprintf("listen = \"127.0.0.1:0\"\nredis = {address = %q}\noperations = {listen = %q}\nversions = {snapshot = %q}\nlimits = {memory_mb = %d}\n",
 		store.Addr(), w.operations, filepath.Join(w.dir, "last-good"), *memoryLimit) + head + "[[target]]\nid = \"t1\"\naddress = \"127.0.0.1:9\"\n"
 	if err := os.WriteFile(filepath.Join(w.dir, "operator.toml"), []byte(file), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	w.start()
 	t.Cleanup(w.stop)
 	return w
 }
@@ -144,7 +144,7 @@
 		said += lines.Text() + "\n"
 	}
 	go io.Copy(io.Discard, log)
-	args := []string{"--service", w.service.Addr(), "--gateway", w.operations, "--node", "gw-0"}
+	args := []string{"--service", w.upstream, "--gateway", w.operations, "--node", "gw-0"}
 	if w.increments {
 		args = append(args, "--increments")
 	}
@@ -154,8 +154,37 @@
 	}
 }
 
+// startRelay starts a relay process, which the gateway's configstream follows from its next start on.
+func (w *world) startRelay() {
+	w.t.Helper()
+	relay := exec.Command(filepath.Join(programs, "configstream"), "--service", w.service.Addr(), "--relay", "127.0.0.1:0", "--node", "relay")
+	log, err := relay.StderrPipe()
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	if err := relay.Start(); err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(func() {
+		relay.Process.Kill()
+		relay.Wait()
+	})
+	lines := bufio.NewScanner(log)
+	for lines.Scan() {
+		if _, address, ok := strings.Cut(lines.Text(), "msg=\"relay serving\" listen="); ok {
+			w.upstream = address
+			go io.Copy(io.Discard, log)
+			return
+		}
+	}
+	w.t.Fatal("the relay does not serve")
+}
+
 func (w *world) stop() {
 	for _, cmd := range []*exec.Cmd{w.stream, w.gateway} {
+		if cmd == nil {
+			continue
+		}
 		cmd.Process.Kill()
 		cmd.Wait()
 	}
@@ -232,6 +261,7 @@
 	for _, increments := range []bool{false, true} {
 		t.Run(fmt.Sprintf("increments=%v", increments), func(t *testing.T) {
 			w := newWorld(t, increments)
+			w.start()
 			first := time.Now()
 			if reason := w.push(1, version(1, "submit"), false); reason != "" {
 				t.Fatal(reason)
@@ -270,6 +300,7 @@
 // Gateway and configstream end; started again, they go on from the snapshot and are sent what differs.
 func TestRestartGoesOnFromTheSnapshot(t *testing.T) {
 	w := newWorld(t, true)
+	w.start()
 	if reason := w.push(1, version(1, "submit"), false); reason != "" {
 		t.Fatal(reason)
 	}
@@ -293,3 +324,24 @@
 		t.Errorf("%d bytes sent for three routes of a document of %d", after-before, size)
 	}
 }
+
+// Service, relay, configstream and gateway, a process each but for the service: what the service publishes comes into
+// force at the gateway, and what the gateway turns down does not.
+func TestRelayBetweenProcesses(t *testing.T) {
+	w := newWorld(t, true)
+	w.startRelay()
+	w.start()
+	inForce := func(number int64) {
+		t.Helper()
+		for late := time.Now().Add(time.Minute); w.status() != number; time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(late) {
+				t.Fatalf("version %d in force, want %d", w.status(), number)
+			}
+		}
+	}
+	w.push(1, version(1, "submit"), false)
+	inForce(1)
+	w.push(2, version(2, "none"), false) // the relay passes it on; the gateway turns it down
+	w.push(3, version(3, "submit"), false)
+	inForce(3)
+}
