Seal a scenario's new coordinators for a session's life of 5 s, not for 10

The figures in docs/CAPACITY.md were taken before this; they are of the steady phase and of recoveries, in which nothing is sealed.

--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -126,7 +126,7 @@
 	for i, a := range f.to.Coordinators {
 		name := fmt.Sprintf("coordinator-%d", i+1)
 		data := filepath.Join(f.o.Dir, name)
-		text := fmt.Sprintf("name = %q\nlisten = %q\ndata = %q\nlongest_life = \"10s\"\n", name, a, data)
+		text := fmt.Sprintf("name = %q\nlisten = %q\ndata = %q\nlongest_life = %q\n", name, a, data, sessionLife)
 		for j, b := range f.to.Coordinators {
 			text += fmt.Sprintf("\n[[coordinator]]\nname = \"coordinator-%d\"\naddress = %q\n", j+1, b)
 		}
