Refuse customers beyond memory where a plan has a ceiling; test the ceiling over several gateways

Seen: a gateway that holds 20,000 customers kept nothing of a further one, so each of its tries met a full part of the hard ceiling: 50 units let in at once where the part holds 4 (TestCeilingOfACustomerBeyondMemory, which fails so without the change). Such a customer now gets nothing of a plan with a ceiling; plans without one are as before.

TestCeilingHoldsOverAllGateways plays 2, 3 and 4 gateways against an exact bucket: customers asking for up to ten times their quota, coming evenly or mostly through one gateway, the counter quick, slow (40 to 80 ms there and back) and silent for 8 s, and gateways restarting all the while, knowing nothing, with and without the counter.

Not mended: a larger part for the busier gateway needs an agreed hand-over, which no counter total proves.

--- a/control/control.go
+++ b/control/control.go
@@ -256,6 +256,8 @@
 	if len(g.customers) < maxCustomers {
 		g.customers[e.Customer] = c
 		g.order = append(g.order, c)
+	} else { // its units are forgotten at once: no ceiling could be kept
+		c.ceiling = 0
 	}
 	return c
 }
--- a/control/thin_fleet_test.go
+++ b/control/thin_fleet_test.go
@@ -33,6 +33,13 @@
 	return true
 }
 
+// draw takes units whether the bucket holds them or not, and returns what it is then short of.
+func (b *bucket) draw(now, units float64) float64 {
+	b.fill(now)
+	b.level -= units
+	return max(0, -b.level)
+}
+
 // thinCustomer is a customer whose tries come through so many gateways that each sees it seldom.
 type thinCustomer struct {
 	id            uint64
@@ -44,6 +51,7 @@
 	spikeEvery    float64
 	first, spread int
 	judge, oracle *bucket
+	ceiling       *bucket // nil: none
 }
 
 func (c *thinCustomer) asks(now, rate float64) float64 {
@@ -59,6 +67,7 @@
 	gateway int
 	event   control.Event
 	step    func(now float64)
+	to      *control.Gateway // answers of the counter do not reach the gateway that takes its place
 }
 
 type thinQueue []*thinEvent
@@ -83,6 +92,7 @@
 	asked, admitted, beyond, oracle float64
 	tries, calls                    int
 	byKind                          map[string]*[3]float64 // admitted, beyond, oracle
+	excess                          float64                // most units that a ceiling was short of
 }
 
 type thinFleet struct {
@@ -96,6 +106,10 @@
 	id       uint64
 	figures  thinFigures
 	measured float64
+	silent   func(now float64) bool // the counter gives no answer
+	lag      float64                // one way to the counter
+	skew     float64                // how unevenly a customer comes through its gateways
+	seed     uint64
 }
 
 type thinTry struct {
@@ -106,7 +120,7 @@
 
 func (f *thinFleet) at(at float64, gateway int, event control.Event, step func(float64)) {
 	f.seq++
-	heap.Push(&f.queue, &thinEvent{at, f.seq, gateway, event, step})
+	heap.Push(&f.queue, &thinEvent{at, f.seq, gateway, event, step, f.gates[gateway]})
 }
 
 func (c *thinCustomer) kind() string {
@@ -125,7 +139,7 @@
 	f.id++
 	f.pending[f.id] = t
 	c := t.customer
-	g := (c.first + int(math.Pow(f.rng.Float64(), 1.3)*float64(c.spread))) % len(f.gates)
+	g := (c.first + int(math.Pow(f.rng.Float64(), f.skew)*float64(c.spread))) % len(f.gates)
 	if now > f.measured {
 		f.figures.tries++
 		f.figures.asked += t.units
@@ -143,7 +157,11 @@
 			if now > f.measured {
 				f.figures.calls++
 			}
-			way := 0.001 + 0.001*f.rng.Float64()
+			if f.silent(now) {
+				f.at(now+f.set.Counter.Timeout, gateway, control.Counted{Name: a.Name, Status: control.Timeout, Elapsed: f.set.Counter.Timeout}, nil)
+				continue
+			}
+			way := f.lag * (1 + f.rng.Float64())
 			f.at(now+way, gateway, nil, func(now float64) {
 				t := f.totals[a.Name]
 				if t == nil || t.until < now {
@@ -157,6 +175,9 @@
 			t := f.pending[a.ID]
 			delete(f.pending, a.ID)
 			inside := t.customer.judge.take(now, t.units)
+			if c := t.customer.ceiling; c != nil {
+				f.figures.excess = max(f.figures.excess, c.draw(now, t.units))
+			}
 			if now > f.measured {
 				k := f.figures.byKind[t.customer.kind()]
 				f.figures.admitted += t.units
@@ -198,7 +219,7 @@
 		e := heap.Pop(&f.queue).(*thinEvent)
 		if e.step != nil {
 			e.step(e.at)
-		} else {
+		} else if _, late := e.event.(control.Counted); !late || f.gates[e.gateway] == e.to {
 			f.handle(e.at, e.gateway, e.event)
 		}
 	}
@@ -206,19 +227,29 @@
 }
 
 func newThinFleet(t testing.TB, set control.Settings, gateways int, seed uint64) *thinFleet {
-	f := &thinFleet{rng: rand.New(rand.NewPCG(seed, 1)), set: set, totals: map[uint64]*thinTotal{}, pending: map[uint64]*thinTry{}}
+	f := &thinFleet{rng: rand.New(rand.NewPCG(seed, 1)), set: set, totals: map[uint64]*thinTotal{}, pending: map[uint64]*thinTry{},
+		silent: func(float64) bool { return false }, lag: 0.001, skew: 1.3, seed: seed}
 	f.figures.byKind = map[string]*[3]float64{"spiky": {}, "heavy": {}, "full": {}, "normal": {}}
+	f.set.Gateways = gateways
+	f.gates = make([]*control.Gateway, gateways)
 	for i := range gateways {
-		set.Ordinal, set.Gateways = i, gateways
-		g, err := control.New(set, seed*1000+uint64(i))
-		if err != nil {
-			t.Fatal(err)
-		}
-		f.gates = append(f.gates, g)
+		f.start(t, i)
 	}
 	return f
 }
 
+// start has a gateway begin anew, knowing nothing.
+func (f *thinFleet) start(t testing.TB, gateway int) {
+	set := f.set
+	set.Ordinal = gateway
+	f.seed++
+	g, err := control.New(set, f.seed*1000+uint64(gateway))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.gates[gateway] = g
+}
+
 func thinCustomers(rng *rand.Rand, plans []control.Plan, gateways, n int, start float64) (all []*thinCustomer) {
 	for i := range n {
 		c := &thinCustomer{id: uint64(i) + 1, plan: rng.IntN(len(plans)), use: 0.16 + 0.27*rng.Float64(),
