Send a second copy of a slow safe request where the settings allow it

A safe request at a slow or silent server waited until 0.8 of its aim (tryAim) before it was sent elsewhere, with 0.2 of the aim left.

Change: package hedge (pure) decides: a copy is due when the first attempt has been out for longer than 95 % of the answers of its class take (an online quantile), paid from a budget of a twentieth of the requests, a tenth of that while copies seldom win, none while servers are crowded or the customer's attempts out are used up. control/copies.go carries it out; fits keeps a copy from the server that has the first. internal/core refuses a second attempt out wherever the settings or the class forbid it, whatever was decided.

--- a/control/control.go
+++ b/control/control.go
@@ -118,6 +118,7 @@
 		callRate:  max(callsOwn, callsFirst/float64(max(1, s.Gateways))),
 		purse:     retryPurse,
 		meanUnits: 1,
+		hedges:    newHedger(&s),
 	}
 	classes := make([]classState, len(s.Classes))
 	for i, c := range s.Classes {
@@ -161,7 +162,6 @@
 		g.outcome(e)
 	case Gone:
 		if r := g.requests[e.ID]; r != nil {
-			r.closed = true
 			g.finish(r)
 		}
 	case Timer:
@@ -205,6 +205,7 @@
 		g.wake(g.now + max(peerPause, g.peerGap))
 	}
 	g.wake(g.now + slowFlush)
+	g.sendCopies()
 	if g.nextAsk > 0 && g.now >= g.nextAsk {
 		g.nextAsk = 0
 		g.do(Watch{On: true})
@@ -288,7 +289,7 @@
 	}
 	share := g.share(c)
 	gain := p.OverWorth - p.OverCost // of a try beyond the quota, per worth
-	capped := p.Open > 0 && float64(c.open+1) > max(1, float64(p.Open)*share)
+	capped := g.capped(c)
 	if capped && (p.Rate <= 0 || c.open >= p.Open) {
 		return 0
 	}
@@ -721,16 +722,14 @@
 			timeout = 0
 		}
 	}
-	a := &attempt{server: s, sent: g.now}
-	r.attempts = append(r.attempts, a)
-	r.out++
-	r.customer.open++
+	a := r.begin(s, g.now)
 	if !r.arriving {
 		g.depart(r, a)
 	}
 	p.sendRate = p.sendRate*math.Exp(-(g.now-p.sentAt)/rateMemory) + 1/rateMemory
 	p.sentAt = g.now
 	g.do(Send{ID: r.id, Server: s.id, Timeout: timeout})
+	g.awaitCopy(r)
 }
 
 // depart books an attempt that a server is about to have whole. Danger: slow bodies. Booked from their
@@ -743,21 +742,19 @@
 
 func (g *Gateway) outcome(e Outcome) {
 	r := g.requests[e.ID]
-	if r == nil || e.Attempt < 0 || e.Attempt >= len(r.attempts) || r.attempts[e.Attempt].ended {
+	a := r.end(e.Attempt)
+	if a == nil {
 		return
 	}
-	a := r.attempts[e.Attempt]
-	a.ended = true
-	r.out--
-	r.customer.open--
 	g.judge(r, a, e)
+	g.timeCopies(r, a, e.Status)
 	if e.Status == OK && e.Units > 0 && g.set.Counter.Settles {
 		r.customer.fill(g.now, rateMemory)
 		g.settle(r.customer, e.Units-r.units)
 		g.want(r.customer)
 		r.units = e.Units
 	}
-	if r.closed = r.closed || e.Closed; r.closed {
+	if r.closed || e.Closed {
 		g.finish(r)
 		return
 	}
@@ -802,11 +799,13 @@
 	} else {
 		g.do(Fail{ID: r.id})
 	}
-	r.closed = true
 	g.finish(r)
 }
 
+// finish closes a request that has its answer or whose client has left, and calls off what is out.
 func (g *Gateway) finish(r *request) {
+	r.closed = true
+	g.hedges.Ended(r.id, r.class)
 	if r.out == 0 {
 		delete(g.requests, r.id)
 		return
@@ -979,10 +978,11 @@
 	return cost * (1 + jitter*g.rng.Float64())
 }
 
-// fits tells whether r may go to s: a keyed one that may have run stays with those that drop its repeats.
+// fits tells whether r may go to s: a copy to no server that has it, a keyed one that may have run only
+// to those that drop its repeats.
 func (g *Gateway) fits(r *request, s *server) bool {
 	class := &g.set.Classes[r.class]
-	return !r.mayRan || class.Repeat != Keyed || class.Group.holds(s, r.ranAt)
+	return !r.isOutAt(s) && (!r.mayRan || class.Repeat != Keyed || class.Group.holds(s, r.ranAt))
 }
 
 func (g *Gateway) judge(r *request, a *attempt, e Outcome) {
--- a/control/state.go
+++ b/control/state.go
@@ -9,6 +9,8 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+
+	"junctionring/hedge"
 )
 
 // Gateway decides for one gateway. It is not safe for concurrent use.
@@ -35,7 +37,8 @@
 	callOut             map[uint64][]*customer // by name, in order of the calls
 
 	requests map[uint64]*request
-	purse    float64 // retries that may be spent
+	purse    float64       // retries that may be spent
+	hedges   *hedge.Hedger // of second copies; nil where there are none
 
 	meanUnits float64 // of a try
 
@@ -153,6 +156,27 @@
 	whole  bool // it is at the server, or on its way
 }
 
+// begin books a new attempt at s.
+func (r *request) begin(s *server, now Seconds) *attempt {
+	a := &attempt{server: s, sent: now}
+	r.attempts = append(r.attempts, a)
+	r.out++
+	r.customer.open++
+	return a
+}
+
+// end books the end of an attempt, and returns nil if the request is not known or no such attempt is out.
+func (r *request) end(number int) *attempt {
+	if r == nil || number < 0 || number >= len(r.attempts) || r.attempts[number].ended {
+		return nil
+	}
+	a := r.attempts[number]
+	a.ended = true
+	r.out--
+	r.customer.open--
+	return a
+}
+
 // server is what is known of one server; control.go, part 4.
 type server struct {
 	id     string
@@ -487,6 +511,7 @@
 		}
 	}
 	g.set = set
+	g.hedges = g.hedges.Reconfigure(hedgeClasses(&set), e.From)
 }
 
 func resized(s []Seconds, n int) []Seconds {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -171,6 +171,7 @@
 	egress  Egress
 	counter Counter
 	classes []control.Class
+	copies  bool          // the settings allow two attempts of an exchange to be out at once
 	pause   time.Duration // of what the core sheds by itself; 0: no advice
 	log     *slog.Logger
 	sites   *sites.Router // nil: all targets are at one site
@@ -204,6 +205,7 @@
 	}
 	return &Core{
 		gateway: g, egress: egress, counter: counter, classes: s.Classes, pause: pause, log: log,
+		copies:  s.Limits.SecondCopies,
 		mailbox: make(chan any, mailboxSize), done: make(chan struct{}),
 		base: now, baseSec: float64(now.UnixMicro()) / 1e6, held: map[uint64]*held{},
 	}, nil
@@ -645,6 +647,7 @@
 	ctx, cancel := context.WithDeadline(c.ctx, deadline)
 	n, sent := len(h.cancels), time.Now()
 	h.cancels = append(h.cancels, cancel)
+	first := h.out == 0
 	h.out++
 	if c.sites != nil {
 		f, _ := c.sites.Sent(c.now(), a.Server, h.Class, h.verdict)
@@ -658,6 +661,11 @@
 		before = h.ran.Add(duration(class.Window))
 	}
 	done := func(o Outcome) ended { return ended{h, n, a.Server, sent, time.Since(sent).Seconds(), o} }
+	if !first && !c.mayCopy(h) {
+		c.log.Error("a second copy that is not allowed was not sent", "id", h.id, "class", h.Class)
+		c.later = append(c.later, done(Outcome{Status: control.Moot}))
+		return
+	}
 	if !c.egress.Start(Attempt{
 		Ctx: ctx, Target: a.Server, Payload: h.Payload, Before: before, Over: h.over,
 		Report: func(o Outcome) { c.post(done(o)) },
@@ -667,6 +675,12 @@
 	}
 }
 
+// mayCopy tells whether a second attempt of an exchange may be out beside the first: the last guard of what must not
+// run twice, whatever was decided.
+func (c *Core) mayCopy(h *held) bool {
+	return c.copies && c.classes[h.Class].Repeat == control.Safe && h.Spent == nil
+}
+
 func (c *Core) count(a control.Count) {
 	asked := time.Now()
 	report := func(s control.Status, total float64) control.Counted {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -124,3 +124,94 @@
 		}
 	}
 }
+
+// Whatever is decided, a second attempt goes out beside the first only where the settings allow it and the class is
+// safe to repeat; a message that was sent on as it came in can't be sent twice.
+func TestSecondCopyIsGuarded(t *testing.T) {
+	allowed := control.Limits{MaxAttempts: 4, SecondCopies: true, Cancel: true}
+	forbidden := control.Limits{MaxAttempts: 4, Cancel: true}
+	for _, s := range []struct {
+		name   string
+		limits control.Limits
+		class  int
+		spent  func() bool
+		sent   int
+	}{
+		{"a safe class", allowed, 0, nil, 2},
+		{"the settings", forbidden, 0, nil, 1},
+		{"a keyed class", allowed, 1, nil, 1},
+		{"an unsafe class", allowed, 2, nil, 1},
+		{"a message sent on as it came in", allowed, 0, func() bool { return false }, 1},
+	} {
+		out := hand{make(chan Attempt, 4)}
+		c, err := New(control.Settings{
+			Gateways: 1,
+			Classes: []control.Class{
+				{Aim: 5, Deadline: 20, Repeat: control.Safe},
+				{Aim: 5, Deadline: 20, Repeat: control.Keyed, Window: 3},
+				{Aim: 5, Deadline: 20, Repeat: control.Unsafe},
+			},
+			Plans: []control.Plan{{Rate: 100, Burst: 100}}, Limits: s.limits,
+		}, 1, out, nowhere{}, slog.New(slog.DiscardHandler))
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.ctx = context.Background()
+		c.held[1] = &held{
+			id: 1, Exchange: Exchange{Class: s.class, Spent: s.spent, Deadline: time.Now().Add(20 * time.Second)},
+			answer: make(chan Answer, 1), over: make(chan struct{}),
+		}
+		c.send(control.Send{ID: 1, Server: "one"})
+		c.send(control.Send{ID: 1, Server: "two"})
+		if len(out.sent) != s.sent {
+			t.Errorf("%s: %d attempts out at once, want %d", s.name, len(out.sent), s.sent)
+		}
+		if s.sent == 1 && (len(c.later) != 1 || c.later[0].(ended).Status != control.Moot) {
+			t.Errorf("%s: the attempt that was not sent ends as %+v, want moot", s.name, c.later)
+		}
+	}
+}
+
+// Both copies of a request are answered, in either order or one after the other has failed: the client has one answer,
+// and the copy that is still out when it comes is called off.
+func TestTwoCopiesGiveOneAnswer(t *testing.T) {
+	c, out := started(t, control.Limits{MaxAttempts: 6, SecondCopies: true, Cancel: true})
+	ask := func() chan Answer {
+		done := make(chan Answer, 1)
+		go func() {
+			done <- c.Do(context.Background(), Exchange{Class: 0, Units: 1, Spread: 1, Deadline: time.Now().Add(20 * time.Second)})
+		}()
+		return done
+	}
+	for range 60 { // so that the gateway knows how long answers take
+		done := ask()
+		(<-out.sent).Report(Outcome{Status: control.OK, Written: true})
+		<-done
+	}
+	for winner := range 2 {
+		done := ask()
+		copies := []Attempt{<-out.sent, <-out.sent}
+		if copies[0].Target == copies[1].Target {
+			t.Errorf("both copies went to %s", copies[0].Target)
+		}
+		copies[winner].Report(Outcome{Status: control.OK, Written: true, Reply: winner})
+		if a := <-done; a.Kind != Served || a.Reply != winner {
+			t.Errorf("answered %+v, want the reply of attempt %d", a, winner)
+		}
+		loser := copies[1-winner]
+		<-loser.Ctx.Done()
+		loser.Report(Outcome{Status: control.OK, Written: true, Reply: "crossed"}) // it crossed the call-off
+		c.Settle()
+	}
+	done := ask()
+	first, second := <-out.sent, <-out.sent
+	first.Report(Outcome{Status: control.Error, Written: true})
+	c.Settle()
+	if len(out.sent) > 0 {
+		t.Error("a third attempt beside the copy")
+	}
+	second.Report(Outcome{Status: control.OK, Written: true, Reply: "copy"})
+	if a := <-done; a.Kind != Served || a.Reply != "copy" {
+		t.Errorf("answered %+v after the first attempt had failed", a)
+	}
+}
