Take no late attempt at a cold server for an overload while others are warm

Of the attempts taken for a sign of overload 53 of 124 and 46 of 120 were at cold servers, which are slow by nature. One such sign weighs up to half a second at a gateway that sees few answers: 0.3 to 0.5 of the level, at which four in five of the cheap class are refused, for all servers. Lines: overdue (in time, slots and level) and judge (share of late answers).

Change: an attempt at a cold server speaks for its pool only where no server is warm. No constant is new or changed. choose leaves its counting to pool.survey, and the notes near it are in plain terms.

--- a/control/control.go
+++ b/control/control.go
@@ -674,8 +674,8 @@
 	return hope < hopeLeast || p.press > 0 && g.rng.Float64() > math.Exp(-p.press*rarer*rarer)
 }
 
-// overdue tells of a crowd as soon as an attempt is out too long, whatever becomes of it. Danger: collapse.
-// Where servers only work on what nobody waits for no answer comes, or seconds later, to tell of it.
+// overdue takes an attempt that is out too long as a sign of overload, whatever becomes of it: overloaded
+// servers may work only on what nobody waits for, and then no answer ever tells of it.
 func (g *Gateway) overdue() {
 	for _, p := range g.pools {
 		for i := range p.classes {
@@ -683,7 +683,7 @@
 			for len(cs.open) > 0 && (cs.open[0].ended || g.now-cs.open[0].sent > limit) {
 				a := cs.open[0]
 				cs.open = cs.open[1:]
-				if a.ended {
+				if a.ended || !g.representative(a.server) {
 					continue
 				}
 				if p.inTime -= p.inTime * learn; !p.lossy() {
@@ -870,7 +870,7 @@
 func (g *Gateway) chill(s *server, since Seconds) {
 	if g.now-since < g.set.Guarantees.Ramp {
 		if !s.cold {
-			// Danger: all gateways at once. Each starts with another part of an attempt.
+			// Each gateway starts with another part of an attempt, so that they don't all send at once.
 			s.budget, s.budgeted = g.rng.Float64(), g.now
 		}
 		s.cold, s.coldFrom = true, since
@@ -883,9 +883,9 @@
 	if s.cold = s.cold && warm < 1; !s.cold {
 		return 1
 	}
-	// Danger: a release of most servers. A cold one gets its part of what a warm one gets, not of the mean.
+	// A cold server gets its part of what a warm one gets, not of the mean: a release of most lowers that.
 	rate := p.sendRate * math.Exp(-(g.now-p.sentAt)/rateMemory) / max(1, p.parts)
-	if p.warm == 0 { // Danger: nobody is sent anything, so nobody would ever get a part of it.
+	if p.warm == 0 { // a part of what warm servers get would be nothing for ever
 		rate = max(rate, coldCores/p.guess/p.gates)
 	}
 	s.budget = min(coldBurst, s.budget+coldPart*warm*rate*(g.now-s.budgeted))
@@ -893,7 +893,8 @@
 	return warm
 }
 
-// choose picks the best of a few servers. Danger: of all, by an old view or zone, they would herd.
+// choose picks the cheapest of a few random servers: with all compared, gateways that share an old view would
+// all pick the same one. Only where none of the few takes the request are all looked at.
 func (g *Gateway) choose(r *request, p *pool, last bool) *server {
 	var best *server
 	bestCost, few := math.Inf(1), max(choicesLeast, choices*len(p.list)/int(p.gates))
@@ -902,8 +903,8 @@
 			best, bestCost = s, cost
 		}
 	}
-	// Danger: as many connections at a server as gateways, that know nothing of it: each request meets a
-	// stranger. A gateway keeps to the first of its list, which all arrange so that each server has as many.
+	// In a large fleet a gateway keeps to the first of its list: it meets each often enough to learn of it, and
+	// a server has few connections. All arrange their lists so that each server has as many.
 	reach := min(len(p.list), max(2*few, serverGates*len(p.list)/int(p.gates)))
 	for range few {
 		if 2*few < len(p.list) {
@@ -913,16 +914,11 @@
 	if best != nil {
 		return best
 	}
-	open, parts := false, 0.0
-	p.warm = p.warmNow(g.now)
+	usable := p.survey(&g.set.Guarantees, g.now, coldPart)
 	for _, s := range p.list {
-		if look(s, false); s.usable(g.now) {
-			open = true
-			parts += s.part(&g.set.Guarantees, g.now, coldPart)
-		}
+		look(s, false)
 	}
-	p.parts = parts
-	if best != nil || open || !last {
+	if best != nil || usable > 0 || !last {
 		return best
 	}
 	for _, s := range p.list { // never all of them out: the least bad is tried
@@ -1008,7 +1004,9 @@
 		s.slow += (min(took/cs.typical, 20) - s.slow) * learn
 		cs.typical = min(class.Aim, cs.typical+cs.typical*learnFleet*sign(took-cs.typical))
 		cs.work += cs.work * learnFleet * (sign(took-cs.work) - 0.6)
-		p.lateOK += ((sign(took-lateShare*class.Aim)+1)/2 - p.lateOK) * learn
+		if g.representative(s) {
+			p.lateOK += ((sign(took-lateShare*class.Aim)+1)/2 - p.lateOK) * learn
+		}
 		if late {
 			s.lim.bad()
 			break
--- a/control/state.go
+++ b/control/state.go
@@ -340,6 +340,13 @@
 	return some * r.warmth(now-s.coldFrom)
 }
 
+// representative tells whether a late answer of s says something of its whole pool. A cold server is slow by nature
+// and its load is bounded by its own budget, so while any server is warm only the warm ones tell of an overload.
+func (g *Gateway) representative(s *server) bool {
+	warming := s.cold && g.set.Guarantees.warmth(g.now-s.coldFrom) < 1
+	return !warming || s.pool.warmNow(g.now) == 0
+}
+
 // warmth is the share of its capacity that a server has at the least, some time after its start.
 func (r *Guarantees) warmth(age Seconds) float64 {
 	if age >= r.Ramp {
@@ -432,6 +439,22 @@
 	return n
 }
 
+// survey counts the usable servers, the warm ones of them, and what all may get, a cold one counting by its part.
+func (p *pool) survey(r *Guarantees, now Seconds, some float64) (usable int) {
+	p.warm, p.parts = 0, 0
+	for _, s := range p.list {
+		if !s.usable(now) {
+			continue
+		}
+		usable++
+		p.parts += s.part(r, now, some)
+		if !s.cold {
+			p.warm++
+		}
+	}
+	return usable
+}
+
 // gates is how many gateways have a site for their first choice, as far as that is told.
 func (s *Settings) gates(site int) int {
 	if site == s.Site && s.Here > 0 {
