--- a/control/scale_test.go
+++ b/control/scale_test.go
@@ -28,7 +28,7 @@
 		b.Fatal(err)
 	}
 	now, acts, calls := 1000.0, []control.Action(nil), 0
-	before := heap()
+	before := heapInUse()
 	g.Handle(now, control.Members{Kind: control.Cached, Entries: warm(named(servers)...)}, nil)
 	due := now
 	request := func(i int) {
@@ -52,7 +52,7 @@
 	for i := range max(customers, 2000) { // all are known, and times are learned
 		request(i)
 	}
-	after := heap()
+	after := heapInUse()
 	calls = 0
 	b.ReportAllocs()
 	b.ResetTimer()
@@ -65,7 +65,7 @@
 	runtime.KeepAlive(g)
 }
 
-func heap() uint64 {
+func heapInUse() uint64 {
 	runtime.GC()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
