Judge late answers by what unloaded servers need, and count what a late one earns

Seen: where an aim is near the work or below it, the module sheds most of what it gets on servers that are half idle.

So every answer over `lateShare` of the aim counted as overload, although no server can do better. `LateWorth` was read and used nowhere.

Now `lateAfter` is the greater of that share of the aim and what a long answer (8 % are longer) takes on unloaded servers, with a fifth more, as long as an answer so late still earns: up to 1.5 aims, and by `LateWorth` of the way from the aim to the deadline. The long time is learned per class and pool; while load is shed it may fall but hardly rise, so that lasting overload doesn't become the measure. Where the aim is several times the work nothing changes. `hope` counts what an answer after the aim earns, and a request is hopeless only if no answer at all is likely.

Arithmetic and bookkeeping without a threshold went to state.go.

--- a/control/control.go
+++ b/control/control.go
@@ -68,6 +68,14 @@
 	growTo       = 1.010 // at each good sign
 	cutTo        = 0.92  // at each bad one
 	lateShare    = 0.6   // an answer later than this share of its aim says that there is a crowd
+	lateTimes    = 1.2   // but not before this multiple of a long time to answer on unloaded servers
+	lateMost     = 1.5   // and not more aims than this, where answers after the aim earn nothing
+	longShare    = 0.08  // of the answers take longer than the long time
+	longStep     = 0.2   // of the long time is what one answer may move it by
+	longMost     = 5.0   // typical times that it is taken for at the most
+	firstAnswers = 40.0  // of a class are needed to learn that time; before, some more is allowed
+	unloadedFast = 1.0   // a second, of the way to the present long time, unless load is shed and it is longer
+	unloadedSlow = 0.01  // the same while load is shed, though few answers are late
 	busyShare    = 0.7   // of a limit in use: it may grow; of all own slots: they add to the crowd
 	lateFew      = 0.07  // of the answers that come must be late for silence to tell of a crowd
 	inTimeFew    = 0.4   // or this few of all attempts answered in time: no network that is of use loses more
@@ -131,7 +139,9 @@
 }
 
 // firstState is what a class is taken to be before anything is learned of it.
-func firstState(c *Class) classState { return classState{typical: c.Aim / 5, work: c.Aim / 8} }
+func firstState(c *Class) classState {
+	return classState{typical: c.Aim / 5, work: c.Aim / 8, long: c.Aim / 4, unloaded: c.Aim / 4}
+}
 
 // Handle takes one event in and appends the actions it calls for.
 func (g *Gateway) Handle(now Seconds, ev Event, actions []Action) []Action {
@@ -147,16 +157,9 @@
 	case Request:
 		g.request(e)
 	case Arrived:
-		if r := g.requests[e.ID]; r != nil && r.arriving {
-			r.arriving, r.deadline = false, g.now+r.wait
-			if a := r.attempts[len(r.attempts)-1]; !a.ended {
-				g.depart(r, a)
-			}
-		}
+		g.arrived(e)
 	case Started:
-		if r := g.requests[e.ID]; r != nil {
-			r.streaming = true
-		}
+		g.started(e)
 	case Outcome:
 		g.outcome(e)
 	case Gone:
@@ -407,16 +410,6 @@
 	g.waiting = kept
 }
 
-// Unadded counts the customers with units that the counter may not hold yet.
-func (g *Gateway) Unadded() (n int) {
-	for _, c := range g.customers {
-		if g.set.Counter.Allowed && c.plan.Rate > 0 && (c.delta != 0 || c.flying != 0) {
-			n++
-		}
-	}
-	return n
-}
-
 func (g *Gateway) callFor(c *customer) {
 	length := c.plan.window(shortWindow)
 	current := int64(math.Floor(g.now / length))
@@ -637,16 +630,13 @@
 }
 
 func (g *Gateway) shed(r *request, gain float64, p *pool) bool {
-	class := &g.set.Classes[r.class]
-	// Danger: little time left. What is likely answered too late is worth less.
-	cs := &p.classes[r.class]
-	hope := 1 - math.Exp2(-min(class.Aim, r.deadline-g.now)/cs.typical)
-	if hope < hopeLeast { // Danger: where all are refused for it no answer would ever lower it again.
+	class, cs := &g.set.Classes[r.class], &p.classes[r.class]
+	hope, answered := class.hope(r.deadline-g.now, cs.typical)
+	if answered < hopeLeast { // Danger: where all are refused for it no answer would ever lower it again.
 		cs.typical -= cs.typical * hopeFades
 	}
 	worth := hope * gain * class.Worth * r.customer.plan.Worth * r.units / max(cs.work, 1e-4)
-	p.density += (worth - p.density) * max(0.02, 1/(1+p.weighed))
-	p.weighed++
+	p.weigh(worth)
 	// Danger: a large fleet. With one attempt out, own slots show no crowd; late answers of any server do.
 	p.crowd *= math.Exp(-(g.now - p.crowdAt) / crowdFades)
 	p.crowdAt = g.now
@@ -655,23 +645,15 @@
 	if few && p.lossy() {
 		oldest, work = lostAfter, p.inTime
 	}
-	slots, taken, servers := slotsFloor, 0.0, 0.0
-	for _, s := range p.list {
-		if s.usable(g.now) {
-			servers++
-			slots += s.lim.limit
-			taken += work * s.younger(g.now, oldest)
-		}
-	}
+	slots, taken, servers := p.occupancy(g.now, oldest)
+	slots, taken = slotsFloor+slots, work*taken
 	if few { // of a server met seldom nothing is known: as of all. Danger: chance, where few are out
-		k := math.Exp(-(g.now - p.takenAt) / slotsMemory)
-		p.taken, p.takenAt = p.taken*k+taken*(1-k), g.now
-		slots, taken = slotsFloor+p.slots*servers, p.taken
+		slots, taken = slotsFloor+p.slots*servers, p.averageTaken(g.now, taken, slotsMemory)
 	}
 	p.inUse = taken >= slots*busyShare
 	p.press = p.crowd + max(0, taken-slots*busyShare)/(slots*(1-busyShare))
 	rarer := p.density / max(worth, 1e-9)
-	return hope < hopeLeast || p.press > 0 && g.rng.Float64() > math.Exp(-p.press*rarer*rarer)
+	return answered < hopeLeast || p.press > 0 && g.rng.Float64() > math.Exp(-p.press*rarer*rarer)
 }
 
 // overdue tells of a crowd as soon as an attempt is out too long, whatever becomes of it. Danger: collapse.
@@ -679,13 +661,7 @@
 func (g *Gateway) overdue() {
 	for _, p := range g.pools {
 		for i := range p.classes {
-			cs, limit := &p.classes[i], lateShare*g.set.Classes[i].Aim
-			for len(cs.open) > 0 && (cs.open[0].ended || g.now-cs.open[0].sent > limit) {
-				a := cs.open[0]
-				cs.open = cs.open[1:]
-				if a.ended {
-					continue
-				}
+			for range p.classes[i].overdue(g.now - g.lateAfter(p, i)) {
 				if p.inTime -= p.inTime * learn; !p.lossy() {
 					p.slots = max(slotsLeast*slotsPooled/p.gates, p.slots*cutTo)
 					g.feel(p, true)
@@ -698,6 +674,36 @@
 // lossy tells that silence is loss. Danger: lost answers are no crowd: most come, and quickly.
 func (p *pool) lossy() bool { return p.lateOK <= lateFew && p.inTime >= inTimeFew }
 
+// lateAfter is the time to answer from which on an answer of a class is a sign of overload: a share of the
+// aim. Where the aim is near the work itself no server meets that. There it is what unloaded servers need, as
+// long as an answer so late still earns.
+func (g *Gateway) lateAfter(p *pool, class int) Seconds {
+	c, cs := &g.set.Classes[class], &p.classes[class]
+	possible := lateTimes * cs.unloaded * (1 + firstAnswers/cs.answers)
+	earning := min(c.Deadline, lateMost*c.Aim+c.LateWorth*(c.Deadline-c.Aim))
+	return max(lateShare*c.Aim, min(possible, earning))
+}
+
+// learnTimes takes in the time of a good answer. Queues lengthen all answers: what unloaded servers need may
+// hardly rise while load is shed, or lasting overload would count as usual.
+func (g *Gateway) learnTimes(p *pool, class int, took Seconds) {
+	c, cs := &g.set.Classes[class], &p.classes[class]
+	cs.answers++
+	cs.typical = nudged(cs.typical, took, max(learnFleet, 1/cs.answers), learnFleet) // it may be far off
+	cs.typical = min(cs.typical, max(c.Aim, g.lateAfter(p, class)))
+	cs.work = nudged(cs.work, took, 0.4*learnFleet, 1.6*learnFleet)
+	cs.long = nudged(cs.long, took, longStep*(1-longShare), longStep*longShare)
+	long, pace := min(cs.long, longMost*cs.typical), unloadedFast
+	if long > cs.unloaded && p.press >= crowdFew && cs.answers >= firstAnswers {
+		pace = unloadedSlow
+		if p.inTime < inTimeFew || cs.unloaded > max(c.Aim, c.LateWorth*c.Deadline) {
+			pace = 0
+		}
+	}
+	cs.unloaded = towards(cs.unloaded, long, pace*(g.now-cs.heard))
+	cs.heard = g.now
+}
+
 func (g *Gateway) feel(p *pool, late bool) {
 	spell := min(crowdSpell, g.now-p.felt)
 	p.felt = g.now
@@ -841,9 +847,7 @@
 			s = nil
 		}
 		if s == nil {
-			slots := max(1, slotsFirst/p.gates)
-			s = &server{id: m.Server, place: placeOf(m.Server), pool: p, slow: 1, lim: limiter{limit: slots},
-				served: make([]Seconds, len(p.classes)), full: make([]Seconds, len(p.classes))}
+			s = newServer(m.Server, p, max(1, slotsFirst/p.gates))
 			g.servers[m.Server] = s
 			p.list = append(p.list, s)
 			if m.Since > 0 {
@@ -857,12 +861,7 @@
 		s.listed = m.State == Ready
 	}
 	for _, p := range g.pools {
-		p.list = slices.DeleteFunc(p.list, func(s *server) bool {
-			if s.member.State == Removed && s.lim.out == 0 && g.servers[s.id] == s {
-				delete(g.servers, s.id)
-			}
-			return g.servers[s.id] != s
-		})
+		g.forgetRemoved(p)
 		p.arrange(float64(g.set.Ordinal) / float64(g.set.Gateways))
 	}
 }
@@ -993,8 +992,8 @@
 	s.slow = 1 + (s.slow-1)*math.Exp(-(g.now-s.heard)/forgetSlow)
 	s.heard = g.now
 	class, cs := &g.set.Classes[r.class], &p.classes[r.class]
-	took := g.now - a.sent
-	late := took > lateShare*class.Aim
+	took, limit := g.now-a.sent, g.lateAfter(p, r.class)
+	late := took > limit
 	switch e.Status {
 	case OK:
 		if s.suspect {
@@ -1006,10 +1005,9 @@
 		s.strikes, s.until, s.outFor, s.trial = 0, 0, 0, false
 		p.lost -= p.lost * learnFleet
 		s.slow += (min(took/cs.typical, 20) - s.slow) * learn
-		cs.typical = min(class.Aim, cs.typical+cs.typical*learnFleet*sign(took-cs.typical))
-		cs.work += cs.work * learnFleet * (sign(took-cs.work) - 0.6)
-		p.lateOK += ((sign(took-lateShare*class.Aim)+1)/2 - p.lateOK) * learn
-		if late {
+		g.learnTimes(p, r.class, took)
+		if p.lateOK -= p.lateOK * learn; late {
+			p.lateOK += learn
 			s.lim.bad()
 			break
 		}
@@ -1034,7 +1032,7 @@
 		g.strike(s, 1)
 	case Timeout:
 		// What the client did not wait for tells nothing, least of all of the server.
-		if cs.typical = min(class.Aim, cs.typical+cs.typical*learnFleet*max(0, sign(took-cs.typical))); !late {
+		if cs.typical = min(max(class.Aim, limit), nudged(cs.typical, took, learnFleet, 0)); !late {
 			return
 		}
 		s.slow += (min(took/cs.typical, 20) - s.slow) * learn
--- a/control/state.go
+++ b/control/state.go
@@ -88,6 +88,11 @@
 	full    float64    // share of its attempts that are turned away
 	work    Seconds    // a low quantile: the work without the waiting
 	open    []*attempt // not yet known to be in time or late, oldest first
+
+	long     Seconds // a high quantile of the time to answer
+	unloaded Seconds // what that is on servers that are not overloaded
+	answers  float64 // good answers so far
+	heard    Seconds // last good answer
 }
 
 // customer is what is known of one customer; control.go, part 1.
@@ -242,6 +247,66 @@
 	}
 }
 
+// chanceWithin is the chance of an answer within some time, where half of the answers take no longer than typical.
+func chanceWithin(time, typical Seconds) float64 { return 1 - math.Exp2(-max(0, time)/typical) }
+
+// hope is the share of its worth that a request of this class likely earns with so much time left, and the chance
+// that it is answered at all. An answer after the aim earns a part, one after the client has left nothing.
+func (c *Class) hope(left, typical Seconds) (share, answered float64) {
+	answered = chanceWithin(left, typical)
+	inAim := chanceWithin(min(c.Aim, left), typical)
+	return inAim + c.LateWorth*(answered-inAim), answered
+}
+
+// overdue drops the attempts that have ended or were sent before a time, and counts the latter.
+func (cs *classState) overdue(before Seconds) (n int) {
+	for len(cs.open) > 0 && (cs.open[0].ended || cs.open[0].sent < before) {
+		if !cs.open[0].ended {
+			n++
+		}
+		cs.open = cs.open[1:]
+	}
+	return n
+}
+
+// averageTaken takes a number of attempts out into their average over some time.
+func (p *pool) averageTaken(now, taken, memory float64) float64 {
+	k := math.Exp(-(now - p.takenAt) / memory)
+	p.taken, p.takenAt = p.taken*k+taken*(1-k), now
+	return p.taken
+}
+
+// nudged moves an estimate by a part of it up or down, to where a sample lies. It settles where that many more samples
+// lie above than below as the part up is smaller: at the middle one, if both are the same.
+func nudged(estimate, sample, up, down float64) float64 {
+	if sample >= estimate {
+		return estimate * (1 + up)
+	}
+	return estimate * (1 - down)
+}
+
+// towards moves a value a part of the way to another, all of it at 1 and more.
+func towards(from, to, part float64) float64 { return from + (to-from)*min(1, part) }
+
+// weigh takes the worth of a request into the mean of what came in: the first few count alike, the last fifty later.
+func (p *pool) weigh(worth float64) {
+	p.density += (worth - p.density) * max(0.02, 1/(1+p.weighed))
+	p.weighed++
+}
+
+// occupancy is how many attempts may be out at the usable servers, how many are that are no older than some typical
+// times, and the number of those servers.
+func (p *pool) occupancy(now, oldest float64) (slots, taken, servers float64) {
+	for _, s := range p.list {
+		if s.usable(now) {
+			servers++
+			slots += s.lim.limit
+			taken += s.younger(now, oldest)
+		}
+	}
+	return slots, taken, servers
+}
+
 // younger counts the attempts out at s that are no older than some typical times.
 func (s *server) younger(now, times float64) float64 {
 	n := 0.0
@@ -379,6 +444,41 @@
 	return &pool{classes: slices.Clone(classes), guess: longest, gates: gates, slots: slots, lateOK: 1, inTime: 1, warm: 1} // until more is known
 }
 
+// newServer is a server of which nothing is known.
+func newServer(id string, p *pool, slots float64) *server {
+	return &server{id: id, place: placeOf(id), pool: p, slow: 1, lim: limiter{limit: slots},
+		served: make([]Seconds, len(p.classes)), full: make([]Seconds, len(p.classes))}
+}
+
+// arrived begins the time of a request that is now whole, and of its attempt.
+func (g *Gateway) arrived(e Arrived) {
+	r := g.requests[e.ID]
+	if r == nil || !r.arriving {
+		return
+	}
+	r.arriving, r.deadline = false, g.now+r.wait
+	if a := r.attempts[len(r.attempts)-1]; !a.ended {
+		g.depart(r, a)
+	}
+}
+
+// started notes that a streamed answer has begun: it can't be sent again.
+func (g *Gateway) started(e Started) {
+	if r := g.requests[e.ID]; r != nil {
+		r.streaming = true
+	}
+}
+
+// forgetRemoved drops the removed servers of a pool that have nothing out.
+func (g *Gateway) forgetRemoved(p *pool) {
+	p.list = slices.DeleteFunc(p.list, func(s *server) bool {
+		if s.member.State == Removed && s.lim.out == 0 && g.servers[s.id] == s {
+			delete(g.servers, s.id)
+		}
+		return g.servers[s.id] != s
+	})
+}
+
 func (g *Gateway) do(a Action) { g.out = append(g.out, a) }
 
 func (s *server) usable(now Seconds) bool {
@@ -477,7 +577,8 @@
 			case i < len(old) && from == i:
 				p.classes[i] = old[i]
 			case from >= 0 && from < len(old):
-				p.classes[i] = classState{typical: old[from].typical, work: old[from].work, full: old[from].full}
+				p.classes[i] = old[from]
+				p.classes[i].open = nil
 			default:
 				p.classes[i] = firstState(&e.Classes[i])
 			}
@@ -520,6 +621,16 @@
 	return out
 }
 
+// Unadded counts the customers with units that the counter may not hold yet.
+func (g *Gateway) Unadded() (n int) {
+	for _, c := range g.customers {
+		if g.set.Counter.Allowed && c.plan.Rate > 0 && (c.delta != 0 || c.flying != 0) {
+			n++
+		}
+	}
+	return n
+}
+
 // Listed tells how many servers are on the list, and how many of those are avoided now: not ready, or left
 // alone for a while. It is a view for operators and decides nothing.
 func (g *Gateway) Listed() (listed, avoided int) {
