Let no gateway refuse all it gets for seconds: shorter memory of full servers, one attempt in a while

Seen: TestNoGatewayTurnsAllAwayForLong, one of 30 gateways whose attempts all come to nothing for 8 s (late, near the aim, no answer, no connection, reset, error, full, all servers restarted).

Cause of the first: `fitness` passes over a server for `fullFor` (8 s) after it turned a class away, also where all did, and `choose` takes its last resort only if none is usable. Now the time is shorter by up to three quarters, by the share of the class's attempts that are turned away. Now, after 12 refused in a row and 3 s without an attempt, one is let in.

--- a/control/control.go
+++ b/control/control.go
@@ -84,10 +84,13 @@
 	crowdSpell   = 0.5   // s that one answer can tell of at the most
 	crowdMost    = 4.0   // where it stops rising: one request in fifty of middling worth
 	crowdFew     = 0.05  // from here on no attempt is given up for another
+	probeAfter   = 12    // requests refused since the last attempt of a gateway, and
+	probePause   = 3.0   // s since then, after which one is let in whatever the overload
 	hopeLeast    = 0.5   // chance of an answer in time under which nothing is started
 	hopeFades    = 0.01  // fall of the typical time for each that is refused for want of hope
 	crowdFades   = 6.0   // s; where all is refused no answer would tell that the crowd is gone
 	fullFor      = 8.0   // s that a server is passed over for the class it turned away
+	fullShorter  = 0.75  // share of that by which it is shorter where all are turned away
 	provenBy     = 4.0   // extra cost where the class was not lately served, times how often it is turned away
 	learn        = 0.12  // weight of a new sample in averages over attempts
 	learnFleet   = 0.03  // the same for what is learned of all servers
@@ -163,10 +166,7 @@
 	case Outcome:
 		g.outcome(e)
 	case Gone:
-		if r := g.requests[e.ID]; r != nil {
-			r.closed = true
-			g.finish(r)
-		}
+		g.left(e)
 	case Timer:
 		if now > g.wakeAt-pulse/4 {
 			g.sweep()
@@ -629,35 +629,38 @@
 	return nil
 }
 
+// shed decides whether to reject a request: likelier on overloaded servers, and if it is worth little there.
 func (g *Gateway) shed(r *request, gain float64, p *pool) bool {
 	class, cs := &g.set.Classes[r.class], &p.classes[r.class]
 	hope, answered := class.hope(r.deadline-g.now, cs.typical)
-	if answered < hopeLeast { // Danger: where all are refused for it no answer would ever lower it again.
+	hopeless := answered < hopeLeast
+	if hopeless { // where all are refused for it no answer would ever lower the typical time again
 		cs.typical -= cs.typical * hopeFades
 	}
 	worth := hope * gain * class.Worth * r.customer.plan.Worth * r.units / max(cs.work, 1e-4)
-	p.weigh(worth)
-	// Danger: a large fleet. With one attempt out, own slots show no crowd; late answers of any server do.
-	p.crowd *= math.Exp(-(g.now - p.crowdAt) / crowdFades)
-	p.crowdAt = g.now
-	// Danger: lost answers. What is out long while answers are quick is no work.
+	rarer := p.weigh(worth)
+	p.fade(g.now, crowdFades)
 	few, oldest, work := slotsFirst < p.gates, math.Inf(1), 1.0
-	if few && p.lossy() {
+	if few && p.lossy() { // what is out long while answers are quick is lost, and no work
 		oldest, work = lostAfter, p.inTime
 	}
 	slots, taken, servers := p.occupancy(g.now, oldest)
 	slots, taken = slotsFloor+slots, work*taken
-	if few { // of a server met seldom nothing is known: as of all. Danger: chance, where few are out
+	if few { // of a server met seldom nothing is known: as of all, averaged, as few are out
 		slots, taken = slotsFloor+p.slots*servers, p.averageTaken(g.now, taken, slotsMemory)
 	}
 	p.inUse = taken >= slots*busyShare
 	p.press = p.crowd + max(0, taken-slots*busyShare)/(slots*(1-busyShare))
-	rarer := p.density / max(worth, 1e-9)
-	return answered < hopeLeast || p.press > 0 && g.rng.Float64() > math.Exp(-p.press*rarer*rarer)
+	if hopeless || p.press <= 0 || g.rng.Float64() <= math.Exp(-p.press*rarer*rarer) {
+		return hopeless
+	}
+	// A gateway that refuses all it gets would not see the overload end: now and then one is let in.
+	p.refused++
+	return p.refused < probeAfter || g.now-p.sentAt < probePause
 }
 
-// overdue tells of a crowd as soon as an attempt is out too long, whatever becomes of it. Danger: collapse.
-// Where servers only work on what nobody waits for no answer comes, or seconds later, to tell of it.
+// overdue takes an attempt for a sign of overload as soon as it is out too long, whatever becomes of it.
+// Servers that only work on what nobody waits for any more answer nothing, or seconds later.
 func (g *Gateway) overdue() {
 	for _, p := range g.pools {
 		for i := range p.classes {
@@ -671,7 +674,7 @@
 	}
 }
 
-// lossy tells that silence is loss. Danger: lost answers are no crowd: most come, and quickly.
+// lossy tells that missing answers are lost ones and no overload: most come, and quickly.
 func (p *pool) lossy() bool { return p.lateOK <= lateFew && p.inTime >= inTimeFew }
 
 // lateAfter is the time to answer from which on an answer of a class is a sign of overload: a share of the
@@ -735,7 +738,7 @@
 		g.depart(r, a)
 	}
 	p.sendRate = p.sendRate*math.Exp(-(g.now-p.sentAt)/rateMemory) + 1/rateMemory
-	p.sentAt = g.now
+	p.sentAt, p.refused = g.now, 0
 	g.do(Send{ID: r.id, Server: s.id, Timeout: timeout})
 }
 
@@ -942,7 +945,7 @@
 	trial := s.trial && g.now < s.until+trialFor*s.outFor // later it is like any other
 	switch {
 	case s.cold && !picked && s.budget < 1, s.cold && picked && g.rng.Float64() > coldPart*warm,
-		s.full[r.class] > 0 && g.now-s.full[r.class] < fullFor,
+		s.full[r.class] > 0 && g.now-s.full[r.class] < fullFor*(1-fullShorter*s.pool.classes[r.class].full),
 		// Others try a server that is out, too: the more they are, the rarer the trials of each.
 		trial && (unsafe || g.rng.Float64()*s.pool.gates > trialShare):
 		return math.Inf(1)
--- /dev/null
+++ b/control/idle_test.go
@@ -0,0 +1,70 @@
+package control_test
+
+import (
+	"testing"
+
+	"junctionring/control"
+)
+
+// One of 30 gateways whose attempts all come to nothing for a while, on a quiet day: whatever it thinks of its servers
+// then, it doesn't turn away all it gets for 4 s on end without one attempt.
+func TestNoGatewayTurnsAllAwayForLong(t *testing.T) {
+	const begins, ends, over = 10.0, 18.0, 40.0 // s
+	answers := func(after float64, status control.Status) func(*fleet) {
+		return func(f *fleet) {
+			f.takes = func(string) (float64, control.Status) { return after, status }
+		}
+	}
+	list := func(member control.Member) func(*fleet) {
+		return func(f *fleet) {
+			var entries []control.Member
+			for _, name := range named(12) {
+				member.Server = name
+				entries = append(entries, member)
+			}
+			f.take(f.do(control.Members{Kind: control.Delta, Entries: entries}))
+		}
+	}
+	for name, begin := range map[string]func(*fleet){
+		"late answers":          answers(1.5, control.OK),
+		"answers near the aim":  answers(0.95, control.OK),
+		"no answers":            answers(3, control.Timeout),
+		"no connections":        answers(0.25, control.ConnectFailed),
+		"connections reset":     answers(0.01, control.Reset),
+		"errors":                answers(0.01, control.Error),
+		"full":                  func(f *fleet) { f.full = func(string, int) bool { return true } },
+		"all servers restarted": list(control.Member{Since: 1000 + begins}),
+		"full for a moment": func(f *fleet) {
+			f.full = func(string, int) bool { return f.now < 1000+begins+1 }
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := settings()
+			s.Gateways = 30
+			f := newFleet(t, s, named(12)...)
+			asked, since, longest := 0, f.now, 0.0
+			for i := 0; f.now < 1000+over; i++ {
+				switch at := f.now - 1000; {
+				case at >= begins && at < begins+0.05:
+					begin(f)
+				case at >= ends && at < ends+0.05:
+					f.takes = func(string) (float64, control.Status) { return 0.1, control.OK }
+					f.full = func(string, int) bool { return false }
+				}
+				asked++
+				before := f.allSent()
+				f.offer(i%3, 0, uint64(i))
+				f.step(0.1)
+				if f.allSent() > before {
+					asked, since = 0, f.now
+				} else if asked >= 15 {
+					longest = max(longest, f.now-since)
+				}
+			}
+			t.Logf("the longest time without an attempt was %.1f s", longest)
+			if longest >= 4 {
+				t.Errorf("all was turned away for %.1f s, with no attempt in between", longest)
+			}
+		})
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -64,6 +64,7 @@
 	press   float64 // crowd, with the own slots in use
 	density float64 // mean worth in time per second of work, of what came in
 	weighed float64 // requests in it
+	refused int     // requests shed since the last attempt
 
 	sendRate float64 // own attempts a second, at all servers
 	sentAt   Seconds
@@ -269,6 +270,12 @@
 	return n
 }
 
+// fade lets the overload that was seen fade.
+func (p *pool) fade(now, memory Seconds) {
+	p.crowd *= math.Exp(-(now - p.crowdAt) / memory)
+	p.crowdAt = now
+}
+
 // averageTaken takes a number of attempts out into their average over some time.
 func (p *pool) averageTaken(now, taken, memory float64) float64 {
 	k := math.Exp(-(now - p.takenAt) / memory)
@@ -288,10 +295,12 @@
 // towards moves a value a part of the way to another, all of it at 1 and more.
 func towards(from, to, part float64) float64 { return from + (to-from)*min(1, part) }
 
-// weigh takes the worth of a request into the mean of what came in: the first few count alike, the last fifty later.
-func (p *pool) weigh(worth float64) {
+// weigh takes the worth of a request into the mean of what came in, and returns how many times its worth that is. The
+// first few count alike, the last fifty later.
+func (p *pool) weigh(worth float64) (rarer float64) {
 	p.density += (worth - p.density) * max(0.02, 1/(1+p.weighed))
 	p.weighed++
+	return p.density / max(worth, 1e-9)
 }
 
 // occupancy is how many attempts may be out at the usable servers, how many are that are no older than some typical
@@ -469,6 +478,14 @@
 	}
 }
 
+// left ends a request whose client has left.
+func (g *Gateway) left(e Gone) {
+	if r := g.requests[e.ID]; r != nil {
+		r.closed = true
+		g.finish(r)
+	}
+}
+
 // forgetRemoved drops the removed servers of a pool that have nothing out.
 func (g *Gateway) forgetRemoved(p *pool) {
 	p.list = slices.DeleteFunc(p.list, func(s *server) bool {
