--- /dev/null
+++ b/control/floors_test.go
@@ -0,0 +1,44 @@
+package control_test
+
+import (
+	"fmt"
+	"testing"
+
+	"junctionring/control"
+)
+
+// An unsafe class, one with a twentieth of the requests and a plan with a twentieth of the worth are not starved in
+// overload: each earns, in each third of the day, a fair part of what a dispatcher earns that sees all queues.
+func TestNoClassPlanOrPartOfTheDayStarves(t *testing.T) {
+	set := settings()
+	set.Gateways = 6
+	set.Classes = []control.Class{
+		{Aim: 1, Deadline: 4, Worth: 2, LateWorth: 0.2, Repeat: control.Safe},
+		{Aim: 1, Deadline: 4, Worth: 2, LateWorth: 0.2, Repeat: control.Unsafe},
+		{Aim: 1, Deadline: 4, Worth: 2, LateWorth: 0.2, Repeat: control.Keyed, Group: control.GroupAll, Window: 2},
+	}
+	set.Plans = []control.Plan{{Worth: 1}, {Worth: 1}}
+	for _, load := range []float64{0.81, 1, 1.3} {
+		t.Run(fmt.Sprint(load), func(t *testing.T) {
+			w := &workload{settings: set, shares: []float64{0.7, 0.25, 0.05}, work: []float64{0.12, 0.16, 0.2},
+				plans: []float64{0.95, 0.05}, servers: 10, cores: 3, queue: 60, load: load, seconds: 60}
+			best, got := bestSeen(w, 3), play(w, &gateways{seed: 5}, 3)
+			check := func(name string, got, best earning, part float64) {
+				t.Helper()
+				t.Logf("load %v, %s: %.2f, a seeing dispatcher %.2f", load, name, got.share(), best.share())
+				if got.share() < part*best.share() {
+					t.Errorf("%s: %.2f is under %.2f of %.2f", name, got.share(), part, best.share())
+				}
+			}
+			for class, name := range []string{"the usual class", "unsafe class", "class of a twentieth"} {
+				check(name, got.byClass[class], best.byClass[class], 0.5)
+				for third := range 3 {
+					check(fmt.Sprintf("%s, third %d", name, third+1), got.byThird[class][third], best.byThird[class][third], 0.5)
+				}
+			}
+			for plan, name := range []string{"the usual plan", "plan of a twentieth"} {
+				check(name, got.byPlan[plan], best.byPlan[plan], 0.5)
+			}
+		})
+	}
+}
