--- a/control/control.go
+++ b/control/control.go
@@ -1,7 +1,7 @@
 package control
 
 // types.go is the interface; state.go, copies.go and peers.go hold no threshold. Reading order: tuned values;
-// New, Handle; 1. customers and their quotas (batched deltas); 2. the counter: when to call, what answers mean;
+// New, Handle; 1. customers and their quotas (batched deltas); 2. the counter: when to call, its answers;
 // 3. requests; 4. servers. docs/design.md tells what comes from the source and what was changed.
 
 import (
