--- a/control/control.go
+++ b/control/control.go
@@ -167,7 +167,7 @@
 	case Reconfigured:
 		g.reconfigure(e)
 	case Ending:
-		// Danger: a planned end. What is not added yet could be spent a second time at the gateways that stay.
+		// Units that are not added yet could be spent a second time at the gateways that stay.
 		g.ending = true
 		for _, c := range g.waiting {
 			g.want(c)
@@ -183,7 +183,7 @@
 	return g.out
 }
 
-// wake asks for a timer by then. Danger: gateways that start together and then look in step.
+// wake asks for a timer by then. The random part keeps gateways that start together from calling in step.
 func (g *Gateway) wake(at Seconds) {
 	at = min(max(at, g.now+pulse*(0.5+g.rng.Float64())), g.now+slowFlush)
 	if g.wakeAt <= g.now || at < g.wakeAt {
@@ -209,7 +209,7 @@
 		return
 	}
 	g.swept = g.now
-	// Danger: floods of customers seen once. The quiet have a full bucket again.
+	// Customers that were quiet for long have a full bucket again and need not be kept.
 	g.order = slices.DeleteFunc(g.order, func(c *customer) bool {
 		quiet := g.now-c.lastAsk > max(doze*c.plan.window(shortWindow), c.plan.refillCeiling())
 		if c.gone = quiet && !c.calling && c.unsure == 0 && c.open == 0; c.gone {
@@ -250,7 +250,7 @@
 		window: p.windowAt(g.now), first: true, unknown: true, seen: g.now,
 		othersRate: unknownUse * p.Rate,
 	}
-	// Danger: a restart. A former life may have spent this split: it fills from the start of this one.
+	// The process before this one may have spent this part of the ceiling: it refills from this one's start.
 	split := p.CeilingBurst / c.spread
 	c.ceiling = min(split, p.CeilingRate/c.spread*(g.now-g.opened))
 	if len(g.customers) < maxCustomers {
@@ -262,15 +262,16 @@
 	return c
 }
 
-// share is this gateway's part of the customer's recent units. Danger: traffic moves.
-// While no view comes it falls to the even split, at which all shares add up to one.
+// share is this gateway's part of the customer's recent units. Traffic moves between gateways, so without a new total
+// it falls to the even split, at which the shares of all gateways add up to one.
 func (g *Gateway) share(c *customer) float64 {
 	even := 1 / c.spread
 	share := (c.ownShare + even) / (c.allShare + 1)
 	return even + max(0, min(1, share)-even)*math.Exp(-(g.now-c.seen)/shareLasts)
 }
 
-// demand is what all are likely asked. Danger: of a share of a hundredth, one ask would tell of a hundred.
+// demand estimates the units a second asked of all gateways, from those asked of this one and its share. The usual rate
+// weighs against them: at a share of a hundredth, a single ask would otherwise stand for a hundred.
 func (g *Gateway) demand(c *customer, less float64) float64 {
 	share := g.share(c)
 	seen := max(0, c.askRate*rateMemory-less)
@@ -314,7 +315,7 @@
 	if c.level < units {
 		return 0
 	}
-	// Departure: the split leaves room unused. Admit when the chance of room makes it worth while.
+	// The split leaves room unused: admit where the chance that there is room makes it worth while.
 	chance := 1.0
 	if !fits {
 		chance = poissonAtMost(int(c.level/units)-1, unseen/units)
@@ -328,7 +329,7 @@
 	return chance*(1-kept) + (1-chance)*gain
 }
 
-// hint tells a client when to come back. Danger: no hint at all, where the store seems to hold the units.
+// hint tells a client when to come back. Where the bucket seems to hold the units already it is a random short time.
 func (g *Gateway) hint(wait Seconds) Seconds {
 	if !g.set.Limits.RetryAfter {
 		return 0
@@ -386,7 +387,7 @@
 		return
 	}
 	if ready > g.callPurse {
-		// Danger: a crowded counter. A flood of customers seen once waits behind the rest.
+		// More calls are due than may be made: customers seen once wait behind those asked for again soon.
 		urgent := func(c *customer) Seconds { return c.due + min(waitMost, 1/(g.share(c)*g.demand(c, 0))) }
 		slices.SortStableFunc(g.waiting, func(a, b *customer) int { return cmp.Compare(urgent(a), urgent(b)) })
 	}
@@ -419,8 +420,8 @@
 	g.count(c, name, amount)
 }
 
-// pace learns how many calls the counter takes well, by the time that each answer tells of: alike
-// at any number of gateways. Danger: calls turned away come back at once and would storm it.
+// pace adapts the rate of calls to the counter: up while answers are quick, down while they are slow or missing. The
+// step follows the time since the last answer, so that calls turned away at once do not drive it faster.
 func (g *Gateway) pace(quick bool) {
 	spell := g.now - g.callTold
 	g.callTold = g.now
@@ -441,7 +442,7 @@
 	amount, previous := c.flying, c.previous
 	c.flying, c.calling, c.previous = 0, false, false
 	defer g.looked(c)
-	if c.moved { // Danger: a total under the name of a plan that it has left.
+	if c.moved { // the total is that of a plan that the customer has left
 		c.moved = false
 		g.want(c)
 		return
@@ -453,7 +454,7 @@
 		g.wake(g.now + peerAfter)
 		g.pace(false)
 		if e.Status == Timeout {
-			// Danger: the add may have been made. It is kept apart until a read tells.
+			// The add may have been made. It is kept apart until a read tells.
 			c.unsure += amount
 		} else {
 			c.delta += amount
@@ -497,7 +498,7 @@
 	}
 	c.mine += added
 	if total < c.mine-1e-4*max(1, c.mine) {
-		// Danger: an emptied counter. Post the own share again; the most seen of others stays known.
+		// The counter was emptied. Add the own units again; the most seen of others stays known.
 		c.delta += c.mine - added
 		c.mine = added
 	}
@@ -506,7 +507,7 @@
 	c.told, c.said = 0, 0
 	c.others = max(c.others, others)
 	age := c.age(g.now)
-	// Danger: seldom asked. A total tells of its window only; before that others drew by their rate.
+	// A total tells of its window only; before that others are taken to have drawn at their rate.
 	span := max(blind, min(age, g.now-float64(c.window)*c.plan.window(shortWindow)))
 	k := math.Exp(-span / rateMemory)
 	c.othersRate = c.othersRate*k + news/span*(1-k)
@@ -514,7 +515,7 @@
 		c.level = max(0, c.level-before*max(0, c.othersRate-c.plan.Rate))
 	}
 	c.first = false
-	// Danger: own units without news of others look like the whole. Shares move only with a view.
+	// Own units without news of others would look like the whole: shares move only with a total.
 	k = math.Exp(-age / shareMemory)
 	c.ownShare = c.ownShare*k + c.since
 	c.allShare = c.allShare*k + c.since + news
@@ -528,8 +529,8 @@
 	c.seen = g.now
 }
 
-// tell is a departure for a silent counter: what was sent on and not surely added. Danger:
-// messages of all to all. Only the customer's gateways are told, no more than all can take in.
+// tell sends the units that were sent on and are not surely added to the customer's other gateways, while the counter
+// is silent. It sends no more messages than each receiver takes in.
 func (g *Gateway) tell() {
 	var told []use
 	for _, c := range g.order {
@@ -594,8 +595,8 @@
 	g.send(r, s)
 }
 
-// look holds a try that an old view lets in until the counter has answered once. Danger: many gateways
-// that each see little of a customer. A counter in trouble is not waited for.
+// look holds a try that an old view lets in until the counter has answered: of many gateways each sees little of a
+// customer. A counter in trouble is not waited for.
 func (g *Gateway) look(c *customer, e Request, units float64) bool {
 	counts := g.set.Counter.Allowed && c.plan.Rate > 0 && g.misses == 0 && (c.calling || g.callPurse >= 1)
 	known := c.age(g.now) < lookAfter || c.part*g.share(c) >= units
