--- a/control/control.go
+++ b/control/control.go
@@ -262,16 +262,16 @@
 	return c
 }
 
-// share is this gateway's part of the customer's recent units. Traffic moves between gateways, so without a new total
-// it falls to the even split, at which the shares of all gateways add up to one.
+// share is this gateway's part of the customer's recent units. Traffic moves between gateways, so
+// without a new total it falls to the even split, at which all shares add up to one.
 func (g *Gateway) share(c *customer) float64 {
 	even := 1 / c.spread
 	share := (c.ownShare + even) / (c.allShare + 1)
 	return even + max(0, min(1, share)-even)*math.Exp(-(g.now-c.seen)/shareLasts)
 }
 
-// demand estimates the units a second asked of all gateways, from those asked of this one and its share. The usual rate
-// weighs against them: at a share of a hundredth, a single ask would otherwise stand for a hundred.
+// demand estimates the units a second asked of all gateways. The usual rate weighs against own asks:
+// at a share of a hundredth, a single one would otherwise stand for a hundred.
 func (g *Gateway) demand(c *customer, less float64) float64 {
 	share := g.share(c)
 	seen := max(0, c.askRate*rateMemory-less)
@@ -329,7 +329,7 @@
 	return chance*(1-kept) + (1-chance)*gain
 }
 
-// hint tells a client when to come back. Where the bucket seems to hold the units already it is a random short time.
+// hint tells a client when to come back: a random short time where the bucket seems to hold the units.
 func (g *Gateway) hint(wait Seconds) Seconds {
 	if !g.set.Limits.RetryAfter {
 		return 0
@@ -420,8 +420,8 @@
 	g.count(c, name, amount)
 }
 
-// pace adapts the rate of calls to the counter: up while answers are quick, down while they are slow or missing. The
-// step follows the time since the last answer, so that calls turned away at once do not drive it faster.
+// pace adapts the rate of calls: up while answers are quick, down while they are slow or missing. The
+// step follows the time since the last answer, so that calls turned away at once do not drive it.
 func (g *Gateway) pace(quick bool) {
 	spell := g.now - g.callTold
 	g.callTold = g.now
@@ -529,8 +529,8 @@
 	c.seen = g.now
 }
 
-// tell sends the units that were sent on and are not surely added to the customer's other gateways, while the counter
-// is silent. It sends no more messages than each receiver takes in.
+// tell sends units not surely added to the customer's other gateways while the counter is silent,
+// in no more messages than each receiver takes in.
 func (g *Gateway) tell() {
 	var told []use
 	for _, c := range g.order {
@@ -595,8 +595,8 @@
 	g.send(r, s)
 }
 
-// look holds a try that an old view lets in until the counter has answered: of many gateways each sees little of a
-// customer. A counter in trouble is not waited for.
+// look holds a try that an old view lets in until the counter has answered: of many gateways each
+// sees little of a customer. A counter in trouble is not waited for.
 func (g *Gateway) look(c *customer, e Request, units float64) bool {
 	counts := g.set.Counter.Allowed && c.plan.Rate > 0 && g.misses == 0 && (c.calling || g.callPurse >= 1)
 	known := c.age(g.now) < lookAfter || c.part*g.share(c) >= units
