--- a/control/control.go
+++ b/control/control.go
@@ -175,11 +175,7 @@
 	case Reconfigured:
 		g.reconfigure(e)
 	case Ending:
-		// Units that are not added yet could be spent a second time at the gateways that stay.
-		g.ending = true
-		for _, c := range g.waiting {
-			g.want(c)
-		}
+		g.flush()
 	case Restored:
 		g.pool(e.Site).forgive()
 	case Counted:
--- a/control/state.go
+++ b/control/state.go
@@ -587,6 +587,15 @@
 	}
 }
 
+// flush has all units added to the counter before this gateway ends: those that are not could be spent a second time at
+// the gateways that stay.
+func (g *Gateway) flush() {
+	g.ending = true
+	for _, c := range g.waiting {
+		g.want(c)
+	}
+}
+
 // left ends a request whose client has left.
 func (g *Gateway) left(e Gone) {
 	if r := g.requests[e.ID]; r != nil {
