--- a/control/control.go
+++ b/control/control.go
@@ -1,9 +1,8 @@
 package control
 
-// The interface (settings, events, actions) is types.go; state.go and peers.go hold no decision.
-// Reading order: the tuned values; New and Handle; then 1. customers and their quotas: the batched-delta
-// mechanism, the heart; 2. the counter: when to call it, and what its answers mean; 3. requests; 4. servers.
-// docs/design.md tells what comes from the source and what was changed.
+// types.go is the interface; state.go, copies.go and peers.go hold no threshold. Reading order: tuned values;
+// New, Handle; 1. customers and their quotas (batched deltas); 2. the counter: when to call, its answers;
+// 3. requests; 4. servers. docs/design.md tells what comes from the source and what was changed.
 
 import (
 	"cmp"
@@ -43,6 +42,7 @@
 	callSpell  = 0.2    // s that one bad answer can tell of at the most
 	waitMost   = 20.0   // s that a call may be put off for customers asked for again sooner
 	callBurst  = 0.02   // s of calls that may go out at once
+	callsSaved = 4.0    // and as many at least: a try that finds none left would be let in without a look
 	slowCall   = 0.35   // of a call's time-out: later answers say that the counter is crowded
 
 	peerAfter  = 0.3  // s without an answer of the counter before peers are told
@@ -68,6 +68,14 @@
 	growTo       = 1.010 // at each good sign
 	cutTo        = 0.92  // at each bad one
 	lateShare    = 0.6   // an answer later than this share of its aim says that there is a crowd
+	lateTimes    = 1.2   // but not before this multiple of a long time to answer on unloaded servers
+	lateMost     = 1.5   // and not more aims than this, where answers after the aim earn nothing
+	longShare    = 0.08  // of the answers take longer than the long time
+	longStep     = 0.2   // of the long time is what one answer may move it by
+	longMost     = 5.0   // typical times that it is taken for at the most
+	firstAnswers = 40.0  // of a class are needed to learn that time; before, some more is allowed
+	unloadedFast = 1.0   // a second, of the way to the present long time, unless load is shed and it is longer
+	unloadedSlow = 0.01  // the same while load is shed, though few answers are late
 	busyShare    = 0.7   // of a limit in use: it may grow; of all own slots: they add to the crowd
 	lateFew      = 0.07  // of the answers that come must be late for silence to tell of a crowd
 	inTimeFew    = 0.4   // or this few of all attempts answered in time: no network that is of use loses more
@@ -76,10 +84,13 @@
 	crowdSpell   = 0.5   // s that one answer can tell of at the most
 	crowdMost    = 4.0   // where it stops rising: one request in fifty of middling worth
 	crowdFew     = 0.05  // from here on no attempt is given up for another
+	probeAfter   = 12    // requests refused since the last attempt of a gateway, and
+	probePause   = 3.0   // s since then, after which one is let in whatever the overload
 	hopeLeast    = 0.5   // chance of an answer in time under which nothing is started
 	hopeFades    = 0.01  // fall of the typical time for each that is refused for want of hope
 	crowdFades   = 6.0   // s; where all is refused no answer would tell that the crowd is gone
 	fullFor      = 8.0   // s that a server is passed over for the class it turned away
+	fullShorter  = 0.75  // share of that by which it is shorter where all are turned away
 	provenBy     = 4.0   // extra cost where the class was not lately served, times how often it is turned away
 	learn        = 0.12  // weight of a new sample in averages over attempts
 	learnFleet   = 0.03  // the same for what is learned of all servers
@@ -118,6 +129,7 @@
 		callRate:  max(callsOwn, callsFirst/float64(max(1, s.Gateways))),
 		purse:     retryPurse,
 		meanUnits: 1,
+		hedges:    newHedger(&s),
 	}
 	classes := make([]classState, len(s.Classes))
 	for i, c := range s.Classes {
@@ -131,7 +143,9 @@
 }
 
 // firstState is what a class is taken to be before anything is learned of it.
-func firstState(c *Class) classState { return classState{typical: c.Aim / 5, work: c.Aim / 8} }
+func firstState(c *Class) classState {
+	return classState{typical: c.Aim / 5, work: c.Aim / 8, long: c.Aim / 4, unloaded: c.Aim / 4}
+}
 
 // Handle takes one event in and appends the actions it calls for.
 func (g *Gateway) Handle(now Seconds, ev Event, actions []Action) []Action {
@@ -147,23 +161,13 @@
 	case Request:
 		g.request(e)
 	case Arrived:
-		if r := g.requests[e.ID]; r != nil && r.arriving {
-			r.arriving, r.deadline = false, g.now+r.wait
-			if a := r.attempts[len(r.attempts)-1]; !a.ended {
-				g.depart(r, a)
-			}
-		}
+		g.arrived(e)
 	case Started:
-		if r := g.requests[e.ID]; r != nil {
-			r.streaming = true
-		}
+		g.started(e)
 	case Outcome:
 		g.outcome(e)
 	case Gone:
-		if r := g.requests[e.ID]; r != nil {
-			r.closed = true
-			g.finish(r)
-		}
+		g.left(e)
 	case Timer:
 		if now > g.wakeAt-pulse/4 {
 			g.sweep()
@@ -171,11 +175,7 @@
 	case Reconfigured:
 		g.reconfigure(e)
 	case Ending:
-		// Danger: a planned end. What is not added yet could be spent a second time at the gateways that stay.
-		g.ending = true
-		for _, c := range g.waiting {
-			g.want(c)
-		}
+		g.flush()
 	case Restored:
 		g.pool(e.Site).forgive()
 	case Counted:
@@ -187,7 +187,7 @@
 	return g.out
 }
 
-// wake asks for a timer by then. Danger: gateways that start together and then look in step.
+// wake asks for a timer by then. The random part keeps gateways that start together from calling in step.
 func (g *Gateway) wake(at Seconds) {
 	at = min(max(at, g.now+pulse*(0.5+g.rng.Float64())), g.now+slowFlush)
 	if g.wakeAt <= g.now || at < g.wakeAt {
@@ -205,6 +205,7 @@
 		g.wake(g.now + max(peerPause, g.peerGap))
 	}
 	g.wake(g.now + slowFlush)
+	g.sendCopies()
 	if g.nextAsk > 0 && g.now >= g.nextAsk {
 		g.nextAsk = 0
 		g.do(Watch{On: true})
@@ -213,7 +214,7 @@
 		return
 	}
 	g.swept = g.now
-	// Danger: floods of customers seen once. The quiet have a full bucket again.
+	// Customers that were quiet for long have a full bucket again and need not be kept.
 	g.order = slices.DeleteFunc(g.order, func(c *customer) bool {
 		quiet := g.now-c.lastAsk > max(doze*c.plan.window(shortWindow), c.plan.refillCeiling())
 		if c.gone = quiet && !c.calling && c.unsure == 0 && c.open == 0; c.gone {
@@ -251,28 +252,31 @@
 		id: e.Customer, index: e.Plan, plan: p,
 		door: e.First, spread: float64(max(1, min(e.Spread, g.set.Gateways))),
 		level: room, part: room, filled: g.now,
-		window: int64(math.Floor(g.now / p.window(shortWindow))), first: true, seen: g.now,
+		window: p.windowAt(g.now), first: true, unknown: true, seen: g.now,
 		othersRate: unknownUse * p.Rate,
 	}
-	// Danger: a restart. A former life may have spent this split: it fills from the start of this one.
+	// The process before this one may have spent this part of the ceiling: it refills from this one's start.
 	split := p.CeilingBurst / c.spread
 	c.ceiling = min(split, p.CeilingRate/c.spread*(g.now-g.opened))
 	if len(g.customers) < maxCustomers {
 		g.customers[e.Customer] = c
 		g.order = append(g.order, c)
+	} else { // its units are forgotten at once: no ceiling could be kept
+		c.ceiling = 0
 	}
 	return c
 }
 
-// share is this gateway's part of the customer's recent units. Danger: traffic moves.
-// While no view comes it falls to the even split, at which all shares add up to one.
+// share is this gateway's part of the customer's recent units. Traffic moves between gateways, so
+// without a new total it falls to the even split, at which all shares add up to one.
 func (g *Gateway) share(c *customer) float64 {
 	even := 1 / c.spread
 	share := (c.ownShare + even) / (c.allShare + 1)
 	return even + max(0, min(1, share)-even)*math.Exp(-(g.now-c.seen)/shareLasts)
 }
 
-// demand is what all are likely asked. Danger: of a share of a hundredth, one ask would tell of a hundred.
+// demand estimates the units a second asked of all gateways. The usual rate weighs against own asks:
+// at a share of a hundredth, a single one would otherwise stand for a hundred.
 func (g *Gateway) demand(c *customer, less float64) float64 {
 	share := g.share(c)
 	seen := max(0, c.askRate*rateMemory-less)
@@ -288,7 +292,7 @@
 	}
 	share := g.share(c)
 	gain := p.OverWorth - p.OverCost // of a try beyond the quota, per worth
-	capped := p.Open > 0 && float64(c.open+1) > max(1, float64(p.Open)*share)
+	capped := g.capped(c)
 	if capped && (p.Rate <= 0 || c.open >= p.Open) {
 		return 0
 	}
@@ -316,7 +320,7 @@
 	if c.level < units {
 		return 0
 	}
-	// Departure: the split leaves room unused. Admit when the chance of room makes it worth while.
+	// The split leaves room unused: admit where the chance that there is room makes it worth while.
 	chance := 1.0
 	if !fits {
 		chance = poissonAtMost(int(c.level/units)-1, unseen/units)
@@ -330,7 +334,7 @@
 	return chance*(1-kept) + (1-chance)*gain
 }
 
-// hint tells a client when to come back. Danger: no hint at all, where the store seems to hold the units.
+// hint tells a client when to come back: a random short time where the bucket seems to hold the units.
 func (g *Gateway) hint(wait Seconds) Seconds {
 	if !g.set.Limits.RetryAfter {
 		return 0
@@ -368,7 +372,7 @@
 }
 
 func (g *Gateway) call() {
-	g.callPurse = min(max(1, g.callRate*callBurst), g.callPurse+g.callRate*(g.now-g.callAt))
+	g.callPurse = min(max(callsSaved, g.callRate*callBurst), g.callPurse+g.callRate*(g.now-g.callAt))
 	if g.callAt = g.now; len(g.waiting) == 0 {
 		return
 	}
@@ -388,7 +392,7 @@
 		return
 	}
 	if ready > g.callPurse {
-		// Danger: a crowded counter. A flood of customers seen once waits behind the rest.
+		// More calls are due than may be made: customers seen once wait behind those asked for again soon.
 		urgent := func(c *customer) Seconds { return c.due + min(waitMost, 1/(g.share(c)*g.demand(c, 0))) }
 		slices.SortStableFunc(g.waiting, func(a, b *customer) int { return cmp.Compare(urgent(a), urgent(b)) })
 	}
@@ -407,35 +411,22 @@
 	g.waiting = kept
 }
 
-// Unadded counts the customers with units that the counter may not hold yet.
-func (g *Gateway) Unadded() (n int) {
-	for _, c := range g.customers {
-		if g.set.Counter.Allowed && c.plan.Rate > 0 && (c.delta != 0 || c.flying != 0) {
-			n++
-		}
-	}
-	return n
-}
-
 func (g *Gateway) callFor(c *customer) {
-	length := c.plan.window(shortWindow)
-	current := int64(math.Floor(g.now / length))
+	current := c.currentWindow(g.now)
 	if c.window < current && (c.first || c.window < current-1) && c.unsure == 0 {
 		c.window, c.mine, c.others = current, 0, 0 // nothing to close: too long ago
+		c.unknown = true
 	}
 	name, amount := windowName(c.id, c.plan.key(c.index), c.window), 0.0
 	if c.window == current && c.unsure == 0 {
 		amount = c.delta
 		c.delta = 0
 	}
-	c.flying, c.calling = amount, true
-	g.callOut[name] = append(g.callOut[name], c)
-	g.callPurse--
-	g.do(Count{Name: name, Amount: amount, TTL: min(60, nameLives*length)})
+	g.count(c, name, amount)
 }
 
-// pace learns how many calls the counter takes well, by the time that each answer tells of: alike
-// at any number of gateways. Danger: calls turned away come back at once and would storm it.
+// pace adapts the rate of calls: up while answers are quick, down while they are slow or missing. The
+// step follows the time since the last answer, so that calls turned away at once do not drive it.
 func (g *Gateway) pace(quick bool) {
 	spell := g.now - g.callTold
 	g.callTold = g.now
@@ -453,10 +444,10 @@
 	if c == nil {
 		return
 	}
-	amount := c.flying
-	c.flying, c.calling = 0, false
+	amount, previous := c.flying, c.previous
+	c.flying, c.calling, c.previous = 0, false, false
 	defer g.looked(c)
-	if c.moved { // Danger: a total under the name of a plan that it has left.
+	if c.moved { // the total is that of a plan that the customer has left
 		c.moved = false
 		g.want(c)
 		return
@@ -468,7 +459,7 @@
 		g.wake(g.now + peerAfter)
 		g.pace(false)
 		if e.Status == Timeout {
-			// Danger: the add may have been made. It is kept apart until a read tells.
+			// The add may have been made. It is kept apart until a read tells.
 			c.unsure += amount
 		} else {
 			c.delta += amount
@@ -481,13 +472,24 @@
 	clear(g.hearsay)
 	g.pace(e.Elapsed <= slowCall*g.set.Counter.Timeout)
 	c.fill(g.now, rateMemory)
+	if previous {
+		c.restore(g.now, e.Total)
+		return
+	}
 	g.view(c, e.Total, amount)
-	if current := int64(math.Floor(g.now / c.plan.window(shortWindow))); c.window < current {
+	if current := c.currentWindow(g.now); c.window < current {
 		c.window, c.mine, c.others = current, 0, 0 // what is left is carried over in level
+		if len(c.held) > 0 {                       // the window that is over tells nothing of the present one
+			g.callFor(c)
+			return
+		}
 	}
 	if c.delta > 0 {
 		g.want(c)
 	}
+	if c.unsettled(g.now) {
+		g.countPrevious(c)
+	}
 }
 
 func (g *Gateway) view(c *customer, total, added float64) {
@@ -501,7 +503,7 @@
 	}
 	c.mine += added
 	if total < c.mine-1e-4*max(1, c.mine) {
-		// Danger: an emptied counter. Post the own share again; the most seen of others stays known.
+		// The counter was emptied. Add the own units again; the most seen of others stays known.
 		c.delta += c.mine - added
 		c.mine = added
 	}
@@ -510,7 +512,7 @@
 	c.told, c.said = 0, 0
 	c.others = max(c.others, others)
 	age := c.age(g.now)
-	// Danger: seldom asked. A total tells of its window only; before that others drew by their rate.
+	// A total tells of its window only; before that others are taken to have drawn at their rate.
 	span := max(blind, min(age, g.now-float64(c.window)*c.plan.window(shortWindow)))
 	k := math.Exp(-span / rateMemory)
 	c.othersRate = c.othersRate*k + news/span*(1-k)
@@ -518,7 +520,7 @@
 		c.level = max(0, c.level-before*max(0, c.othersRate-c.plan.Rate))
 	}
 	c.first = false
-	// Danger: own units without news of others look like the whole. Shares move only with a view.
+	// Own units without news of others would look like the whole: shares move only with a total.
 	k = math.Exp(-age / shareMemory)
 	c.ownShare = c.ownShare*k + c.since
 	c.allShare = c.allShare*k + c.since + news
@@ -532,8 +534,8 @@
 	c.seen = g.now
 }
 
-// tell is a departure for a silent counter: what was sent on and not surely added. Danger:
-// messages of all to all. Only the customer's gateways are told, no more than all can take in.
+// tell sends units not surely added to the customer's other gateways while the counter is silent,
+// in no more messages than each receiver takes in.
 func (g *Gateway) tell() {
 	var told []use
 	for _, c := range g.order {
@@ -598,8 +600,8 @@
 	g.send(r, s)
 }
 
-// look holds a try that an old view lets in until the counter has answered once. Danger: many gateways
-// that each see little of a customer. A counter in trouble is not waited for.
+// look holds a try that an old view lets in until the counter has answered: of many gateways each
+// sees little of a customer. A counter in trouble is not waited for.
 func (g *Gateway) look(c *customer, e Request, units float64) bool {
 	counts := g.set.Counter.Allowed && c.plan.Rate > 0 && g.misses == 0 && (c.calling || g.callPurse >= 1)
 	known := c.age(g.now) < lookAfter || c.part*g.share(c) >= units
@@ -636,56 +638,42 @@
 	return nil
 }
 
+// shed decides whether to reject a request: likelier on overloaded servers, and if it is worth little there.
 func (g *Gateway) shed(r *request, gain float64, p *pool) bool {
-	class := &g.set.Classes[r.class]
-	// Danger: little time left. What is likely answered too late is worth less.
-	cs := &p.classes[r.class]
-	hope := 1 - math.Exp2(-min(class.Aim, r.deadline-g.now)/cs.typical)
-	if hope < hopeLeast { // Danger: where all are refused for it no answer would ever lower it again.
+	class, cs := &g.set.Classes[r.class], &p.classes[r.class]
+	hope, answered := class.hope(r.deadline-g.now, cs.typical)
+	hopeless := answered < hopeLeast
+	if hopeless { // where all are refused for it no answer would ever lower the typical time again
 		cs.typical -= cs.typical * hopeFades
 	}
 	worth := hope * gain * class.Worth * r.customer.plan.Worth * r.units / max(cs.work, 1e-4)
-	p.density += (worth - p.density) * max(0.02, 1/(1+p.weighed))
-	p.weighed++
-	// Danger: a large fleet. With one attempt out, own slots show no crowd; late answers of any server do.
-	p.crowd *= math.Exp(-(g.now - p.crowdAt) / crowdFades)
-	p.crowdAt = g.now
-	// Danger: lost answers. What is out long while answers are quick is no work.
+	rarer := p.weigh(worth)
+	p.fade(g.now, crowdFades)
 	few, oldest, work := slotsFirst < p.gates, math.Inf(1), 1.0
-	if few && p.lossy() {
+	if few && p.lossy() { // what is out long while answers are quick is lost, and no work
 		oldest, work = lostAfter, p.inTime
 	}
-	slots, taken, servers := slotsFloor, 0.0, 0.0
-	for _, s := range p.list {
-		if s.usable(g.now) {
-			servers++
-			slots += s.lim.limit
-			taken += work * s.younger(g.now, oldest)
-		}
-	}
-	if few { // of a server met seldom nothing is known: as of all. Danger: chance, where few are out
-		k := math.Exp(-(g.now - p.takenAt) / slotsMemory)
-		p.taken, p.takenAt = p.taken*k+taken*(1-k), g.now
-		slots, taken = slotsFloor+p.slots*servers, p.taken
+	slots, taken, servers := p.occupancy(g.now, oldest)
+	slots, taken = slotsFloor+slots, work*taken
+	if few { // of a server met seldom nothing is known: as of all, averaged, as few are out
+		slots, taken = slotsFloor+p.slots*servers, p.averageTaken(g.now, taken, slotsMemory)
 	}
 	p.inUse = taken >= slots*busyShare
 	p.press = p.crowd + max(0, taken-slots*busyShare)/(slots*(1-busyShare))
-	rarer := p.density / max(worth, 1e-9)
-	return hope < hopeLeast || p.press > 0 && g.rng.Float64() > math.Exp(-p.press*rarer*rarer)
+	if hopeless || p.press <= 0 || g.rng.Float64() <= math.Exp(-p.press*rarer*rarer) {
+		return hopeless
+	}
+	// A gateway that refuses all it gets would not see the overload end: now and then one is let in.
+	p.refused++
+	return p.refused < probeAfter || g.now-p.sentAt < probePause
 }
 
-// overdue tells of a crowd as soon as an attempt is out too long, whatever becomes of it. Danger: collapse.
-// Where servers only work on what nobody waits for no answer comes, or seconds later, to tell of it.
+// overdue takes an attempt for a sign of overload as soon as it is out too long, whatever becomes of it.
+// Servers that only work on what nobody waits for any more answer nothing, or seconds later.
 func (g *Gateway) overdue() {
 	for _, p := range g.pools {
 		for i := range p.classes {
-			cs, limit := &p.classes[i], lateShare*g.set.Classes[i].Aim
-			for len(cs.open) > 0 && (cs.open[0].ended || g.now-cs.open[0].sent > limit) {
-				a := cs.open[0]
-				cs.open = cs.open[1:]
-				if a.ended {
-					continue
-				}
+			for range p.classes[i].overdue(g.now-g.lateAfter(p, i), g.representative) {
 				if p.inTime -= p.inTime * learn; !p.lossy() {
 					p.slots = max(slotsLeast*slotsPooled/p.gates, p.slots*cutTo)
 					g.feel(p, true)
@@ -695,9 +683,39 @@
 	}
 }
 
-// lossy tells that silence is loss. Danger: lost answers are no crowd: most come, and quickly.
+// lossy tells that missing answers are lost ones and no overload: most come, and quickly.
 func (p *pool) lossy() bool { return p.lateOK <= lateFew && p.inTime >= inTimeFew }
 
+// lateAfter is the time to answer from which on an answer of a class is a sign of overload: a share of the
+// aim. Where the aim is near the work itself no server meets that. There it is what unloaded servers need, as
+// long as an answer so late still earns.
+func (g *Gateway) lateAfter(p *pool, class int) Seconds {
+	c, cs := &g.set.Classes[class], &p.classes[class]
+	possible := lateTimes * cs.unloaded * (1 + firstAnswers/cs.answers)
+	earning := min(c.Deadline, lateMost*c.Aim+c.LateWorth*(c.Deadline-c.Aim))
+	return max(lateShare*c.Aim, min(possible, earning))
+}
+
+// learnTimes takes in the time of a good answer. Queues lengthen all answers: what unloaded servers need may
+// hardly rise while load is shed, or lasting overload would count as usual.
+func (g *Gateway) learnTimes(p *pool, class int, took Seconds) {
+	c, cs := &g.set.Classes[class], &p.classes[class]
+	cs.answers++
+	cs.typical = nudged(cs.typical, took, max(learnFleet, 1/cs.answers), learnFleet) // it may be far off
+	cs.typical = min(cs.typical, max(c.Aim, g.lateAfter(p, class)))
+	cs.work = nudged(cs.work, took, 0.4*learnFleet, 1.6*learnFleet)
+	cs.long = nudged(cs.long, took, longStep*(1-longShare), longStep*longShare)
+	long, pace := min(cs.long, longMost*cs.typical), unloadedFast
+	if long > cs.unloaded && p.press >= crowdFew && cs.answers >= firstAnswers {
+		pace = unloadedSlow
+		if p.inTime < inTimeFew || cs.unloaded > max(c.Aim, c.LateWorth*c.Deadline) {
+			pace = 0
+		}
+	}
+	cs.unloaded = towards(cs.unloaded, long, pace*(g.now-cs.heard))
+	cs.heard = g.now
+}
+
 func (g *Gateway) feel(p *pool, late bool) {
 	spell := min(crowdSpell, g.now-p.felt)
 	p.felt = g.now
@@ -721,16 +739,14 @@
 			timeout = 0
 		}
 	}
-	a := &attempt{server: s, sent: g.now}
-	r.attempts = append(r.attempts, a)
-	r.out++
-	r.customer.open++
+	a := r.begin(s, g.now)
 	if !r.arriving {
 		g.depart(r, a)
 	}
 	p.sendRate = p.sendRate*math.Exp(-(g.now-p.sentAt)/rateMemory) + 1/rateMemory
-	p.sentAt = g.now
+	p.sentAt, p.refused = g.now, 0
 	g.do(Send{ID: r.id, Server: s.id, Timeout: timeout})
+	g.awaitCopy(r)
 }
 
 // depart books an attempt that a server is about to have whole. Danger: slow bodies. Booked from their
@@ -743,21 +759,19 @@
 
 func (g *Gateway) outcome(e Outcome) {
 	r := g.requests[e.ID]
-	if r == nil || e.Attempt < 0 || e.Attempt >= len(r.attempts) || r.attempts[e.Attempt].ended {
+	a := r.end(e.Attempt)
+	if a == nil {
 		return
 	}
-	a := r.attempts[e.Attempt]
-	a.ended = true
-	r.out--
-	r.customer.open--
 	g.judge(r, a, e)
+	g.timeCopies(r, a, e.Status)
 	if e.Status == OK && e.Units > 0 && g.set.Counter.Settles {
 		r.customer.fill(g.now, rateMemory)
 		g.settle(r.customer, e.Units-r.units)
 		g.want(r.customer)
 		r.units = e.Units
 	}
-	if r.closed = r.closed || e.Closed; r.closed {
+	if r.closed || e.Closed {
 		g.finish(r)
 		return
 	}
@@ -802,11 +816,13 @@
 	} else {
 		g.do(Fail{ID: r.id})
 	}
-	r.closed = true
 	g.finish(r)
 }
 
+// finish closes a request that has its answer or whose client has left, and calls off what is out.
 func (g *Gateway) finish(r *request) {
+	r.closed = true
+	g.hedges.Ended(r.id, r.class)
 	if r.out == 0 {
 		delete(g.requests, r.id)
 		return
@@ -841,9 +857,7 @@
 			s = nil
 		}
 		if s == nil {
-			slots := max(1, slotsFirst/p.gates)
-			s = &server{id: m.Server, place: placeOf(m.Server), pool: p, slow: 1, lim: limiter{limit: slots},
-				served: make([]Seconds, len(p.classes)), full: make([]Seconds, len(p.classes))}
+			s = newServer(m.Server, p, max(1, slotsFirst/p.gates))
 			g.servers[m.Server] = s
 			p.list = append(p.list, s)
 			if m.Since > 0 {
@@ -857,35 +871,20 @@
 		s.listed = m.State == Ready
 	}
 	for _, p := range g.pools {
-		p.list = slices.DeleteFunc(p.list, func(s *server) bool {
-			if s.member.State == Removed && s.lim.out == 0 && g.servers[s.id] == s {
-				delete(g.servers, s.id)
-			}
-			return g.servers[s.id] != s
-		})
+		g.forgetRemoved(p)
 		p.arrange(float64(g.set.Ordinal) / float64(g.set.Gateways))
 	}
 }
 
-func (g *Gateway) chill(s *server, since Seconds) {
-	if g.now-since < g.set.Guarantees.Ramp {
-		if !s.cold {
-			// Danger: all gateways at once. Each starts with another part of an attempt.
-			s.budget, s.budgeted = g.rng.Float64(), g.now
-		}
-		s.cold, s.coldFrom = true, since
-	}
-}
-
 func (g *Gateway) refillBudget(s *server) (warm float64) {
 	p := s.pool
 	warm = g.set.Guarantees.warmth(g.now - s.coldFrom)
 	if s.cold = s.cold && warm < 1; !s.cold {
 		return 1
 	}
-	// Danger: a release of most servers. A cold one gets its part of what a warm one gets, not of the mean.
+	// A cold server gets its part of what a warm one gets, not of the mean: a release of most lowers that.
 	rate := p.sendRate * math.Exp(-(g.now-p.sentAt)/rateMemory) / max(1, p.parts)
-	if p.warm == 0 { // Danger: nobody is sent anything, so nobody would ever get a part of it.
+	if p.warm == 0 { // a part of what warm servers get would be nothing for ever
 		rate = max(rate, coldCores/p.guess/p.gates)
 	}
 	s.budget = min(coldBurst, s.budget+coldPart*warm*rate*(g.now-s.budgeted))
@@ -893,7 +892,8 @@
 	return warm
 }
 
-// choose picks the best of a few servers. Danger: of all, by an old view or zone, they would herd.
+// choose picks the cheapest of a few random servers: with all compared, gateways that share an old view would
+// all pick the same one. Only where none of the few takes the request are all looked at.
 func (g *Gateway) choose(r *request, p *pool, last bool) *server {
 	var best *server
 	bestCost, few := math.Inf(1), max(choicesLeast, choices*len(p.list)/int(p.gates))
@@ -902,8 +902,8 @@
 			best, bestCost = s, cost
 		}
 	}
-	// Danger: as many connections at a server as gateways, that know nothing of it: each request meets a
-	// stranger. A gateway keeps to the first of its list, which all arrange so that each server has as many.
+	// In a large fleet a gateway keeps to the first of its list: it meets each often enough to learn of it, and
+	// a server has few connections. All arrange their lists so that each server has as many.
 	reach := min(len(p.list), max(2*few, serverGates*len(p.list)/int(p.gates)))
 	for range few {
 		if 2*few < len(p.list) {
@@ -913,16 +913,11 @@
 	if best != nil {
 		return best
 	}
-	open, parts := false, 0.0
-	p.warm = p.warmNow(g.now)
+	usable := p.survey(&g.set.Guarantees, g.now, coldPart)
 	for _, s := range p.list {
-		if look(s, false); s.usable(g.now) {
-			open = true
-			parts += s.part(&g.set.Guarantees, g.now, coldPart)
-		}
+		look(s, false)
 	}
-	p.parts = parts
-	if best != nil || open || !last {
+	if best != nil || usable > 0 || !last {
 		return best
 	}
 	for _, s := range p.list { // never all of them out: the least bad is tried
@@ -943,7 +938,7 @@
 	trial := s.trial && g.now < s.until+trialFor*s.outFor // later it is like any other
 	switch {
 	case s.cold && !picked && s.budget < 1, s.cold && picked && g.rng.Float64() > coldPart*warm,
-		s.full[r.class] > 0 && g.now-s.full[r.class] < fullFor,
+		s.full[r.class] > 0 && g.now-s.full[r.class] < fullFor*(1-fullShorter*s.pool.classes[r.class].full),
 		// Others try a server that is out, too: the more they are, the rarer the trials of each.
 		trial && (unsafe || g.rng.Float64()*s.pool.gates > trialShare):
 		return math.Inf(1)
@@ -979,10 +974,11 @@
 	return cost * (1 + jitter*g.rng.Float64())
 }
 
-// fits tells whether r may go to s: a keyed one that may have run stays with those that drop its repeats.
+// fits tells whether r may go to s: a copy to no server that has it, a keyed one that may have run only
+// to those that drop its repeats.
 func (g *Gateway) fits(r *request, s *server) bool {
 	class := &g.set.Classes[r.class]
-	return !r.mayRan || class.Repeat != Keyed || class.Group.holds(s, r.ranAt)
+	return !r.isOutAt(s) && (!r.mayRan || class.Repeat != Keyed || class.Group.holds(s, r.ranAt))
 }
 
 func (g *Gateway) judge(r *request, a *attempt, e Outcome) {
@@ -993,8 +989,8 @@
 	s.slow = 1 + (s.slow-1)*math.Exp(-(g.now-s.heard)/forgetSlow)
 	s.heard = g.now
 	class, cs := &g.set.Classes[r.class], &p.classes[r.class]
-	took := g.now - a.sent
-	late := took > lateShare*class.Aim
+	took, limit := g.now-a.sent, g.lateAfter(p, r.class)
+	late := took > limit
 	switch e.Status {
 	case OK:
 		if s.suspect {
@@ -1006,9 +1002,10 @@
 		s.strikes, s.until, s.outFor, s.trial = 0, 0, 0, false
 		p.lost -= p.lost * learnFleet
 		s.slow += (min(took/cs.typical, 20) - s.slow) * learn
-		cs.typical = min(class.Aim, cs.typical+cs.typical*learnFleet*sign(took-cs.typical))
-		cs.work += cs.work * learnFleet * (sign(took-cs.work) - 0.6)
-		p.lateOK += ((sign(took-lateShare*class.Aim)+1)/2 - p.lateOK) * learn
+		g.learnTimes(p, r.class, took)
+		if g.representative(s) {
+			p.lateOK += (share(late) - p.lateOK) * learn
+		}
 		if late {
 			s.lim.bad()
 			break
@@ -1034,7 +1031,7 @@
 		g.strike(s, 1)
 	case Timeout:
 		// What the client did not wait for tells nothing, least of all of the server.
-		if cs.typical = min(class.Aim, cs.typical+cs.typical*learnFleet*max(0, sign(took-cs.typical))); !late {
+		if cs.typical = min(max(class.Aim, limit), nudged(cs.typical, took, learnFleet, 0)); !late {
 			return
 		}
 		s.slow += (min(took/cs.typical, 20) - s.slow) * learn
--- a/control/state.go
+++ b/control/state.go
@@ -9,6 +9,9 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+
+	"junctionring/hedge"
+	"junctionring/quota"
 )
 
 // Gateway decides for one gateway. It is not safe for concurrent use.
@@ -35,7 +38,8 @@
 	callOut             map[uint64][]*customer // by name, in order of the calls
 
 	requests map[uint64]*request
-	purse    float64 // retries that may be spent
+	purse    float64       // retries that may be spent
+	hedges   *hedge.Hedger // of second copies; nil where there are none
 
 	meanUnits float64 // of a try
 
@@ -64,6 +68,7 @@
 	press   float64 // crowd, with the own slots in use
 	density float64 // mean worth in time per second of work, of what came in
 	weighed float64 // requests in it
+	refused int     // requests shed since the last attempt
 
 	sendRate float64 // own attempts a second, at all servers
 	sentAt   Seconds
@@ -88,6 +93,11 @@
 	full    float64    // share of its attempts that are turned away
 	work    Seconds    // a low quantile: the work without the waiting
 	open    []*attempt // not yet known to be in time or late, oldest first
+
+	long     Seconds // a high quantile of the time to answer
+	unloaded Seconds // what that is on servers that are not overloaded
+	answers  float64 // good answers so far
+	heard    Seconds // last good answer
 }
 
 // customer is what is known of one customer; control.go, part 1.
@@ -118,12 +128,14 @@
 	since   float64 // units sent on since the last view
 	first   bool    // the first read is still to come
 	calling bool
-	moved   bool      // to another plan, while a call was out
-	held    []Request // until the call that is out is answered
-	queued  bool
-	seen    Seconds // time of the last view
-	due     Seconds
-	lastAsk Seconds
+	// previous tells that the call that is out reads the window before, and unknown that the level does not rest on it.
+	previous, unknown bool
+	moved             bool      // to another plan, while a call was out
+	held              []Request // until the call that is out is answered
+	queued            bool
+	seen              Seconds // time of the last view
+	due               Seconds
+	lastAsk           Seconds
 }
 
 // request is a request that is held; control.go, part 3.
@@ -153,6 +165,27 @@
 	whole  bool // it is at the server, or on its way
 }
 
+// begin books a new attempt at s.
+func (r *request) begin(s *server, now Seconds) *attempt {
+	a := &attempt{server: s, sent: now}
+	r.attempts = append(r.attempts, a)
+	r.out++
+	r.customer.open++
+	return a
+}
+
+// end books the end of an attempt, and returns nil if the request is not known or no such attempt is out.
+func (r *request) end(number int) *attempt {
+	if r == nil || number < 0 || number >= len(r.attempts) || r.attempts[number].ended {
+		return nil
+	}
+	a := r.attempts[number]
+	a.ended = true
+	r.out--
+	r.customer.open--
+	return a
+}
+
 // server is what is known of one server; control.go, part 4.
 type server struct {
 	id     string
@@ -225,12 +258,12 @@
 	return sum
 }
 
-// sign is -1 below 0 and 1 from there on.
-func sign(x float64) float64 {
-	if x < 0 {
-		return -1
+// share is 1 for what holds and 0 for what doesn't, to be averaged.
+func share(holds bool) float64 {
+	if holds {
+		return 1
 	}
-	return 1
+	return 0
 }
 
 // sent books an attempt at s.
@@ -242,6 +275,75 @@
 	}
 }
 
+// chanceWithin is the chance of an answer within some time, where half of the answers take no longer than typical.
+func chanceWithin(time, typical Seconds) float64 { return 1 - math.Exp2(-max(0, time)/typical) }
+
+// hope is the share of its worth that a request of this class likely earns with so much time left, and the chance
+// that it is answered at all. An answer after the aim earns a part, one after the client has left nothing.
+func (c *Class) hope(left, typical Seconds) (share, answered float64) {
+	answered = chanceWithin(left, typical)
+	inAim := chanceWithin(min(c.Aim, left), typical)
+	return inAim + c.LateWorth*(answered-inAim), answered
+}
+
+// overdue drops the attempts that have ended or were sent before a time, and counts the latter at servers that
+// tell of all.
+func (cs *classState) overdue(before Seconds, representative func(*server) bool) (n int) {
+	for len(cs.open) > 0 && (cs.open[0].ended || cs.open[0].sent < before) {
+		if !cs.open[0].ended && representative(cs.open[0].server) {
+			n++
+		}
+		cs.open = cs.open[1:]
+	}
+	return n
+}
+
+// fade lets the overload that was seen fade.
+func (p *pool) fade(now, memory Seconds) {
+	p.crowd *= math.Exp(-(now - p.crowdAt) / memory)
+	p.crowdAt = now
+}
+
+// averageTaken takes a number of attempts out into their average over some time.
+func (p *pool) averageTaken(now, taken, memory float64) float64 {
+	k := math.Exp(-(now - p.takenAt) / memory)
+	p.taken, p.takenAt = p.taken*k+taken*(1-k), now
+	return p.taken
+}
+
+// nudged moves an estimate by a part of it up or down, to where a sample lies. It settles where that many more samples
+// lie above than below as the part up is smaller: at the middle one, if both are the same.
+func nudged(estimate, sample, up, down float64) float64 {
+	if sample >= estimate {
+		return estimate * (1 + up)
+	}
+	return estimate * (1 - down)
+}
+
+// towards moves a value a part of the way to another, all of it at 1 and more.
+func towards(from, to, part float64) float64 { return from + (to-from)*min(1, part) }
+
+// weigh takes the worth of a request into the mean of what came in, and returns how many times its worth that is. The
+// first few count alike, the last fifty later.
+func (p *pool) weigh(worth float64) (rarer float64) {
+	p.density += (worth - p.density) * max(0.02, 1/(1+p.weighed))
+	p.weighed++
+	return p.density / max(worth, 1e-9)
+}
+
+// occupancy is how many attempts may be out at the usable servers, how many are that are no older than some typical
+// times, and the number of those servers.
+func (p *pool) occupancy(now, oldest float64) (slots, taken, servers float64) {
+	for _, s := range p.list {
+		if s.usable(now) {
+			servers++
+			slots += s.lim.limit
+			taken += s.younger(now, oldest)
+		}
+	}
+	return slots, taken, servers
+}
+
 // younger counts the attempts out at s that are no older than some typical times.
 func (s *server) younger(now, times float64) float64 {
 	n := 0.0
@@ -292,6 +394,78 @@
 	c.askRate *= k
 }
 
+// windowAt numbers the plan's window at a time.
+func (p *Plan) windowAt(now Seconds) int64 { return int64(math.Floor(now / p.window(shortWindow))) }
+
+// currentWindow numbers the window that a customer's units belong to now.
+func (c *customer) currentWindow(now Seconds) int64 { return c.plan.windowAt(now) }
+
+// intoWindow is the time since the window in use began.
+func (c *customer) intoWindow(now Seconds) Seconds {
+	return now - float64(c.window)*c.plan.window(shortWindow)
+}
+
+// unsettled tells that the verdict on a held try depends on the use in the previous window: a bucket that was full at
+// its end would let it in, and one that was empty would not. The level is raised to what the present total proves.
+func (c *customer) unsettled(now Seconds) bool {
+	if !c.unknown || len(c.held) == 0 {
+		return false
+	}
+	least, greatest := c.plan.bucket().Bounds(c.intoWindow(now), c.mine+c.others+c.delta)
+	c.level, c.part = max(c.level, least), max(c.part, least)
+	units := c.held[0].Units
+	return least < units && units <= greatest
+}
+
+// restore sets the level of a customer of whom this gateway remembers nothing, from the totals of the previous window
+// and of the present one.
+func (c *customer) restore(now Seconds, previous float64) {
+	b := c.plan.bucket()
+	start := b.AtWindowStart(c.plan.window(shortWindow), previous)
+	c.level = b.After(start, c.intoWindow(now), c.mine+c.others+c.delta)
+	c.part = c.level
+	c.unknown = false
+}
+
+// bucket is the token bucket by which a plan's quota is judged.
+func (p *Plan) bucket() quota.Bucket { return quota.Bucket{Rate: p.Rate, Burst: p.Burst} }
+
+// count calls the counter for a customer.
+func (g *Gateway) count(c *customer, name uint64, amount float64) {
+	c.flying, c.calling = amount, true
+	g.callOut[name] = append(g.callOut[name], c)
+	g.callPurse--
+	g.do(Count{Name: name, Amount: amount, TTL: min(60, nameLives*c.plan.window(shortWindow))})
+}
+
+// countPrevious reads the total of a customer's previous window.
+func (g *Gateway) countPrevious(c *customer) {
+	c.previous = true
+	g.count(c, windowName(c.id, c.plan.key(c.index), c.window-1), 0)
+}
+
+// Unadded counts the customers with units that the counter may not hold yet.
+func (g *Gateway) Unadded() (n int) {
+	for _, c := range g.customers {
+		if g.set.Counter.Allowed && c.plan.Rate > 0 && (c.delta != 0 || c.flying != 0) {
+			n++
+		}
+	}
+	return n
+}
+
+// arrived begins the time of a request that has come in whole.
+func (g *Gateway) arrived(e Arrived) {
+	r := g.requests[e.ID]
+	if r == nil || !r.arriving {
+		return
+	}
+	r.arriving, r.deadline = false, g.now+r.wait
+	if a := r.attempts[len(r.attempts)-1]; !a.ended {
+		g.depart(r, a)
+	}
+}
+
 // hold keeps a request until the customer's call is answered; the client may leave meanwhile.
 func (g *Gateway) hold(c *customer, e Request) {
 	e.held = &request{id: e.ID, class: e.Class, customer: c, deadline: g.now + e.TimeLeft}
@@ -301,6 +475,9 @@
 
 // looked has what was held for a call taken up again, in the order in which it came.
 func (g *Gateway) looked(c *customer) {
+	if c.calling { // a further call is out for them
+		return
+	}
 	held := c.held
 	c.held = nil
 	for _, e := range held {
@@ -340,6 +517,24 @@
 	return some * r.warmth(now-s.coldFrom)
 }
 
+// chill notes the start of a server: it is cold until the settings' ramp is over.
+func (g *Gateway) chill(s *server, since Seconds) {
+	if g.now-since < g.set.Guarantees.Ramp {
+		if !s.cold {
+			// Each gateway starts with another part of an attempt, so that they don't all send at once.
+			s.budget, s.budgeted = g.rng.Float64(), g.now
+		}
+		s.cold, s.coldFrom = true, since
+	}
+}
+
+// representative tells whether a late answer of s says something of its whole pool. A cold server is slow by nature
+// and its load is bounded by its own budget, so while any server is warm only the warm ones tell of an overload.
+func (g *Gateway) representative(s *server) bool {
+	warming := s.cold && g.set.Guarantees.warmth(g.now-s.coldFrom) < 1
+	return !warming || s.pool.warmNow(g.now) == 0
+}
+
 // warmth is the share of its capacity that a server has at the least, some time after its start.
 func (r *Guarantees) warmth(age Seconds) float64 {
 	if age >= r.Ramp {
@@ -379,6 +574,45 @@
 	return &pool{classes: slices.Clone(classes), guess: longest, gates: gates, slots: slots, lateOK: 1, inTime: 1, warm: 1} // until more is known
 }
 
+// newServer is a server of which nothing is known.
+func newServer(id string, p *pool, slots float64) *server {
+	return &server{id: id, place: placeOf(id), pool: p, slow: 1, lim: limiter{limit: slots},
+		served: make([]Seconds, len(p.classes)), full: make([]Seconds, len(p.classes))}
+}
+
+// started notes that a streamed answer has begun: it can't be sent again.
+func (g *Gateway) started(e Started) {
+	if r := g.requests[e.ID]; r != nil {
+		r.streaming = true
+	}
+}
+
+// flush has all units added to the counter before this gateway ends: those that are not could be spent a second time at
+// the gateways that stay.
+func (g *Gateway) flush() {
+	g.ending = true
+	for _, c := range g.waiting {
+		g.want(c)
+	}
+}
+
+// left ends a request whose client has left.
+func (g *Gateway) left(e Gone) {
+	if r := g.requests[e.ID]; r != nil {
+		g.finish(r)
+	}
+}
+
+// forgetRemoved drops the removed servers of a pool that have nothing out.
+func (g *Gateway) forgetRemoved(p *pool) {
+	p.list = slices.DeleteFunc(p.list, func(s *server) bool {
+		if s.member.State == Removed && s.lim.out == 0 && g.servers[s.id] == s {
+			delete(g.servers, s.id)
+		}
+		return g.servers[s.id] != s
+	})
+}
+
 func (g *Gateway) do(a Action) { g.out = append(g.out, a) }
 
 func (s *server) usable(now Seconds) bool {
@@ -432,6 +666,22 @@
 	return n
 }
 
+// survey counts the usable servers, the warm ones of them, and what all may get, a cold one counting by its part.
+func (p *pool) survey(r *Guarantees, now Seconds, some float64) (usable int) {
+	p.warm, p.parts = 0, 0
+	for _, s := range p.list {
+		if !s.usable(now) {
+			continue
+		}
+		usable++
+		p.parts += s.part(r, now, some)
+		if !s.cold {
+			p.warm++
+		}
+	}
+	return usable
+}
+
 // gates is how many gateways have a site for their first choice, as far as that is told.
 func (s *Settings) gates(site int) int {
 	if site == s.Site && s.Here > 0 {
@@ -455,7 +705,7 @@
 	c.plan, c.index, c.moved = p, index, c.calling
 	c.level, c.part = min(c.level, p.Burst), min(c.part, p.Burst)
 	c.ceiling = min(c.ceiling, p.CeilingBurst/c.spread)
-	c.window = int64(math.Floor(now / p.window(shortWindow)))
+	c.window = c.currentWindow(now)
 	c.mine, c.others, c.unsure = 0, 0, 0
 }
 
@@ -477,7 +727,8 @@
 			case i < len(old) && from == i:
 				p.classes[i] = old[i]
 			case from >= 0 && from < len(old):
-				p.classes[i] = classState{typical: old[from].typical, work: old[from].work, full: old[from].full}
+				p.classes[i] = old[from]
+				p.classes[i].open = nil
 			default:
 				p.classes[i] = firstState(&e.Classes[i])
 			}
@@ -487,6 +738,7 @@
 		}
 	}
 	g.set = set
+	g.hedges = g.hedges.Reconfigure(hedgeClasses(&set), e.From)
 }
 
 func resized(s []Seconds, n int) []Seconds {
