--- a/cmd/junctionring/platform.go
+++ b/cmd/junctionring/platform.go
@@ -24,6 +24,14 @@
 	"junctionring/shutdown"
 )
 
+// counterPatience is how many times the settings' call limit an answer of the counter is waited for. The counter answers
+// each call when its turn comes, however late, and the call has been paid for by then: an answer that was given up leaves
+// its units in doubt until another call reads them. It stays below what a client must wait to be held for a call.
+const counterPatience = 3
+
+// counterWait is how long an answer of the counter is waited for, by the settings' limit for a call.
+func counterWait(limit control.Seconds) time.Duration { return seconds(counterPatience * limit) }
+
 // platformGateway is a process that serves the platform's protocol.
 type platformGateway struct {
 	path    string // of the configuration
@@ -104,7 +112,7 @@
 	})
 	g := &platformGateway{
 		path: path, config: p, log: log, figures: telemetry.New("svc"), moves: make(chan string, 1),
-		counter:   counter.NewLine(p.Counter, seconds(set.Module.Counter.Timeout)),
+		counter:   counter.NewLine(p.Counter, counterWait(set.Module.Counter.Timeout)),
 		table:     retune.Start(set.Classes, set.Module.Classes, set.Plans, set.Module.Plans, set.Module.Limits.MaxAttempts),
 		deadlines: deadlineHistory{since: time.Now()},
 	}
