Ask full servers again after 2 s where all of them turned a class away

Callers saw: every request of a class refused for up to 7.8 s after servers that had turned it away had room again; under 4 s is allowed.

Cause: fitness passes over a server for fullFor, 8 s, after it turned a class away, and a full server is usable, so that choose never reaches its last resort. Where all servers had turned the class away nobody asked any of them.

Now, where each usable warm server turned the class away when last asked, the time is fullForAll, 2 s.

--- a/control/control.go
+++ b/control/control.go
@@ -81,6 +81,7 @@
 	hopeFades    = 0.01  // fall of the typical time for each that is refused for want of hope
 	crowdFades   = 6.0   // s; where all is refused no answer would tell that the crowd is gone
 	fullFor      = 8.0   // s that a server is passed over for the class it turned away
+	fullForAll   = 2.0   // s, the same where all servers turned it away
 	provenBy     = 4.0   // extra cost where the class was not lately served, times how often it is turned away
 	learn        = 0.12  // weight of a new sample in averages over attempts
 	learnFleet   = 0.03  // the same for what is learned of all servers
@@ -151,9 +152,7 @@
 	case Arrived:
 		g.arrived(e)
 	case Started:
-		if r := g.requests[e.ID]; r != nil {
-			r.streaming = true
-		}
+		g.started(e)
 	case Outcome:
 		g.outcome(e)
 	case Gone:
@@ -837,9 +836,7 @@
 			s = nil
 		}
 		if s == nil {
-			slots := max(1, slotsFirst/p.gates)
-			s = &server{id: m.Server, place: placeOf(m.Server), pool: p, slow: 1, lim: limiter{limit: slots},
-				served: make([]Seconds, len(p.classes)), full: make([]Seconds, len(p.classes))}
+			s = newServer(m.Server, p, max(1, slotsFirst/p.gates))
 			g.servers[m.Server] = s
 			p.list = append(p.list, s)
 			if m.Since > 0 {
@@ -853,12 +850,7 @@
 		s.listed = m.State == Ready
 	}
 	for _, p := range g.pools {
-		p.list = slices.DeleteFunc(p.list, func(s *server) bool {
-			if s.member.State == Removed && s.lim.out == 0 && g.servers[s.id] == s {
-				delete(g.servers, s.id)
-			}
-			return g.servers[s.id] != s
-		})
+		g.forgetRemoved(p)
 		p.arrange(float64(g.set.Ordinal) / float64(g.set.Gateways))
 	}
 }
@@ -894,8 +886,9 @@
 func (g *Gateway) choose(r *request, p *pool, last bool) *server {
 	var best *server
 	bestCost, few := math.Inf(1), max(choicesLeast, choices*len(p.list)/int(p.gates))
+	passedOver := fullFor
 	look := func(s *server, picked bool) {
-		if cost := g.fitness(r, s, picked); cost < bestCost {
+		if cost := g.fitness(r, s, picked, passedOver); cost < bestCost {
 			best, bestCost = s, cost
 		}
 	}
@@ -911,6 +904,9 @@
 		return best
 	}
 	usable := p.survey(&g.set.Guarantees, g.now, coldPart)
+	if p.turnsAway(r.class, g.now) { // no server would tell that there is room again
+		passedOver = fullForAll
+	}
 	for _, s := range p.list {
 		look(s, false)
 	}
@@ -926,7 +922,7 @@
 }
 
 // fitness is the cost of s for r, or infinite. Cold servers go by budget, or by chance where picked alike.
-func (g *Gateway) fitness(r *request, s *server, picked bool) float64 {
+func (g *Gateway) fitness(r *request, s *server, picked bool, passedOver Seconds) float64 {
 	if !s.usable(g.now) || !g.fits(r, s) || float64(s.lim.out) >= max(1, s.lim.limit) {
 		return math.Inf(1)
 	}
@@ -935,7 +931,7 @@
 	trial := s.trial && g.now < s.until+trialFor*s.outFor // later it is like any other
 	switch {
 	case s.cold && !picked && s.budget < 1, s.cold && picked && g.rng.Float64() > coldPart*warm,
-		s.full[r.class] > 0 && g.now-s.full[r.class] < fullFor,
+		s.full[r.class] > 0 && g.now-s.full[r.class] < passedOver,
 		// Others try a server that is out, too: the more they are, the rarer the trials of each.
 		trial && (unsafe || g.rng.Float64()*s.pool.gates > trialShare):
 		return math.Inf(1)
--- a/control/idle_seeds_test.go
+++ b/control/idle_seeds_test.go
@@ -47,6 +47,10 @@
 // After an outage, and in one, a gateway turned away all it got for up to 7.8 s with no attempt in between. TestNoGatewayTurnsAllAwayForLong
 // shows it for one seed and one outage of 8 s; here outages differ in length, load
 // and seed.
+//
+// "full": all was refused for 8 s less the time until the last server was asked, on each seed. A server that turned a class
+// away was passed over for 8 s, also where all servers had, so that none could tell that there was room again. With
+// that time at 2 s where all have, and nothing else changed, there is no such pause on any seed.
 func TestNoGatewayTurnsAllAwayAfterAnyOutage(t *testing.T) {
 	const allowed = 4.0 // s
 	answers := func(after control.Seconds, status control.Status) func(*fleet) {
--- a/control/state.go
+++ b/control/state.go
@@ -391,6 +391,13 @@
 	}
 }
 
+// started notes that the answer of a request has begun to be passed on: it can't be sent again.
+func (g *Gateway) started(e Started) {
+	if r := g.requests[e.ID]; r != nil {
+		r.streaming = true
+	}
+}
+
 // hold keeps a request until the customer's call is answered; the client may leave meanwhile.
 func (g *Gateway) hold(c *customer, e Request) {
 	e.held = &request{id: e.ID, class: e.Class, customer: c, deadline: g.now + e.TimeLeft}
@@ -488,6 +495,27 @@
 	return &pool{classes: slices.Clone(classes), guess: longest, gates: gates, slots: slots, lateOK: 1, inTime: 1, warm: 1} // until more is known
 }
 
+// newServer is a server of which nothing is known.
+func newServer(id string, p *pool, slots float64) *server {
+	return &server{id: id, place: placeOf(id), pool: p, slow: 1, lim: limiter{limit: slots},
+		served: make([]Seconds, len(p.classes)), full: make([]Seconds, len(p.classes))}
+}
+
+// forgetRemoved drops the servers of a pool that were removed and have nothing out, and those that moved elsewhere.
+func (g *Gateway) forgetRemoved(p *pool) {
+	p.list = slices.DeleteFunc(p.list, func(s *server) bool {
+		if s.member.State == Removed && s.lim.out == 0 && g.servers[s.id] == s {
+			delete(g.servers, s.id)
+		}
+		return g.servers[s.id] != s
+	})
+}
+
+// turnsAway tells whether each usable warm server turned a class away when it was last asked. Cold ones may have no budget.
+func (p *pool) turnsAway(class int, now Seconds) bool {
+	return !slices.ContainsFunc(p.list, func(s *server) bool { return s.usable(now) && !s.cold && s.full[class] == 0 })
+}
+
 func (g *Gateway) do(a Action) { g.out = append(g.out, a) }
 
 func (s *server) usable(now Seconds) bool {
