Let one request in after 3 s in which a gateway rejected all for overload

Callers saw: while a gateway's servers answered nothing, and after, all refused for up to 5.9 s on end; under 4 s is allowed.

Unanswered attempts stay out for their whole time and count against the few that a gateway of a large fleet may have out. Ruled out: no server to be chosen; the little time left (hopeLeast).

Now, after 12 requests rejected for overload and 3 s without an attempt, one is let in: at most one in 13 of a gateway that rejects all, so that what few gateways see each does not add up to a load.

--- a/control/control.go
+++ b/control/control.go
@@ -77,6 +77,8 @@
 	crowdSpell   = 0.5   // s that one answer can tell of at the most
 	crowdMost    = 4.0   // where it stops rising: one request in fifty of middling worth
 	crowdFew     = 0.05  // from here on no attempt is given up for another
+	probeAfter   = 12    // requests refused since the last attempt, and
+	probePause   = 3.0   // s since then, after which one is let in whatever the overload
 	hopeLeast    = 0.5   // chance of an answer in time under which nothing is started
 	hopeFades    = 0.01  // fall of the typical time for each that is refused for want of hope
 	crowdFades   = 6.0   // s; where all is refused no answer would tell that the crowd is gone
@@ -668,7 +670,12 @@
 	p.inUse = taken >= slots*busyShare
 	p.press = p.crowd + max(0, taken-slots*busyShare)/(slots*(1-busyShare))
 	rarer := p.density / max(worth, 1e-9)
-	return hope < hopeLeast || p.press > 0 && g.rng.Float64() > math.Exp(-p.press*rarer*rarer)
+	if hopeless := hope < hopeLeast; hopeless || p.press <= 0 || g.rng.Float64() <= math.Exp(-p.press*rarer*rarer) {
+		return hopeless
+	}
+	// A gateway that refuses all it gets would not see the overload end: now and then one is let in.
+	p.refused++
+	return p.refused < probeAfter || g.now-p.sentAt < probePause
 }
 
 // overdue takes an attempt that is out too long as a sign of overload, whatever becomes of it: overloaded
@@ -723,7 +730,7 @@
 		g.depart(r, a)
 	}
 	p.sendRate = p.sendRate*math.Exp(-(g.now-p.sentAt)/rateMemory) + 1/rateMemory
-	p.sentAt = g.now
+	p.sentAt, p.refused = g.now, 0
 	g.do(Send{ID: r.id, Server: s.id, Timeout: timeout})
 	g.awaitCopy(r)
 }
--- a/control/idle_seeds_test.go
+++ b/control/idle_seeds_test.go
@@ -51,6 +51,10 @@
 // "full": all was refused for 8 s less the time until the last server was asked, on each seed. A server that turned a class
 // away was passed over for 8 s, also where all servers had, so that none could tell that there was room again. With
 // that time at 2 s where all have, and nothing else changed, there is no such pause on any seed.
+//
+// "no answers": load shedding. Unanswered attempts stay out for 3 s and count against the few that a gateway of a large
+// fleet may have out; on seed 0 the pressure rose to 29.8, and was over 4 until 1.1 s after the last had ended. A server
+// had been chosen for each of the refused. Now one request is let in after 12 refused and 3 s.
 func TestNoGatewayTurnsAllAwayAfterAnyOutage(t *testing.T) {
 	const allowed = 4.0 // s
 	answers := func(after control.Seconds, status control.Status) func(*fleet) {
--- a/control/state.go
+++ b/control/state.go
@@ -68,6 +68,7 @@
 	press   float64 // crowd, with the own slots in use
 	density float64 // mean worth in time per second of work, of what came in
 	weighed float64 // requests in it
+	refused int     // requests rejected for overload since the last attempt
 
 	sendRate float64 // own attempts a second, at all servers
 	sentAt   Seconds
