--- a/control/control.go
+++ b/control/control.go
@@ -670,8 +670,8 @@
 	p.inUse = taken >= slots*busyShare
 	p.press = p.crowd + max(0, taken-slots*busyShare)/(slots*(1-busyShare))
 	rarer := p.density / max(worth, 1e-9)
-	if hopeless := hope < hopeLeast; hopeless || p.press <= 0 || g.rng.Float64() <= math.Exp(-p.press*rarer*rarer) {
-		return hopeless
+	if hope < hopeLeast || p.press <= 0 || g.rng.Float64() <= math.Exp(-p.press*rarer*rarer) {
+		return hope < hopeLeast
 	}
 	// A gateway that refuses all it gets would not see the overload end: now and then one is let in.
 	p.refused++
