Hold an answer like the one before back for the request's own, so that none crosses

Callers saw: one caller could get another's answer. A table server answers a request twice, the second time later than the connection rests (10 or 20 ms), or on a target with over eight connections, which do not rest; the next request there took it.

Cause: no answer names its request, so the first that comes on a connection counts, and no rest is long enough for all. Reproduced with a pipe, the second answer written when the next request is under way: "/two got the answer of /one". Ruled out: telling by the time (a second answer may come at any moment of the next request's work), by headers (none is owed).

Now a 200 with the body of the answer before it on that connection, to a request of another path or body, is held back: another answer is the request's own, an end of the connection a reset, silence for eight answers' time shows a target that answers alike, which is held back once. And where something unasked was seen in the last 10 s, bytes behind an answer included, each connection carries one request. A second refusal has no body to know it by: its test fails and is listed.

--- a/internal/egress/conn.go
+++ b/internal/egress/conn.go
@@ -54,10 +54,14 @@
 	used     time.Time
 	answered bool          // it has been used
 	waited   time.Duration // for the last answer
+
+	history                 *history // shared with the target's other connections
+	lastRequest, lastAnswer fingerprint
+	unasked                 bool // something came on it that nobody had asked for
 }
 
-func newConn(nc net.Conn, address string) *conn {
-	c := &conn{Conn: nc, address: address, budget: io.LimitedReader{R: nc}, used: time.Now()}
+func newConn(nc net.Conn, address string, h *history) *conn {
+	c := &conn{Conn: nc, address: address, budget: io.LimitedReader{R: nc}, used: time.Now(), history: h}
 	c.in = bufio.NewReaderSize(&c.budget, 4096)
 	return c
 }
@@ -117,7 +121,8 @@
 	if _, err := c.in.Peek(1); err == nil {
 		first = time.Now()
 	}
-	if o, reuse = c.read(r.Method, fields); !first.IsZero() {
+	o, reuse = c.read(r.Method, fields)
+	if o, reuse = c.ownAnswer(ctx, r, fields, o, reuse); !first.IsZero() {
 		o.Waited = first.Sub(written)
 	}
 	o.Written = true
--- /dev/null
+++ b/internal/egress/crossed_answer_test.go
@@ -0,0 +1,189 @@
+package egress
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"junctionring/control"
+)
+
+// crossedPeer is a target whose second answer to /one comes when it has taken the next request; then comes that one's own.
+// Writes on a pipe end when they are read: each answer is read before the next is written.
+func crossedPeer(far net.Conn, one, two string) {
+	in := bufio.NewReader(far)
+	for i := range 2 {
+		request, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		own := one
+		if request.URL.Path != "/one" {
+			own = two
+		}
+		if i > 0 {
+			fmt.Fprintf(far, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(one), one)
+		}
+		if i == 0 || own != one {
+			fmt.Fprintf(far, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(own), own)
+		}
+	}
+	http.ReadRequest(in) // until it is closed
+}
+
+// ask sends a request on a connection and returns the body of its answer.
+func ask(t *testing.T, c *conn, path string) (body string, status control.Status, reuse bool) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	o, reuse := c.roundTrip(ctx, &Request{Method: "GET", Head: []byte("GET " + path + " HTTP/1.1\r\nHost: t\r\n")}, nil, nil, 0)
+	if reply, ok := o.Reply.(*Reply); ok {
+		body = string(reply.Body)
+	}
+	return body, o.Status, reuse
+}
+
+// One caller got another's answer: a target answered a request twice, the second time later than a connection rests, and
+// the next request on that connection took it for its own ("/two got the answer of /one"). A rest of 10 ms makes that rarer
+// and no more, and nothing in the protocol names the request that an answer is for. But a second answer has the body of
+// the first: one with the body of the answer before, to another request, is held back for the request's own.
+func TestSecondAnswerIsNotGivenToTheNextRequest(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	c := newConn(near, "pipe", &history{})
+	defer c.Close()
+	go crossedPeer(far, "of one", "of two")
+	if body, status, reuse := ask(t, c, "/one"); body != "of one" || status != control.OK || !reuse {
+		t.Fatalf("the first got %q, %v, to be used again: %t", body, status, reuse)
+	}
+	body, status, reuse := ask(t, c, "/two")
+	if body != "of two" || status != control.OK {
+		t.Errorf("/two got the answer of /one: %q, %v", body, status)
+	}
+	if reuse {
+		t.Error("a connection on which a second answer came is to be used again")
+	}
+}
+
+// Where the target closes the connection behind the second answer, the next request has no answer of its own.
+func TestSecondAnswerBeforeTheEndIsAReset(t *testing.T) {
+	near, far := net.Pipe()
+	c := newConn(near, "pipe", &history{})
+	defer c.Close()
+	go func() {
+		defer far.Close()
+		in := bufio.NewReader(far)
+		for range 2 {
+			if _, err := http.ReadRequest(in); err != nil {
+				return
+			}
+			fmt.Fprint(far, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nof one")
+		}
+	}()
+	ask(t, c, "/one")
+	if body, status, _ := ask(t, c, "/two"); status != control.Reset {
+		t.Errorf("/two got %q, %v", body, status)
+	}
+}
+
+// A target that gives different requests the same body is held back for once, and no answer of it is lost.
+func TestTargetThatRepeatsItsAnswersIsHeldBackOnce(t *testing.T) {
+	shared := &history{}
+	for i, repeats := range []bool{true, true} {
+		near, far := net.Pipe()
+		c := newConn(near, "pipe", shared)
+		go crossedPeer(far, "done", "done")
+		for _, path := range []string{"/one", "/two"} {
+			if body, status, _ := ask(t, c, path); body != "done" || status != control.OK {
+				t.Errorf("connection %d: %s got %q, %v", i, path, body, status)
+			}
+		}
+		if shared.repeats.Load() != repeats {
+			t.Errorf("connection %d: is known to repeat its answers: %t", i, !repeats)
+		}
+		c.Close()
+		far.Close()
+	}
+}
+
+// The same request may have the same answer: it is not held back, and tells nothing of the target.
+func TestSameRequestMayHaveTheSameAnswer(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	c := newConn(near, "pipe", &history{})
+	defer c.Close()
+	go func() {
+		in := bufio.NewReader(far)
+		for {
+			if _, err := http.ReadRequest(in); err != nil {
+				return
+			}
+			fmt.Fprint(far, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nsame")
+		}
+	}()
+	for range 3 {
+		if body, status, reuse := ask(t, c, "/view"); body != "same" || status != control.OK || !reuse {
+			t.Errorf("got %q, %v, to be used again: %t", body, status, reuse)
+		}
+	}
+	if c.history.repeats.Load() {
+		t.Error("it is taken for a target that answers all alike")
+	}
+}
+
+// A target that has sent something unasked gets one request on each connection, however long one has rested, within
+// the connections that it may have.
+func TestWaryTargetGetsOneRequestAConnection(t *testing.T) {
+	a, c, _ := reused(t) // its one permit is taken
+	a.unasked, c.used = time.Now(), time.Now().Add(-time.Minute/2)
+	next := &lease{got: make(chan *conn, 1)}
+	a.handle(next)
+	if len(next.got) > 0 {
+		t.Fatal("the used connection is used again")
+	}
+	if _, err := c.Write(nil); err == nil {
+		t.Error("the used connection is still open, and holds the permit")
+	}
+	for len(next.got) == 0 {
+		a.handle(<-a.mailbox) // dialed; before or after it, rested
+	}
+	if got := <-next.got; got == nil || got.answered {
+		t.Errorf("got %+v", got)
+	}
+}
+
+// Not mended: a second refusal has no body to know it by, and servers that are full refuse all alike. Taken for the next
+// request's answer it says that this one never ran, and it may be sent again where it must not.
+func TestSecondRefusalIsNotGivenToTheNextRequest(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	c := newConn(near, "pipe", &history{})
+	defer c.Close()
+	go func() {
+		const refusal = "HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
+		in := bufio.NewReader(far)
+		if _, err := http.ReadRequest(in); err != nil {
+			return
+		}
+		fmt.Fprint(far, refusal)
+		if _, err := http.ReadRequest(in); err != nil {
+			return
+		}
+		fmt.Fprint(far, refusal)
+		fmt.Fprint(far, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nof two")
+	}()
+	_, status, reuse := ask(t, c, "/one")
+	if status != control.Full {
+		t.Fatalf("the first got %v", status)
+	}
+	if !reuse { // nothing can cross
+		return
+	}
+	if _, status, _ := ask(t, c, "/two"); status == control.Full {
+		t.Error("/two got the refusal of /one, and counts as never run")
+	}
+}
--- a/internal/egress/fuzz_test.go
+++ b/internal/egress/fuzz_test.go
@@ -27,7 +27,7 @@
 		f.Add([]byte(text))
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
-		c := newConn(script{Reader: bytes.NewReader(text)}, "")
+		c := newConn(script{Reader: bytes.NewReader(text)}, "", &history{})
 		o, reuse := c.read("GET", []string{"q", "rif"})
 		if reply, ok := o.Reply.(*Reply); o.Status == control.OK && (!ok || reply.Status != 200 || len(reply.Body) > MaxBody) {
 			t.Errorf("served %+v", o)
--- a/internal/egress/target.go
+++ b/internal/egress/target.go
@@ -21,7 +21,8 @@
 	// An answer may come twice, the second time some milliseconds later: a request that crosses it on the connection
 	// would take it for its own. So a connection rests before it is used again, for a part of the time that answers
 	// take, lest a fast target be held up. Where there are many connections one that has rested is preferred, but none
-	// is waited for. Where something unasked was seen lately all rest, and for longer; others are opened meanwhile.
+	// is waited for. Where something unasked was seen lately each carries one request: a second answer may come however
+	// late, and on a connection that is not used again it harms nobody.
 	answersOver = 8 // answers, for the time that they take
 	restShare   = 4
 	restMost    = 10 * time.Millisecond
@@ -48,12 +49,15 @@
 	lease struct {
 		got chan *conn
 	}
-	unlease struct{ l *lease }         // the asker went away
-	dialed  struct{ c *conn }          // nil: it did not come up
-	back    struct{ c *conn }          // free for the next attempt
-	unused  struct{ c *conn }          // its attempt was over before it began
-	ended   struct{ silent time.Time } // closed; not zero: nothing was heard of an attempt sent then
-	route   struct {
+	unlease struct{ l *lease } // the asker went away
+	dialed  struct{ c *conn }  // nil: it did not come up
+	back    struct{ c *conn }  // free for the next attempt
+	unused  struct{ c *conn }  // its attempt was over before it began
+	ended   struct {
+		silent  time.Time // not zero: nothing was heard of an attempt sent then
+		unasked bool      // something came on it that nobody had asked for
+	} // closed
+	route struct {
 		address string
 		ready   bool
 	}
@@ -82,6 +86,7 @@
 	heard   time.Time
 	failed  time.Time // last dial that did not come up
 	unasked time.Time // when a connection last had something on it that nobody had asked for
+	history history
 }
 
 func (t *target) post(m any) bool {
@@ -144,11 +149,15 @@
 			t.answers = m.c.waited
 		}
 		t.answers += (m.c.waited - t.answers) / answersOver
+		t.history.usual.Store(int64(t.answers))
 		t.free(m.c)
 	case unused:
 		t.free(m.c)
 	case ended:
 		t.release()
+		if m.unasked {
+			t.unasked = time.Now()
+		}
 		if m.silent.After(t.heard) { // a machine that vanished says nothing: the next attempt is to dial anew
 			t.closeIdle(0)
 		}
@@ -226,7 +235,7 @@
 // there are many, the one that has rested longest; -1: none yet.
 func (t *target) choose() int {
 	for i := len(t.idle) - 1; i >= 0; i-- {
-		if c := t.idle[i]; !c.answered || time.Since(c.used) >= t.rest() {
+		if c := t.idle[i]; !c.answered || !t.wary() && time.Since(c.used) >= t.rest() {
 			return i
 		}
 	}
@@ -251,7 +260,8 @@
 // within the bounds. One that failed is not tried again for the sake of warmth before the next sweep.
 func (t *target) dial() {
 	cold, wanted := 0, max(0, len(t.waiting)-len(t.idle))
-	if t.wary() && len(t.idle) < restFew { // of more, one has rested soon
+	if t.wary() {
+		t.closeUsed()
 		wanted = len(t.waiting)
 	}
 	if time.Since(t.failed) >= t.idleLimit()/4 {
@@ -270,7 +280,7 @@
 			defer cancel()
 			var c *conn
 			if nc, err := t.site.connect(ctx, "tcp", address); err == nil {
-				c = newConn(nc, address)
+				c = newConn(nc, address, &t.history)
 				c.abort = t.site.Abort
 			}
 			t.post(dialed{c})
@@ -316,6 +326,22 @@
 	t.idle = kept
 }
 
+// closeUsed closes the idle connections that have been used, as soon as one has rested: what it brings until then shows
+// that the target still sends what nobody asks for.
+func (t *target) closeUsed() {
+	t.idle = slices.DeleteFunc(t.idle, func(c *conn) bool {
+		if !c.answered || time.Since(c.used) < restWary {
+			return false
+		}
+		if socket.Unread(c.Conn) {
+			t.unasked = time.Now()
+		}
+		c.Close()
+		t.release()
+		return true
+	})
+}
+
 // attempt carries one attempt out, in its own goroutine.
 func (t *target) attempt(a core.Attempt) {
 	a.Report(t.exchange(a))
@@ -389,7 +415,7 @@
 		return o
 	}
 	c.Close()
-	e := ended{}
+	e := ended{unasked: c.unasked}
 	if o.Status == control.Timeout {
 		e.silent = sent
 	}
--- a/internal/egress/target_test.go
+++ b/internal/egress/target_test.go
@@ -188,7 +188,7 @@
 	for range a.open {
 		a.site.permits <- struct{}{}
 	}
-	second = newConn(near, a.address)
+	second = newConn(near, a.address, &a.history)
 	second.answered, second.used = true, first.used.Add(time.Millisecond)
 	a.idle = append(a.idle, second)
 	return a, first, second, far
