Leave counter calls for first sights: reads that nobody waits for go last

Cause, from tries and calls counted by reason in a scratch copy (281 gateways, 24 s): 28,076 of 73,000 tries were let in without a look since no call was at hand, while 29,168 of 135,000 calls only read, with nobody waiting. call made them in the order in which they were due.

Now a call that only reads leaves three (affords).

--- a/control/control.go
+++ b/control/control.go
@@ -44,6 +44,7 @@
 	waitMost   = 20.0   // s that a call may be put off for customers asked for again sooner
 	callBurst  = 0.02   // s of calls that may go out at once
 	callsSaved = 4.0    // and as many at least: a try that finds none left would be let in without a look
+	lookCalls  = 3.0    // left for tries that wait to be looked up, by calls that only read
 	slowCall   = 0.35   // of a call's time-out: later answers say that the counter is crowded
 
 	peerAfter  = 0.3  // s without an answer of the counter before peers are told
@@ -158,9 +159,7 @@
 	case Outcome:
 		g.outcome(e)
 	case Gone:
-		if r := g.requests[e.ID]; r != nil {
-			g.finish(r)
-		}
+		g.left(e)
 	case Timer:
 		if now > g.wakeAt-pulse/4 {
 			g.sweep()
@@ -375,10 +374,14 @@
 	}
 	ready, next := 0.0, math.Inf(1)
 	for _, c := range g.waiting {
-		if c.due <= g.now && !c.calling {
-			ready++
-		} else if !c.calling {
+		switch {
+		case c.calling:
+		case c.due > g.now:
 			next = min(next, c.due)
+		case g.affords(c):
+			ready++
+		default:
+			next = min(next, g.now+1/g.callRate)
 		}
 	}
 	if ready > g.callPurse {
@@ -398,7 +401,7 @@
 		switch {
 		case c.gone:
 			c.queued = false
-		case c.calling || c.due > g.now || g.callPurse < 1:
+		case c.calling || c.due > g.now || !g.affords(c):
 			kept = append(kept, c)
 		default:
 			c.queued = false
@@ -408,6 +411,12 @@
 	g.waiting = kept
 }
 
+// affords tells whether a call may be made for a customer for whom nobody waits. Tries that wait to be looked
+// up go before calls that only read, or they would be let in without a look.
+func (g *Gateway) affords(c *customer) bool {
+	return g.callPurse >= 1 && (c.delta != 0 || g.callPurse >= 1+lookCalls)
+}
+
 func (g *Gateway) callFor(c *customer) {
 	current := c.currentWindow(g.now)
 	if c.window < current && (c.first || c.window < current-1) && c.unsure == 0 {
@@ -644,8 +653,7 @@
 		cs.typical -= cs.typical * hopeFades
 	}
 	worth := hope * gain * class.Worth * r.customer.plan.Worth * r.units / max(cs.work, 1e-4)
-	p.density += (worth - p.density) * max(0.02, 1/(1+p.weighed))
-	p.weighed++
+	rarer := p.weigh(worth)
 	// Danger: a large fleet. With one attempt out, own slots show no crowd; late answers of any server do.
 	p.crowd *= math.Exp(-(g.now - p.crowdAt) / crowdFades)
 	p.crowdAt = g.now
@@ -654,14 +662,8 @@
 	if few && p.lossy() {
 		oldest, work = lostAfter, p.inTime
 	}
-	slots, taken, servers := slotsFloor, 0.0, 0.0
-	for _, s := range p.list {
-		if s.usable(g.now) {
-			servers++
-			slots += s.lim.limit
-			taken += work * s.younger(g.now, oldest)
-		}
-	}
+	slots, taken, servers := p.occupancy(g.now, oldest)
+	slots, taken = slots+slotsFloor, taken*work
 	if few { // of a server met seldom nothing is known: as of all. Danger: chance, where few are out
 		k := math.Exp(-(g.now - p.takenAt) / slotsMemory)
 		p.taken, p.takenAt = p.taken*k+taken*(1-k), g.now
@@ -669,7 +671,6 @@
 	}
 	p.inUse = taken >= slots*busyShare
 	p.press = p.crowd + max(0, taken-slots*busyShare)/(slots*(1-busyShare))
-	rarer := p.density / max(worth, 1e-9)
 	if hope < hopeLeast || p.press <= 0 || g.rng.Float64() <= math.Exp(-p.press*rarer*rarer) {
 		return hope < hopeLeast
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -399,6 +399,34 @@
 	}
 }
 
+// left ends a request whose client has left.
+func (g *Gateway) left(e Gone) {
+	if r := g.requests[e.ID]; r != nil {
+		g.finish(r)
+	}
+}
+
+// weigh takes the worth of a request into the mean of what came in, and returns how many times its worth that is. The
+// first few count alike, the last fifty later.
+func (p *pool) weigh(worth float64) (rarer float64) {
+	p.density += (worth - p.density) * max(0.02, 1/(1+p.weighed))
+	p.weighed++
+	return p.density / max(worth, 1e-9)
+}
+
+// occupancy is how many attempts may be out at the usable servers, how many are that are no older than some typical
+// times, and the number of those servers.
+func (p *pool) occupancy(now, oldest float64) (slots, taken, servers float64) {
+	for _, s := range p.list {
+		if s.usable(now) {
+			servers++
+			slots += s.lim.limit
+			taken += s.younger(now, oldest)
+		}
+	}
+	return slots, taken, servers
+}
+
 // hold keeps a request until the customer's call is answered; the client may leave meanwhile.
 func (g *Gateway) hold(c *customer, e Request) {
 	e.held = &request{id: e.ID, class: e.Class, customer: c, deadline: g.now + e.TimeLeft}
--- a/control/thin_fleet_test.go
+++ b/control/thin_fleet_test.go
@@ -299,3 +299,24 @@
 		}
 	}
 }
+
+// The same at more than twice the tries, as on a quiet day of many gateways. A gateway's calls are then short, and
+// reads for which nobody waits took those of first sights, which were let in without a look: with 281 gateways 28,000 of
+// 73,000 tries, while 29,000 of 135,000 calls were such reads, and a third of the tries that were looked up were refused.
+// Now such a read leaves three calls.
+func TestReadsLeaveCallsForFirstSights(t *testing.T) {
+	const gateways, customers = 150, 1000
+	plans := []control.Plan{{Rate: 5.5, Burst: 16, Worth: 1, OverCost: 0.9}, {Rate: 12, Burst: 27, Worth: 2, OverCost: 0.4}}
+	set := settings()
+	set.Plans, set.Counter.Price, set.Counter.Timeout = plans, 0.005, 0.05
+	f := newThinFleet(t, set, gateways, 1)
+	fig := f.run(thinCustomers(f.rng, plans, gateways, customers, 1000), 1000, 20, 5)
+	beyond, inside := fig.beyond/fig.admitted, (fig.admitted-fig.beyond)/fig.oracle
+	t.Logf("beyond %.3f of admitted; inside/oracle %.3f; calls a try %.2f", beyond, inside, float64(fig.calls)/float64(fig.tries))
+	if beyond > 0.07 {
+		t.Errorf("%.3f of the units let in are beyond quotas, want at most 0.07", beyond)
+	}
+	if inside < 0.9 {
+		t.Errorf("%.3f of what an exact bucket lets in, want at least 0.9", inside)
+	}
+}
