Take the pause of gateways that discovery turned away back; list what is red

Listed as well: TestUnsafeWhoseServerBreaksWhileItsBodyPauses. It brings at each run what TestUnsafeThatBreaksBeforeItsLastByte showed once ("unexpected EOF" after 2.3 s): while a client pauses within a long body nothing is written to its server, so a reset there goes unseen until the pause runs out after 2 s, and the client gets a 502 or the end of its connection; 503 is owed at once. A watch of the target's connection during the body was tried; with it the tests of ingress hung, and it was dropped.

--- a/internal/ingress/unsafe_test.go
+++ b/internal/ingress/unsafe_test.go
@@ -164,3 +164,37 @@
 		t.Error("sent twice")
 	}
 }
+
+// Not mended. The same where the server breaks the connection while the client pauses within its body: nothing more is
+// written there that would show it, so the pause runs out after 2 s, and the client gets a 502 or the end of its connection. So
+// the test above may end, too, where the reset comes after the last write.
+func TestUnsafeWhoseServerBreaksWhileItsBodyPauses(t *testing.T) {
+	defer func() {
+		if t.Failed() {
+			t.Log("want 503 at once as the server breaks the connection")
+		}
+	}()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	address, _ := start(t, fleet(), &peer{Listener: l})
+	const length, first = 1 << 20, 1 << 17
+	client := dial(t, address)
+	head := strings.Replace(strings.Replace(stake, "Content-Length: 4", fmt.Sprintf("Content-Length: %d", length), 1), "e2e4", "", 1)
+	io.WriteString(client, head)
+	client.Write(make([]byte, first))
+	server, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(server, make([]byte, first)); err != nil { // with the head in front, all but the last bytes
+		t.Fatal(err)
+	}
+	server.(*net.TCPConn).SetLinger(0)
+	server.Close()
+	if resp, _ := client.read(t); resp.StatusCode != 503 {
+		t.Errorf("answered %d, want 503", resp.StatusCode)
+	}
+}
--- a/internal/routetable/discovery.go
+++ b/internal/routetable/discovery.go
@@ -38,7 +38,6 @@
 	pauseScatter = 0.8                    // of a pause, both ways
 	askShare     = 0.5                    // of the time in which it must ask, for the longest pause
 	askAfterFail = 4                      // times as long is allowed after a call that failed
-	crowdedAfter = time.Second / 4        // a call that fails later has waited for its turn; one that is out fails at once
 	answerTime   = time.Second / 2        // kept free within toldAnyway for the next call's connection and answer
 	longest      = 4 << 20                // of one list
 )
@@ -136,7 +135,6 @@
 	if d.Known && d.Gateways > 1 && !d.rest(ctx, time.Duration(rand.Float64()*float64(pauses.InitialInterval))) {
 		return
 	}
-	crowded := false // its calls wait in turn, and fail
 	for ctx.Err() == nil {
 		watching, cancel := context.WithCancel(ctx)
 		ended := make(chan error, 1)
@@ -153,12 +151,11 @@
 				pauses.Reset()
 				lasted = 0 // it brought all there was until its end
 			}
-			crowded = !heard && (crowded || errors.Is(err, errOverloaded) && lasted >= crowdedAfter)
 			pause := pauses.NextBackOff()
 			switch {
 			case heard && errors.Is(err, errSilent): // all may fall silent together: at any time that is left
 				pause = min(pause, time.Duration(rand.Float64()*float64(toldAnyway-silent-answerTime)))
-			case crowded && pauses.MaxInterval > toldAnyway-answerTime:
+			case errors.Is(err, errOverloaded) && pauses.MaxInterval > toldAnyway-answerTime:
 				// So large a fleet that asks again within toldAnyway would keep discovery overloaded.
 			default:
 				pause = boundPause(pause, lasted)
--- a/internal/routetable/reachable_test.go
+++ b/internal/routetable/reachable_test.go
@@ -228,11 +228,10 @@
 	}
 }
 
-// Callers were sent to drained servers for up to 20 s: where over 55 gateways asked one discovery that answered 5xx, each
-// asked again only after a pause that grows with their number (9.4 s after its return with 60 gateways, 19.5 s with 300). The
+// Not mended. Requests go to drained servers for up to 20 s: where over 55 gateways ask one discovery that answered 5xx, each
+// asks again only after a pause that grows with their number (9.4 s after its return with 60 gateways, 19.5 s with 300). The
 // pause is there for a discovery that is overloaded, which would work on calls that come too late and answer none
-// (TestFleetDoesNotStormDiscovery; with the pause cut short 38 of its 200 gateways have their watch after a minute). But
-// an overloaded one has calls wait for their turn before they fail, and one that is out fails them at once.
+// (TestFleetDoesNotStormDiscovery; with the pause cut short 38 of its 200 gateways have their watch after a minute).
 func TestLargeFleetsLearnWithin6sOfDiscoverysReturn(t *testing.T) {
 	const limit = 6 * time.Second
 	for _, gateways := range []int{60, 300, 900} {
