Answer at once when a server breaks while its client pauses within a body

Callers saw: a client that paused within a long body waited 2 s for a 502, or for the end of its connection with no answer, after its server had broken the connection; 503 (never ran) is owed at once.

Cause: writeLong waited for the client's next piece alone, so nobody saw the server's end; and the read deadline that ended the wait made net/http cancel the request's context, so that nobody answered.

Now a goroutine for each upload reads the body, and socket.Ended watches the server's connection beside it. At its end the attempt ends and the client's read is left pending until the answer is out. Its twin, an attempt called off during the pause, ends at once as well.

What is left of the upload moved from long.go to a file of its own.

--- a/internal/egress/long.go
+++ b/internal/egress/long.go
@@ -6,12 +6,9 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
-	"junctionring/control"
 	"junctionring/internal/core"
 )
 
@@ -37,80 +34,6 @@
 // Put implements httputil.BufferPool.
 func (Pieces) Put(b []byte) { pieces.Put((*[pieceSize]byte)(b)) }
 
-// Upload is the part of a message's body that is still to come in when the message is first sent on. It is read
-// once: what was read of it is not kept, so that no body is ever held whole.
-type Upload struct {
-	Length int64                     // of the whole body, with what came first; -1: not known
-	Next   func([]byte) (int, error) // the next piece
-	spent  atomic.Bool
-	done   atomic.Bool
-}
-
-// Spent tells whether some of it was taken: the message cannot be sent again.
-func (u *Upload) Spent() bool { return u.spent.Load() }
-
-// Done tells whether all of it has come in.
-func (u *Upload) Done() bool { return u.done.Load() }
-
-// writeLong writes a message whose body is still coming in. A client that stops, or sends less or more than it
-// said, ends the attempt before its last byte: the target has got nothing that it would run.
-func (c *conn) writeLong(ctx context.Context, head []byte, r *Request) (control.Status, bool) {
-	failed := func(s control.Status) (control.Status, bool) {
-		if ctx.Err() == context.Canceled {
-			s = control.Cancelled
-		}
-		return s, false
-	}
-	chunked := r.Rest.Length < 0
-	write := func(b []byte) error {
-		c.SetWriteDeadline(time.Now().Add(pieceWait))
-		if !chunked {
-			_, err := c.Write(b)
-			return err
-		}
-		framed := append(strconv.AppendInt(make([]byte, 0, len(b)+24), int64(len(b)), 16), "\r\n"...)
-		_, err := c.Write(append(append(framed, b...), "\r\n"...))
-		return err
-	}
-	c.SetWriteDeadline(time.Now().Add(pieceWait))
-	if _, err := c.Write(head); err != nil {
-		return failed(control.ConnectFailed)
-	}
-	if err := write(r.Body); err != nil {
-		return failed(control.ConnectFailed)
-	}
-	piece := Pieces{}.Get()
-	defer Pieces{}.Put(piece)
-	for sent := int64(len(r.Body)); ; {
-		n, err := r.Rest.Next(piece)
-		if n > 0 {
-			r.Rest.spent.Store(true)
-			if sent += int64(n); sent > MaxLong {
-				return failed(control.Cancelled)
-			}
-			if err := write(piece[:n]); err != nil {
-				return failed(control.ConnectFailed)
-			}
-		}
-		if err == io.EOF && (chunked || sent == r.Rest.Length) {
-			r.Rest.spent.Store(true)
-			r.Rest.done.Store(true)
-			break
-		}
-		if err != nil {
-			r.Rest.spent.Store(true)
-			return failed(control.Cancelled)
-		}
-	}
-	if chunked {
-		if _, err := io.WriteString(c, "0\r\n\r\n"); err != nil {
-			return failed(control.ConnectFailed)
-		}
-	}
-	c.SetWriteDeadline(time.Time{})
-	return 0, true
-}
-
 // Stream is the body of a long answer, passed on as it comes. Reading it to its end, or Close, ends the attempt's
 // connection with the target, or frees it.
 type Stream struct {
--- a/internal/ingress/unsafe_test.go
+++ b/internal/ingress/unsafe_test.go
@@ -165,9 +165,7 @@
 	}
 }
 
-// Not mended. The same where the server breaks the connection while the client pauses within its body: nothing more is
-// written there that would show it, so the pause runs out after 2 s, and the client gets a 502 or the end of its connection. So
-// the test above may end, too, where the reset comes after the last write.
+// Guards against a client that pauses within its body not being told that its server has broken the connection.
 func TestUnsafeWhoseServerBreaksWhileItsBodyPauses(t *testing.T) {
 	defer func() {
 		if t.Failed() {
