Answer an overdue request by its class, not always as failed

Callers saw: 502 with no Retry-After where 503 is owed, when the process was held up for 50 to 150 ms round a request's deadline.

Cause: the core's own timer, 15 ms past the deadline, answered Failed whatever the class; after a stall it is due together with the attempt's end.

Now the timer goes through curtail, as shedding at a shutdown does. The new TestOverdueIsAnsweredByItsClass failed before (kind 0, want 1).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -371,15 +371,19 @@
 func (c *Core) shed() {
 	c.ending = true
 	for _, h := range c.held {
-		if h.final {
-			continue
+		if !h.final {
+			c.abandon(h)
 		}
-		c.end(h, c.curtail(h))
-		c.feed(control.Gone{ID: h.id})
-		c.forget(h)
 	}
 }
 
+// abandon ends an exchange here, for a reason of the core's own.
+func (c *Core) abandon(h *held) {
+	c.end(h, c.curtail(h))
+	c.feed(control.Gone{ID: h.id})
+	c.forget(h)
+}
+
 // curtail is the answer of an exchange that ends here for a reason of its own.
 func (c *Core) curtail(h *held) Answer {
 	class := c.classes[h.Class]
@@ -454,9 +458,7 @@
 	case expired:
 		if !m.h.final { // guards against an attempt that hangs: the client is never left without an answer
 			c.log.Warn("exchange overdue", "id", m.h.id)
-			c.end(m.h, Answer{Kind: Failed})
-			c.feed(control.Gone{ID: m.h.id})
-			c.forget(m.h)
+			c.abandon(m.h)
 		}
 	case ended:
 		c.ended(m)
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"junctionring/control"
@@ -215,3 +216,20 @@
 		t.Errorf("answered %+v after the first attempt had failed", a)
 	}
 }
+
+// Guards against "failed" for what may harmlessly be tried again, where the core answers before the module can.
+func TestOverdueIsAnsweredByItsClass(t *testing.T) {
+	for class, want := range []Kind{control.Safe: Refused, control.Keyed: Refused, control.Unsafe: Failed} {
+		synctest.Test(t, func(t *testing.T) {
+			c, out := started(t, control.Limits{MaxAttempts: 2, RetryAfter: true, MaxRetryAfter: 2})
+			a := c.Do(t.Context(), Exchange{Class: class, Units: 1, Spread: 1, Deadline: time.Now().Add(time.Second)})
+			if len(out.sent) == 0 {
+				t.Fatal("nothing was sent")
+			}
+			if a.Kind != want || want == Refused && a.RetryAfter != busyPause {
+				t.Errorf("class %d: answered %+v, want kind %v", class, a, want)
+			}
+			(<-out.sent).Report(Outcome{Status: control.Cancelled})
+		})
+	}
+}
