Use no connection again whose answer was a refusal, and open another in its place

Callers saw: a table server refused a request twice, the second time late; the next request on that connection took the refusal for its own, counted as never run, and could be sent again while it ran.

Cause: the protocol names no request in an answer, and a refusal has no body to know it by, so a connection that carried one may owe another for any time.

Now such a connection is closed.

TestSecondRefusalIsNotGivenToTheNextRequest failed before ("/two got the refusal of /one"); internal/egress 20 of 20 with -race.

--- a/internal/egress/conn.go
+++ b/internal/egress/conn.go
@@ -58,6 +58,7 @@
 	history                 *history // shared with the target's other connections
 	lastRequest, lastAnswer fingerprint
 	unasked                 bool // something came on it that nobody had asked for
+	refused                 bool // its last answer was a refusal, and it could be used again but for that
 }
 
 func newConn(nc net.Conn, address string, h *history) *conn {
@@ -168,7 +169,11 @@
 	default:
 		o.Status = control.Error
 	}
-	return o, reply.Long == nil && !resp.Close && c.in.Buffered() == 0 // of a long one its stream says so
+	// A target may answer twice. A second refusal has no body to know it by, and taken for the next request's answer it
+	// would say that this one never ran. Of a long answer its stream tells.
+	keeps := reply.Long == nil && !resp.Close && c.in.Buffered() == 0
+	c.refused = keeps && o.Status != control.OK
+	return o, keeps && !c.refused
 }
 
 // saysClose tells whether the next answer's head says that its connection closes. http.ReadResponse takes that word
--- a/internal/egress/crossed_answer_test.go
+++ b/internal/egress/crossed_answer_test.go
@@ -156,8 +156,7 @@
 	}
 }
 
-// Not mended: a second refusal has no body to know it by, and servers that are full refuse all alike. Taken for the next
-// request's answer it says that this one never ran, and it may be sent again where it must not.
+// Guards against a second refusal being taken for the next request's answer, which would then count as never run.
 func TestSecondRefusalIsNotGivenToTheNextRequest(t *testing.T) {
 	near, far := net.Pipe()
 	defer far.Close()
--- a/internal/egress/target.go
+++ b/internal/egress/target.go
@@ -55,6 +55,8 @@
 	unused  struct{ c *conn }  // its attempt was over before it began
 	ended   struct {
 		silent  time.Time // not zero: nothing was heard of an attempt sent then
+		heard   bool      // the target answered on it
+		refused bool      // it was given up for a refusal alone
 		unasked bool      // something came on it that nobody had asked for
 	} // closed
 	route struct {
@@ -80,7 +82,7 @@
 	idle    []*conn // the one used last at the end
 	waiting []*lease
 	dialing int
-	open    int
+	open    int           // connections, with those that are being opened
 	looking bool          // rested is to come
 	answers time.Duration // that they take, averaged
 	heard   time.Time
@@ -155,12 +157,18 @@
 		t.free(m.c)
 	case ended:
 		t.release()
+		if m.heard {
+			t.heard = time.Now()
+		}
 		if m.unasked {
 			t.unasked = time.Now()
 		}
 		if m.silent.After(t.heard) { // a machine that vanished says nothing: the next attempt is to dial anew
 			t.closeIdle(0)
 		}
+		if m.refused && t.ready && len(t.idle)+t.dialing < mostIdle {
+			t.dialOne() // so that the next request need not wait for a handshake
+		}
 		t.dial()
 	case route:
 		if t.address != m.address {
@@ -267,27 +275,35 @@
 	if time.Since(t.failed) >= t.idleLimit()/4 {
 		cold = max(0, t.site.Warm-len(t.idle))
 	}
-	for t.ready && t.dialing < wanted+cold && t.dialing < mostDials && t.open < mostConns {
-		select {
-		case t.site.permits <- struct{}{}:
-		default:
-			return
-		}
-		t.dialing++
-		t.open++
-		go func(address string) {
-			ctx, cancel := context.WithTimeout(t.ctx, t.site.ConnectTimeout)
-			defer cancel()
-			var c *conn
-			if nc, err := t.site.connect(ctx, "tcp", address); err == nil {
-				c = newConn(nc, address, &t.history)
-				c.abort = t.site.Abort
-			}
-			t.post(dialed{c})
-		}(t.address)
+	for t.ready && t.dialing < wanted+cold && t.dialOne() {
 	}
 }
 
+// dialOne opens a connection, if the bounds allow one more.
+func (t *target) dialOne() bool {
+	if t.dialing >= mostDials || t.open >= mostConns {
+		return false
+	}
+	select {
+	case t.site.permits <- struct{}{}:
+	default:
+		return false
+	}
+	t.dialing++
+	t.open++
+	go func(address string) {
+		ctx, cancel := context.WithTimeout(t.ctx, t.site.ConnectTimeout)
+		defer cancel()
+		var c *conn
+		if nc, err := t.site.connect(ctx, "tcp", address); err == nil {
+			c = newConn(nc, address, &t.history)
+			c.abort = t.site.Abort
+		}
+		t.post(dialed{c})
+	}(t.address)
+	return true
+}
+
 func (t *target) free(c *conn) {
 	switch {
 	case !t.ready || c.address != t.address:
@@ -415,7 +431,7 @@
 		return o
 	}
 	c.Close()
-	e := ended{unasked: c.unasked}
+	e := ended{heard: o.Reply != nil, refused: c.refused, unasked: c.unasked}
 	if o.Status == control.Timeout {
 		e.silent = sent
 	}
--- a/internal/egress/target_test.go
+++ b/internal/egress/target_test.go
@@ -232,3 +232,19 @@
 		t.Errorf("it rests for %v", a.rest())
 	}
 }
+
+// Guards against the next request waiting for a handshake where a connection was given up for a refusal alone.
+func TestRefusedConnectionIsReplacedAtOnce(t *testing.T) {
+	a, c, _ := reused(t)
+	a.idle = nil // its attempt is out
+	c.Close()
+	a.handle(ended{heard: true, refused: true})
+	if a.open != 1 || a.dialing != 1 {
+		t.Fatalf("%d open, %d dialling", a.open, a.dialing)
+	}
+	a.handle(<-a.mailbox) // dialed
+	if len(a.idle) != 1 || a.idle[0].answered {
+		t.Errorf("idle: %+v", a.idle)
+	}
+	a.idle[0].Close()
+}
