--- a/internal/egress/crossed_answer_test.go
+++ b/internal/egress/crossed_answer_test.go
@@ -4,12 +4,15 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"junctionring/control"
+	"junctionring/internal/core"
 )
 
 // crossedPeer is a target whose second answer to /one comes when it has taken the next request; then comes that one's own.
@@ -186,3 +189,79 @@
 		t.Error("/two got the refusal of /one, and counts as never run")
 	}
 }
+
+// Guards against a second answer of a streamed one being taken for the next request's.
+func TestSecondStreamedAnswerIsNotGivenToTheNextRequest(t *testing.T) {
+	long := strings.Repeat("x", MaxBody+1)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				in := bufio.NewReader(c)
+				for answer := ""; ; {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					if answer == "" {
+						answer = r.URL.Path
+						if answer == "/long" {
+							answer = long
+						}
+					}
+					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(answer), answer)
+				}
+			}()
+		}
+	}()
+	f := NewFleet(Options{ConnectTimeout: 5 * time.Second, ConnIdle: time.Minute, Conns: 4})
+	f.Update(core.Table{Targets: []core.Target{{Member: control.Member{Server: "s", State: control.Ready}, Address: l.Addr().String()}}})
+	defer f.remove("s")
+	get := func(path string) string {
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		o := f.targets["s"].exchange(core.Attempt{Ctx: ctx, Payload: &Request{Method: "GET", Head: []byte("GET " + path + " HTTP/1.1\r\nHost: t\r\n")}})
+		reply, ok := o.Reply.(*Reply)
+		if !ok {
+			t.Fatalf("%s ended with %v", path, o.Status)
+		}
+		if reply.Long == nil {
+			return string(reply.Body)
+		}
+		body, err := io.ReadAll(reply.Long)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(body)
+	}
+	if got := get("/long"); got != long {
+		t.Fatalf("the long answer has %d bytes", len(got))
+	}
+	if got := get("/two"); got != "/two" {
+		t.Errorf("/two got the answer of /long, of %d bytes", len(got))
+	}
+}
+
+// Guards against a second answer with no body being taken for the next request's.
+func TestSecondEmptyAnswerIsNotGivenToTheNextRequest(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	c := newConn(near, "pipe", &history{})
+	defer c.Close()
+	go crossedPeer(far, "", "of two")
+	if _, status, reuse := ask(t, c, "/one"); status != control.OK || !reuse {
+		t.Fatalf("the first got %v, to be used again: %t", status, reuse)
+	}
+	if body, status, _ := ask(t, c, "/two"); body != "of two" || status != control.OK {
+		t.Errorf("/two got the answer of /one: %q, %v", body, status)
+	}
+}
--- a/internal/egress/history.go
+++ b/internal/egress/history.go
@@ -49,7 +49,7 @@
 		c.lastRequest, c.lastAnswer = request, answer
 		return o, reuse
 	}
-	if o.Status == control.OK && len(reply.Body) > 0 {
+	if o.Status == control.OK {
 		answer = fingerprintOf(reply.Body)
 	}
 	likeTheLast := answer != 0 && answer == c.lastAnswer && request != c.lastRequest
