--- a/cmd/junctionring/drain.go
+++ b/cmd/junctionring/drain.go
@@ -125,6 +125,7 @@
 	defer over()
 	if err := s.server.Drain(last, told, told); err != nil {
 		s.log.Warn("connections are cut: their clients neither read nor went", "err", err)
+		s.server.LogUnanswered()
 	}
 	<-added
 }
--- a/cmd/junctionring/serve.go
+++ b/cmd/junctionring/serve.go
@@ -28,12 +28,13 @@
 )
 
 type serveCommand struct {
-	Config   string `env:"EDGE_CONFIG" type:"existingfile" xor:"front" required:"" help:"The platform's configuration: serve its protocol."`
-	Operator string `type:"existingfile" xor:"front" required:"" help:"An operator's file: serve forward authentication."`
+	Config   string     `env:"EDGE_CONFIG" type:"existingfile" xor:"front" required:"" help:"The platform's configuration: serve its protocol."`
+	Operator string     `type:"existingfile" xor:"front" required:"" help:"An operator's file: serve forward authentication."`
+	LogLevel slog.Level `env:"EDGE_LOG_LEVEL" default:"info" help:"The least level that is logged: debug, info, warn or error."`
 }
 
 func (s serveCommand) Run() error {
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: s.LogLevel}))
 	ctx := untilTold()
 	// Caught before anything else: a gateway that is told of new addresses must not end by it.
 	hup := make(chan os.Signal, 1)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -49,12 +49,13 @@
 
 // Answer is the one final answer of an exchange.
 type Answer struct {
-	Kind       Kind
-	RetryAfter time.Duration // of Refused; 0: no advice
-	Over       bool          // of Refused: for want of quota
-	MayHaveRun bool          // some attempt reached a target, or may have
-	RanAt      int           // the site of the first of those
-	Reply      any           // of Served, as egress brought it
+	Kind        Kind
+	RetryAfter  time.Duration // of Refused; 0: no advice
+	Over        bool          // of Refused: for want of quota
+	MayHaveRun  bool          // some attempt reached a target, or may have
+	AttemptsOut int           // as it was given
+	RanAt       int           // the site of the first of those
+	Reply       any           // of Served, as egress brought it
 }
 
 // Attempt is one send of an exchange to an egress target. Its context ends when the attempt is not wanted
@@ -532,7 +533,7 @@
 	if s, ok := a.Reply.(Streamer); !ok || !s.Streaming() { // else it is counted when it has ended: Streamed
 		c.tally(h.Class, a.Kind, time.Since(h.came).Seconds() > c.classes[h.Class].Aim)
 	}
-	a.MayHaveRun, a.RanAt = h.mayRan || h.out > 0, h.ranAt
+	a.MayHaveRun, a.RanAt, a.AttemptsOut = h.mayRan || h.out > 0, h.ranAt, h.out
 	h.answer <- a
 	if h.guard != nil {
 		h.guard.Stop()
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -22,11 +22,13 @@
 	writeStall time.Duration // for a piece of an answer
 	unread     func()        // told when one did not go out in that time
 
+	unanswered func(*conn, progress) // told as it is closed with a request that has no answer
+
 	mu       sync.Mutex
 	phase    phase
 	leaving  bool
 	deadline time.Time // net/http's own, for reads
-	heard    time.Time // when the last bytes came, of a head that is being read
+	progress progress
 }
 
 // origin is where a request came from.
@@ -47,9 +49,8 @@
 // hasLeft tells whether the client of a request has ended its connection by now, be it before the request was read:
 // net/http tells of it only once the request is on its way.
 func hasLeft(r *http.Request) bool {
-	o, _ := r.Context().Value(originKey{}).(origin)
-	c, ok := o.conn.(*conn)
-	return ok && socket.HungUp(c.TCPConn)
+	c := connOf(r)
+	return c != nil && socket.HungUp(c.TCPConn)
 }
 
 type phase int
@@ -89,7 +90,7 @@
 	if c.phase != reading {
 		return false, false
 	}
-	if time.Since(c.heard) < stall {
+	if time.Since(c.progress.lastByte) < stall {
 		return true, false
 	}
 	c.TCPConn.SetReadDeadline(past) // net/http closes it
@@ -136,15 +137,21 @@
 		c.parted(c.TCPConn)
 		return 0, io.EOF // net/http takes the client for gone, and says nothing to it
 	case c.phase == resting:
-		c.phase, c.heard = reading, time.Now() // or at its end
+		c.startReading() // or it is at its end
 		c.TCPConn.SetReadDeadline(c.headDeadline())
-	case c.phase == reading:
-		c.heard = time.Now()
+	}
+	if n > 0 && (c.phase == reading || c.phase == busy) {
+		c.progress.received(n)
 	}
 	c.mu.Unlock()
 	return n, err
 }
 
+// startReading begins a request. c.mu is held.
+func (c *conn) startReading() {
+	c.phase, c.progress = reading, progress{lastByte: time.Now()}
+}
+
 // headDeadline is until when a head must be whole whose first bytes have just come. net/http waits for its fourth byte
 // for as long as for a request.
 func (c *conn) headDeadline() time.Time {
@@ -168,7 +175,7 @@
 			t = past
 		}
 	case resting:
-		c.phase, c.heard = reading, time.Now()
+		c.startReading()
 	case gone:
 		return nil
 	}
@@ -191,6 +198,9 @@
 		c.TCPConn.SetReadDeadline(past)
 	default:
 		c.mu.Unlock()
+		if p, none := c.withoutAnswer(); none {
+			c.unanswered(c, p)
+		}
 		return c.TCPConn.Close()
 	}
 	c.mu.Unlock()
--- a/internal/front/conn_write.go
+++ b/internal/front/conn_write.go
@@ -27,6 +27,9 @@
 func (c *conn) writePiece(piece []byte) (int, error) {
 	c.TCPConn.SetWriteDeadline(time.Now().Add(c.writeStall))
 	n, err := c.TCPConn.Write(piece)
+	if n > 0 {
+		c.answers()
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		c.unread()
 	}
--- a/internal/front/message.go
+++ b/internal/front/message.go
@@ -193,6 +193,9 @@
 // Carry has an exchange carried out by a proxy onto the core, its body as it comes in. An answer does not wait for
 // the rest of a body that nobody wants. ended may be nil.
 func Carry(proxy http.Handler, w http.ResponseWriter, r *http.Request, x *core.Exchange, body []byte, rest *Body, ended func(core.Answer)) {
+	if c := connOf(r); c != nil && rest == nil {
+		c.complete()
+	}
 	if hasLeft(r) { // it waited here, unread: nothing is sent on for it
 		panic(http.ErrAbortHandler)
 	}
@@ -206,6 +209,9 @@
 		if upload != nil && !upload.Done() || closes(r) {
 			w.Header().Set("Connection", "close")
 		}
+		if c := connOf(r); c != nil && a.Kind == core.Left {
+			c.left(a)
+		}
 		if ended != nil {
 			ended(a)
 		}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -40,11 +40,12 @@
 	taken     *atomic.Int64 // requests held now; nil: not counted
 	unread    atomic.Int64  // answers cut since their clients did not read them
 	stall     time.Duration // for a piece of an answer to be read
+	log       *slog.Logger
 }
 
 // NewServer serves h, with the readiness path in front of it. taken, where not nil, counts the requests held.
 func NewServer(h http.Handler, maxHeader int, taken *atomic.Int64, log *slog.Logger) *Server {
-	s := &Server{taken: taken, serving: make(chan struct{}), stall: writeStall}
+	s := &Server{taken: taken, serving: make(chan struct{}), stall: writeStall, log: log}
 	s.http = &http.Server{
 		MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerWait, IdleTimeout: idleWait,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
@@ -52,6 +53,9 @@
 			return context.WithValue(ctx, originKey{}, origin{s, c})
 		},
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if c := connOf(r); c != nil {
+				c.names(r.Header.Get("X-Request-ID"))
+			}
 			if s.sendsAway() {
 				w.Header().Set("Connection", "close")
 			}
@@ -111,7 +115,7 @@
 // Serve takes connections until Drain has ended, at most so many at once.
 func (s *Server) Serve(l net.Listener, most int) error {
 	limited := newSlots(l, most)
-	limited.writeStall, limited.unread = s.stall, func() { s.unread.Add(1) }
+	limited.writeStall, limited.unread, limited.unanswered = s.stall, func() { s.unread.Add(1) }, s.logUnanswered
 	s.http.ConnState = limited.state
 	s.slots.Store(limited)
 	close(s.serving)
--- a/internal/front/slots.go
+++ b/internal/front/slots.go
@@ -37,8 +37,9 @@
 	closed   chan struct{} // when no more arrive
 	once     sync.Once
 
-	writeStall time.Duration // for a piece of an answer
-	unread     func()        // told of each answer that its client did not read
+	writeStall time.Duration         // for a piece of an answer
+	unread     func()                // told of each answer that its client did not read
+	unanswered func(*conn, progress) // told of each connection that is closed with a request without an answer
 
 	mu      sync.Mutex
 	open    int
@@ -61,7 +62,7 @@
 func newSlots(l net.Listener, most int) *slots {
 	return &slots{Listener: l, most: most, freed: make(chan struct{}, 1), stopped: make(chan struct{}),
 		arriving: make(chan arrival), closed: make(chan struct{}), changed: make(chan struct{}),
-		writeStall: writeStall, unread: func() {},
+		writeStall: writeStall, unread: func() {}, unanswered: func(*conn, progress) {},
 		resting: list.New(), rests: map[net.Conn]*list.Element{}, conns: map[*conn]struct{}{}}
 }
 
@@ -121,7 +122,7 @@
 	if !ok {
 		return nc
 	}
-	c := &conn{TCPConn: tcp, parted: s.parted, writeStall: s.writeStall, unread: s.unread}
+	c := &conn{TCPConn: tcp, parted: s.parted, writeStall: s.writeStall, unread: s.unread, unanswered: s.unanswered}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
