Answer a request 503 at the end of a shutdown where its body had not come in

Callers saw: a client that paused within a body as its gateway was told to end had its connection cut with no answer.

Cause: the last answers are the core's, and a request whose body is still read in has not come to the core.

Now the front sheds after the core: the wait for each body ends, and the request, of which nothing was sent on, gets 503 with Retry-After.

--- a/cmd/junctionring/drain.go
+++ b/cmd/junctionring/drain.go
@@ -20,6 +20,7 @@
 	connections int                                // of clients, at most
 	plan        func(told time.Time) shutdown.Plan // of its end
 	log         *slog.Logger
+	wordWait    func(time.Duration) string // for Retry-After
 
 	predecessor *handoff.Predecessor
 }
@@ -116,6 +117,7 @@
 func (s *service) shed(told time.Time) {
 	s.log.Warn("not all held exchanges ended in time: the rest is shed")
 	s.core.Shed()
+	s.server.Shed(s.shedAdvice())
 	added := make(chan struct{})
 	go func() { // no more is used from here on
 		defer close(added)
@@ -130,6 +132,14 @@
 	<-added
 }
 
+// shedAdvice is the Retry-After of what is shed; empty: none.
+func (s *service) shedAdvice() string {
+	if wait := s.core.Pause(); wait > 0 {
+		return s.wordWait(wait)
+	}
+	return ""
+}
+
 // finish adds to the counter what this process has used, before it ends.
 func (s *service) finish() {
 	last, done := context.WithTimeout(context.Background(), shutdown.LastUnits)
--- a/cmd/junctionring/platform.go
+++ b/cmd/junctionring/platform.go
@@ -90,7 +90,7 @@
 	}
 	s := &service{
 		core: g.core, server: server, sockets: sockets, connections: ingressConns(g.config.Sockets),
-		plan: g.deadlines.plan, log: log,
+		plan: g.deadlines.plan, log: log, wordWait: egress.DecimalSeconds,
 	}
 	return s.serve(ctx, work)
 }
--- a/cmd/junctionring/serve.go
+++ b/cmd/junctionring/serve.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"junctionring/internal/config"
+	"junctionring/internal/egress"
 	"junctionring/internal/front"
 	"junctionring/internal/gateway"
 	"junctionring/internal/management"
@@ -97,7 +98,7 @@
 	}
 	s := &service{
 		core: g.Core, server: server, sockets: sockets, connections: ingressConns(o.Limits.Sockets),
-		plan: func(time.Time) shutdown.Plan { return shutdown.Within(o.Drain.Duration) }, log: log,
+		plan: func(time.Time) shutdown.Plan { return shutdown.Within(o.Drain.Duration) }, log: log, wordWait: egress.WholeSeconds,
 	}
 	return s.serve(ctx, work)
 }
--- a/cmd/junctionring/shutdown_test.go
+++ b/cmd/junctionring/shutdown_test.go
@@ -124,3 +124,30 @@
 		}
 	}
 }
+
+// Guards against a shutdown that cuts a request with no answer since its client pauses within the body.
+func TestShutdownAnswersARequestWhoseBodyPauses(t *testing.T) {
+	cmd, address := onPlatform(t, `"HardLimit":0.8`, silentTable(t))
+	client, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	in := bufio.NewReader(client)
+	fmt.Fprint(client, "POST /move-submit/1 HTTP/1.1\r\nHost: g\r\nX-Request-ID: p1\r\nIdempotency-Key: p1\r\nX-Plan: club\r\nX-Timeout: 700m\r\n"+
+		"Cookie: account=0000000000000001\r\nX-Quota: units=1,spread=1,first=0\r\nContent-Length: 4\r\nExpect: 100-continue\r\n\r\n")
+	if line, err := in.ReadString('\n'); err != nil || !strings.Contains(line, "100") {
+		t.Fatalf("%q, %v", line, err) // the body is waited for
+	}
+	in.ReadString('\n')
+	io.WriteString(client, "e2")
+	cmd.Process.Signal(syscall.SIGTERM)
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("answered %d, %v", resp.StatusCode, resp.Header)
+	}
+	exits(t, cmd)
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -324,6 +324,9 @@
 	}
 }
 
+// Pause is what the core advises clients to wait whose requests it sheds by itself; 0: no advice.
+func (c *Core) Pause() time.Duration { return c.pause }
+
 // Routes takes a new route table in. It returns once the core has it in its mailbox.
 func (c *Core) Routes(t Table) { c.post(t) }
 
--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"net/http"
@@ -85,6 +86,13 @@
 	if r.ContentLength == 0 {
 		return nil, nil, nil
 	}
+	if c := connOf(r); c != nil {
+		c.awaitsBody(true)
+		defer c.awaitsBody(false)
+	}
+	if err := shedOf(r); err != nil {
+		return nil, nil, err
+	}
 	most := max(limit, long)
 	b := NewBody(w, r, most)
 	if r.ContentLength > limit {
@@ -98,7 +106,7 @@
 		return nil, nil, &Malformed{http.StatusRequestEntityTooLarge, "the body is too large"}
 	}
 	if err != nil {
-		return nil, nil, Bad("the body is cut short")
+		return nil, nil, cmp.Or(shedOf(r), Bad("the body is cut short"))
 	}
 	if rest == nil {
 		b.control.SetReadDeadline(time.Time{})
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -29,6 +29,9 @@
 	leaving  bool
 	deadline time.Time // net/http's own, for reads
 	progress progress
+
+	bodyAwaited bool
+	bodyEnded   bool // it is not waited for any longer
 }
 
 // origin is where a request came from.
@@ -179,6 +182,9 @@
 	case gone:
 		return nil
 	}
+	if c.bodyEnded {
+		t = past
+	}
 	return c.TCPConn.SetReadDeadline(t)
 }
 
--- a/internal/front/message.go
+++ b/internal/front/message.go
@@ -218,13 +218,19 @@
 	}))
 }
 
-// Reject answers what is malformed, at once, and closes: a client that sends such things gets no slot to keep.
+// Reject answers what is malformed, or shed before its body was in, at once, and closes: a client that sends such things gets no slot to keep.
 // net/http would first wait for a body that was not read. What is still on its way is read off for a moment,
 // since closing on unread bytes resets the connection and may take the answer with it.
 func Reject(w http.ResponseWriter, r *http.Request, err error) {
 	status := http.StatusBadRequest
-	if m, ok := err.(*Malformed); ok {
-		status = m.Status
+	switch e := err.(type) {
+	case *Malformed:
+		status = e.Status
+	case *shed:
+		status = http.StatusServiceUnavailable
+		if e.retryAfter != "" {
+			w.Header().Set("Retry-After", e.retryAfter)
+		}
 	}
 	w.Header().Set("Connection", "close")
 	if r.ContentLength == 0 {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -41,6 +41,7 @@
 	unread    atomic.Int64  // answers cut since their clients did not read them
 	stall     time.Duration // for a piece of an answer to be read
 	log       *slog.Logger
+	shedding  atomic.Pointer[shed] // set once the process sheds what it holds
 }
 
 // NewServer serves h, with the readiness path in front of it. taken, where not nil, counts the requests held.
