--- a/control/idle_seeds_test.go
+++ b/control/idle_seeds_test.go
@@ -44,17 +44,7 @@
 	return longest
 }
 
-// After an outage, and in one, a gateway turned away all it got for up to 7.8 s with no attempt in between. TestNoGatewayTurnsAllAwayForLong
-// shows it for one seed and one outage of 8 s; here outages differ in length, load
-// and seed.
-//
-// "full": of 797 refusals with no server chosen on four seeds, 796 came with all servers marked as full. A server that turned a class
-// away was passed over for 8 s, also where all servers had, so that none could tell that there was room again. With
-// that time at 2 s where all have, and nothing else changed, no pause reaches 4 s on any seed.
-//
-// "no answers": load shedding. Unanswered attempts stay out for 3 s and count against the few that a gateway of a large
-// fleet may have out; on seed 0 the pressure rose to 29.8, and was over 4 until 1.1 s after the last had ended. A server
-// had been chosen for each of the refused. Now one request is let in after 12 refused and 3 s.
+// Guards against a gateway that refuses all for seconds while its servers are out, and after.
 func TestNoGatewayTurnsAllAwayAfterAnyOutage(t *testing.T) {
 	const allowed = 4.0 // s
 	answers := func(after control.Seconds, status control.Status) func(*fleet) {
--- a/control/thin_fleet_test.go
+++ b/control/thin_fleet_test.go
@@ -300,10 +300,7 @@
 	}
 }
 
-// The same at more than twice the tries, as on a quiet day of many gateways. A gateway's calls are then short, and
-// reads for which nobody waits took those of first sights, which were let in without a look: with 281 gateways 28,000 of
-// 73,000 tries, while 29,000 of 135,000 calls were such reads, and a third of the tries that were looked up were refused.
-// Now such a read leaves three calls.
+// Guards against first sights of customers that are let in without a look, since reads that nobody waits for took the calls.
 func TestReadsLeaveCallsForFirstSights(t *testing.T) {
 	const gateways, customers = 150, 1000
 	plans := []control.Plan{{Rate: 5.5, Burst: 16, Worth: 1, OverCost: 0.9}, {Rate: 12, Burst: 27, Worth: 2, OverCost: 0.4}}
--- a/internal/egress/crossed_answer_test.go
+++ b/internal/egress/crossed_answer_test.go
@@ -50,10 +50,7 @@
 	return body, o.Status, reuse
 }
 
-// One caller got another's answer: a target answered a request twice, the second time later than a connection rests, and
-// the next request on that connection took it for its own ("/two got the answer of /one"). A rest of 10 ms makes that rarer
-// and no more, and nothing in the protocol names the request that an answer is for. But a second answer has the body of
-// the first: one with the body of the answer before, to another request, is held back for the request's own.
+// Guards against one caller getting the answer of another, where a target answers twice and the second time late.
 func TestSecondAnswerIsNotGivenToTheNextRequest(t *testing.T) {
 	near, far := net.Pipe()
 	defer far.Close()
