Soak: gateway processes under seeded faults, judged request by request from outside

Ten rules are judged by the stand-ins' and clients' own records, by id; a seed that breaks one prints its story, is played again, and its schedule shrunk. Reports are kept, so that a long run can be resumed.

--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -151,6 +151,7 @@
 		Plays    playsCommand    `cmd:"" help:"List the plays."`
 		Fleet    fleetCommand    `cmd:"" help:"Play a whole fleet: releases and drains under a load, with faults between its processes."`
 		Spread   spreadCommand   `cmd:"" help:"Measure how evenly many gateways spread a thin load over table servers, and under faults."`
+		Soak     soakCommand     `cmd:"" help:"Run gateways under faults drawn from seeds, and judge every request from outside."`
 		Lease    leaseCommand    `cmd:"" help:"Play coordinators, holders and faults between them, and judge by what they did."`
 		Scale    scaleCommand    `cmd:"" help:"Measure what control costs as the fleet grows: hollow gateways against real coordinators and stand-ins."`
 		Load     loadCommand     `cmd:"" help:"Offer an open-loop load to gateways on loopback."`
--- /dev/null
+++ b/cmd/lab/soak.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/schollz/progressbar/v3"
+
+	"junctionring/internal/lab/soak"
+)
+
+type soakCommand struct {
+	From    uint64        `default:"1" help:"The first seed."`
+	Seeds   int           `default:"1" help:"How many seeds, one after another."`
+	Length  time.Duration `default:"12s" help:"For which clients send, in each run."`
+	Out     string        `default:"found/soak" help:"Folder for logs and reports; a seed whose report is there is not played again."`
+	Program string        `help:"The gateway; default: junctionring beside this program."`
+	Faults  bool          `help:"Print the faults of the first seed, and play nothing."`
+}
+
+func (c soakCommand) Run(ctx context.Context) error {
+	if c.Faults {
+		for _, f := range soak.Draw(c.From, c.Length).Faults {
+			fmt.Println(f)
+		}
+		return nil
+	}
+	if c.Program == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		c.Program = filepath.Join(filepath.Dir(self), "junctionring")
+	}
+	if _, err := os.Stat(c.Program); err != nil {
+		return fmt.Errorf("the gateway is not built (go build -o bin/ ./cmd/...): %w", err)
+	}
+	total := soak.NewSummary()
+	bar := progressbar.Default(int64(c.Seeds), "seeds")
+	for n := range c.Seeds {
+		if err := c.play(ctx, c.From+uint64(n), total); err != nil {
+			return err
+		}
+		bar.Add(1)
+	}
+	fmt.Print(total)
+	if total.Broken() > 0 {
+		return fmt.Errorf("%d seeds broke a rule; their reports are in %s", total.Broken(), c.Out)
+	}
+	return nil
+}
+
+// play plays one seed, or takes its report where there is one already.
+func (c soakCommand) play(ctx context.Context, seed uint64, total *soak.Summary) error {
+	dir := filepath.Join(c.Out, fmt.Sprintf("seed-%d", seed))
+	path := filepath.Join(dir, "report.json")
+	if report, err := soak.ReadReport(path); err == nil && report.Length == c.Length {
+		total.Add(report)
+		return nil
+	}
+	result, err := soak.Run(ctx, soak.Draw(seed, c.Length), []string{c.Program}, dir)
+	if err != nil {
+		return err
+	}
+	report := result.Report()
+	total.Add(report)
+	if len(report.Breaks) > 0 {
+		fmt.Fprint(os.Stderr, "\n"+result.Story()+c.again(ctx, seed, dir))
+	}
+	return report.Write(path)
+}
+
+// again plays a seed that broke a rule some times more, and without one fault after another, and says what came of it.
+func (c soakCommand) again(ctx context.Context, seed uint64, dir string) string {
+	const replays = 3
+	p := soak.Draw(seed, c.Length)
+	breaks := func(p soak.Plan) bool {
+		result, err := soak.Run(ctx, p, []string{c.Program}, filepath.Join(dir, "again"))
+		return err == nil && len(result.Breaks) > 0
+	}
+	came := 0
+	for range replays {
+		if breaks(p) {
+			came++
+		}
+	}
+	text := fmt.Sprintf("it came again in %d of %d replays of: lab soak --from %d --length %v\n", came, replays, seed, c.Length)
+	if came == 0 {
+		return text
+	}
+	text += "a smaller schedule that still breaks a rule:\n"
+	for _, f := range soak.Shrink(p, breaks).Faults {
+		text += "  " + f.String() + "\n"
+	}
+	return text
+}
