--- a/cmd/lab/soak.go
+++ b/cmd/lab/soak.go
@@ -18,12 +18,13 @@
 	Length  time.Duration `default:"12s" help:"For which clients send, in each run."`
 	Out     string        `default:"found/soak" help:"Folder for logs and reports; a seed whose report is there is not played again."`
 	Program string        `help:"The gateway; default: junctionring beside this program."`
+	HeldUp  bool          `help:"Hold all gateways up again and again, beside the other faults."`
 	Faults  bool          `help:"Print the faults of the first seed, and play nothing."`
 }
 
 func (c soakCommand) Run(ctx context.Context) error {
 	if c.Faults {
-		for _, f := range soak.Draw(c.From, c.Length).Faults {
+		for _, f := range c.draw(c.From).Faults {
 			fmt.Println(f)
 		}
 		return nil
@@ -53,6 +54,15 @@
 	return nil
 }
 
+// draw is the plan of a seed.
+func (c soakCommand) draw(seed uint64) soak.Plan {
+	p := soak.Draw(seed, c.Length)
+	if c.HeldUp {
+		return p.HeldUp()
+	}
+	return p
+}
+
 // play plays one seed, or takes its report where there is one already.
 func (c soakCommand) play(ctx context.Context, seed uint64, total *soak.Summary) error {
 	dir := filepath.Join(c.Out, fmt.Sprintf("seed-%d", seed))
@@ -61,7 +71,7 @@
 		total.Add(report)
 		return nil
 	}
-	result, err := soak.Run(ctx, soak.Draw(seed, c.Length), []string{c.Program}, dir)
+	result, err := soak.Run(ctx, c.draw(seed), []string{c.Program}, dir)
 	if err != nil {
 		return err
 	}
@@ -76,7 +86,7 @@
 // again plays a seed that broke a rule some times more, and without one fault after another, and says what came of it.
 func (c soakCommand) again(ctx context.Context, seed uint64, dir string) string {
 	const replays = 3
-	p := soak.Draw(seed, c.Length)
+	p := c.draw(seed)
 	breaks := func(p soak.Plan) bool {
 		result, err := soak.Run(ctx, p, []string{c.Program}, filepath.Join(dir, "again"))
 		return err == nil && len(result.Breaks) > 0
@@ -87,7 +97,7 @@
 			came++
 		}
 	}
-	text := fmt.Sprintf("it came again in %d of %d replays of: lab soak --from %d --length %v\n", came, replays, seed, c.Length)
+	text := fmt.Sprintf("it came again in %d of %d replays of: lab soak --from %d --length %v --held-up=%t\n", came, replays, seed, c.Length, c.HeldUp)
 	if came == 0 {
 		return text
 	}
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -128,6 +129,19 @@
 
 const longestShutdown = 4 * time.Second
 
+// HeldUp is the plan with all gateways held up again and again, beside its other faults.
+func (p Plan) HeldUp() Plan {
+	const each = 700 * time.Millisecond // a fault holds a gateway up three times
+	faults := slices.Clone(p.Faults)
+	for at := quietStart; at < p.Length; at += each {
+		for n := range p.Gateways {
+			faults = append(faults, Fault{At: at, Kind: Stalls, Target: n})
+		}
+	}
+	p.Faults = faults
+	return p
+}
+
 // Longest is the longest deadline of the plan.
 func (p Plan) Longest() (longest time.Duration) {
 	for _, c := range p.Classes {
