Look for the gateway beside lab in one place

try, spread, fleet and soak each found the program beside their own and soak and try checked that it was built; now builtGateway does both for all four.

--- a/cmd/lab/fleet.go
+++ b/cmd/lab/fleet.go
@@ -31,15 +31,16 @@
 }
 
 func (c fleetCommand) Run(ctx context.Context) error {
-	self, err := os.Executable()
-	if err != nil {
+	var err error
+	if c.Program, err = builtGateway(c.Program); err != nil {
 		return err
 	}
-	if c.Program == "" {
-		c.Program = filepath.Join(filepath.Dir(self), "junctionring")
+	fleet, err := programBeside("fleet")
+	if err != nil {
+		return err
 	}
 	for i := range c.Runs {
-		if err := c.run(ctx, filepath.Join(filepath.Dir(self), "fleet"), c.Seed+uint64(i)); err != nil {
+		if err := c.run(ctx, fleet, c.Seed+uint64(i)); err != nil {
 			return err
 		}
 	}
--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -33,15 +33,9 @@
 }
 
 func (c tryCommand) Run(ctx context.Context) error {
-	if c.Program == "" {
-		self, err := os.Executable()
-		if err != nil {
-			return err
-		}
-		c.Program = filepath.Join(filepath.Dir(self), "junctionring")
-	}
-	if _, err := os.Stat(c.Program); err != nil {
-		return fmt.Errorf("the gateway is not built (go build -o bin/ ./cmd/...): %w", err)
+	var err error
+	if c.Program, err = builtGateway(c.Program); err != nil {
+		return err
 	}
 	if len(c.Plays) == 0 {
 		c.Plays = []string{"drain"}
--- a/cmd/lab/soak.go
+++ b/cmd/lab/soak.go
@@ -30,15 +30,9 @@
 		}
 		return nil
 	}
-	if c.Program == "" {
-		self, err := os.Executable()
-		if err != nil {
-			return err
-		}
-		c.Program = filepath.Join(filepath.Dir(self), "junctionring")
-	}
-	if _, err := os.Stat(c.Program); err != nil {
-		return fmt.Errorf("the gateway is not built (go build -o bin/ ./cmd/...): %w", err)
+	var err error
+	if c.Program, err = builtGateway(c.Program); err != nil {
+		return err
 	}
 	total := soak.NewSummary()
 	bar := progressbar.Default(int64(c.Seeds), "seeds")
--- a/cmd/lab/spread.go
+++ b/cmd/lab/spread.go
@@ -29,12 +29,9 @@
 }
 
 func (c spreadCommand) Run(ctx context.Context) error {
-	if c.Program == "" {
-		self, err := os.Executable()
-		if err != nil {
-			return err
-		}
-		c.Program = filepath.Join(filepath.Dir(self), "junctionring")
+	var err error
+	if c.Program, err = builtGateway(c.Program); err != nil {
+		return err
 	}
 	switch {
 	case len(c.Faults) == 0:
