Take the soak's gateway addresses from standin.Free

freeAddress wrote it again, and less well: an outgoing connection could take the port before a gateway's start or while it restarted, and the soak would have put that down to the gateway. standin.Free gives addresses that nothing else goes out from. Plans, checks and bounds are unchanged.

--- a/internal/lab/soak/gateway.go
+++ b/internal/lab/soak/gateway.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -202,16 +201,6 @@
 	}
 }
 
-// freeAddress is an address on loopback that nobody listens on.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 func wait(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"junctionring/internal/standin"
 )
 
 // Result is what became of a run.
@@ -87,7 +89,7 @@
 		if err != nil {
 			return err
 		}
-		listen, err := freeAddress()
+		listen, err := standin.Free()
 		if err != nil {
 			return err
 		}
