Tests of used connections start their targets one way; drop names of a form that is gone

Cause: startDropping and one test built a fleet as startTarget does; two tests had parameters that are always nil and names of "trusted" sites, which no longer exist; makeRoom wrote closeFirst again.

Change: scriptedTarget holds the fleet's entry; closeAt serves both places. No check, bound or step of a test differs.

--- a/internal/egress/reuse_test.go
+++ b/internal/egress/reuse_test.go
@@ -15,9 +15,8 @@
 	"junctionring/internal/core"
 )
 
-// Guards against one customer getting the private answer of another, who asked for the same path, at a site whose targets
-// have answered once for long. No answer is common here.
-func TestPrivateAnswerOfATrustedSiteIsNotGivenToAnotherCustomer(t *testing.T) {
+// Guards against one customer getting the private answer of another, who asked for the same path.
+func TestPrivateAnswerIsNotGivenToAnotherCustomer(t *testing.T) {
 	const private = "account of customer 1"
 	c := scriptedConn(t, knowing(), of(private), of(private))
 	_, reuse := asked(t, c, by(1, "/account", "Cookie", "session=1"), faultyWait)
@@ -46,8 +45,8 @@
 
 // Guards against the same through the target's actor, at a server that answers one request twice, once, and whose later
 // answers each come when the next request has been read.
-func TestPrivateAnswersDoNotShiftThroughATrustedTarget(t *testing.T) {
-	server := startScripted(t, func() connectionScript {
+func TestPrivateAnswersDoNotShiftThroughTheTarget(t *testing.T) {
+	target := startTarget(t, 1, func() connectionScript {
 		last := ""
 		return func(r *http.Request) (string, bool) {
 			own := withLength("account of " + r.Header.Get("Cookie"))
@@ -62,10 +61,6 @@
 			return own, false
 		}
 	})
-	f := NewFleet(Options{ConnectTimeout: 5 * time.Second, ConnIdle: time.Minute, Conns: 1})
-	f.Update(core.Table{Targets: []core.Target{{Member: control.Member{Server: "s", State: control.Ready}, Address: server.address}}})
-	t.Cleanup(func() { f.remove("s") })
-	target := &scriptedTarget{server, t, f.targets["s"].exchange}
 	target.warmUp(warmUps)
 	for customer := range uint64(8) {
 		cookie := "customer " + strconv.FormatUint(1+customer, 10)
@@ -76,9 +71,8 @@
 	}
 }
 
-// Guards against a request getting the own answer of an equal read, or of a probe, before it that was given a second
-// answer, at a site whose targets have answered once for long. No answer is common here.
-func TestOwnAnswerOfAnEqualReadOfATrustedSiteIsNotGivenToTheNextRequest(t *testing.T) {
+// Guards against a request getting the own answer of a read, or of a probe, before it that was given the one before's again.
+func TestOwnAnswerOfAnEarlierReadIsNotGivenToTheNextRequest(t *testing.T) {
 	probe := func() *Request {
 		return &Request{Method: http.MethodGet, Head: []byte("GET /stats HTTP/1.1\r\nHost: target\r\n")}
 	}
@@ -103,15 +97,8 @@
 // Guards against answers of a healthy server being lost time and again, where it answers requests with different paths
 // alike for a while, and then otherwise: an answer with the second in it, a revision, a tick.
 func TestAlikeAnswersThatChangeAreNotLostAgainAndAgain(t *testing.T) {
-	for _, c := range []struct {
-		name   string
-		method string
-		memory func() *history
-	}{
-		{"reads", http.MethodGet, nil},
-		{"unsafe", http.MethodPost, nil},
-	} {
-		t.Run(c.name, func(t *testing.T) {
+	for name, method := range map[string]string{"reads": http.MethodGet, "unsafe": http.MethodPost} {
+		t.Run(name, func(t *testing.T) {
 			const ticks = 12
 			body := func(r *http.Request) string {
 				number, err := strconv.Atoi(strings.TrimPrefix(r.URL.Path, "/orders/"))
@@ -121,13 +108,10 @@
 				return "tick " + strconv.Itoa(number/2)
 			}
 			h := knowing()
-			if c.memory != nil {
-				h = c.memory()
-			}
 			lost := 0
 			var conn *conn
 			for i := range 2 * ticks {
-				r := Encode(c.method, "/orders/"+strconv.Itoa(i), "t", http.Header{}, nil, nil)
+				r := Encode(method, "/orders/"+strconv.Itoa(i), "t", http.Header{}, nil, nil)
 				if conn == nil || !goesOn(conn, r) { // as the target would
 					conn = healthyConn(t, h, body)
 				}
@@ -145,8 +129,7 @@
 	}
 }
 
-// Guards against a customer's read being lost on one connection after another, at a trusted site, as each gave its answer
-// to another customer before and nothing is learned from a loss.
+// Guards against a customer's read being lost on one connection after another, as each gave its answer to another before.
 func TestCommonAnswerOfOneCustomerIsNotLostAgainAndAgainForAnother(t *testing.T) {
 	h := knowing()
 	var conns []*conn
--- a/internal/egress/second_answer_test.go
+++ b/internal/egress/second_answer_test.go
@@ -181,8 +181,8 @@
 // scriptedTarget is a fleet's one target, a scripted server.
 type scriptedTarget struct {
 	*scriptedServer
-	t        *testing.T
-	exchange func(core.Attempt) core.Outcome
+	t *testing.T
+	*entry
 }
 
 func startTarget(t *testing.T, conns int, newScript func() connectionScript) *scriptedTarget {
@@ -191,7 +191,7 @@
 	f := NewFleet(Options{ConnectTimeout: 5 * time.Second, ConnIdle: time.Minute, Conns: conns})
 	f.Update(core.Table{Targets: []core.Target{{Member: control.Member{Server: "s", State: control.Ready}, Address: s.address}}})
 	t.Cleanup(func() { f.remove("s") })
-	return &scriptedTarget{s, t, f.targets["s"].exchange}
+	return &scriptedTarget{s, t, f.targets["s"]}
 }
 
 func get(path string) *Request { return Encode(http.MethodGet, path, "t", http.Header{}, nil, nil) }
--- a/internal/egress/target.go
+++ b/internal/egress/target.go
@@ -233,14 +233,14 @@
 	if len(t.waiting) == 0 || len(t.idle) == 0 || t.dialing > 0 || !bounded || slices.ContainsFunc(t.idle, t.waiting[0].fits) {
 		return
 	}
-	t.closeFirst()
+	t.closeAt(0) // the one that has rested longest
 	t.dialOne()
 }
 
-// closeFirst closes the idle connection that has rested longest.
-func (t *target) closeFirst() {
-	t.idle[0].Close()
-	t.idle = slices.Delete(t.idle, 0, 1)
+// closeAt closes the idle connection at a place.
+func (t *target) closeAt(i int) {
+	t.idle[i].Close()
+	t.idle = slices.Delete(t.idle, i, i+1)
 	t.release()
 }
 
@@ -368,10 +368,7 @@
 	if i < 0 {
 		return false
 	}
-	c := t.idle[i]
-	t.idle = slices.Delete(t.idle, i, i+1)
-	c.Close()
-	t.release()
+	t.closeAt(i)
 	return true
 }
 
--- a/internal/egress/used_connection_test.go
+++ b/internal/egress/used_connection_test.go
@@ -25,16 +25,6 @@
 	return nil, errors.New("refused")
 }
 
-// startDropping is startTarget; drop has the actor close its idle connections before whatever it is sent later.
-func startDropping(t *testing.T, conns int, newScript func() connectionScript) (s *scriptedTarget, drop func()) {
-	t.Helper()
-	server := startScripted(t, newScript)
-	f := NewFleet(Options{ConnectTimeout: 5 * time.Second, ConnIdle: time.Minute, Conns: conns})
-	f.Update(core.Table{Targets: []core.Target{{Member: control.Member{Server: "s", State: control.Ready}, Address: server.address}}})
-	t.Cleanup(func() { f.remove("s") })
-	return &scriptedTarget{server, t, f.targets["s"].exchange}, func() { f.targets["s"].post(dropIdle{}) }
-}
-
 // step is what a scripted peer writes when it has read the next request of a connection.
 type step string
 
@@ -151,7 +141,7 @@
 
 // Guards against each later answer of a connection going to the request after its own.
 func TestOwnAnswerBehindACommonOneThroughTheTarget(t *testing.T) {
-	target, drop := startDropping(t, 1, func() connectionScript {
+	target := startTarget(t, 1, func() connectionScript {
 		last, owed := "", ""
 		return func(r *http.Request) (string, bool) {
 			own := withLength(ownBody(r))
@@ -171,7 +161,7 @@
 	})
 	target.warmUp(warmUps)
 	for i := range 2 { // each is the first with its body on its connection
-		drop()
+		target.post(dropIdle{})
 		target.wantOK("/common", get("/common?"+strconv.Itoa(i)), "ok")
 	}
 	target.wantOK("/one", get("/one"), "ok")
