Never lose an unsafe request to an answer that is like an earlier one, but for rare ones

What callers saw: a healthy server answers the writes of a path alike; the second of two on one connection ran and was answered 502.

Cause: an answer whose body the connection gave before is never handed over, and what is common was learned from the loss. No rule that looks at the answers can tell these apart, so it is decided before the request is written.

The lookup is made once, before the target's actor is asked.

--- a/internal/egress/target.go
+++ b/internal/egress/target.go
@@ -49,6 +49,7 @@
 	lease struct {
 		got chan *conn
 		question
+		newOnly bool // no connection will do that has answered anything
 	}
 	unlease struct{ l *lease } // the asker went away
 	dialed  struct{ c *conn }  // nil: it did not come up
@@ -293,7 +294,12 @@
 }
 
 // fits tells whether a connection may be used for the request that is to go out, once it has rested.
-func (l *lease) fits(c *conn) bool { return c.tellsApart(l.question) }
+func (l *lease) fits(c *conn) bool {
+	if l.newOnly {
+		return !c.answered
+	}
+	return c.tellsApart(l.question)
+}
 
 // wary tells whether the target has sent something unasked lately.
 func (t *target) wary() bool { return time.Since(t.unasked) < waryFor }
@@ -477,9 +483,18 @@
 	return 0, false
 }
 
+// newLease asks for a connection for a request. What would bar all used ones is looked up here, not in the actor.
+func (t *target) newLease(q question) *lease {
+	return &lease{
+		got:      make(chan *conn, 1),
+		question: q,
+		newOnly:  !q.canRepeat() && !t.history.memory.mayShare(q, nil, time.Now()),
+	}
+}
+
 // exchange carries an attempt out but for its report; its payload is a *Request.
 func (t *target) exchange(a core.Attempt) core.Outcome {
-	l := &lease{got: make(chan *conn, 1), question: a.Payload.(*Request).question(a.Repeat)}
+	l := t.newLease(a.Payload.(*Request).question(a.Repeat))
 	if !t.post(l) {
 		return core.Outcome{Status: control.ConnectFailed}
 	}
