Have keyed requests tell of the answers of their path, so that uploads to it share connections

Cause: only requests that can't be sent again counted for their path.

Change: the answers to all requests that are not safe count for their path. An answer like the latest of its path that is not known as common, a repeat's, counts neither way.

--- a/internal/egress/answers.go
+++ b/internal/egress/answers.go
@@ -72,14 +72,14 @@
 // learned tells whether enough is known of the answers for a connection to be used for different requests.
 func (m *answerMemory) learned() bool { return m == nil || m.ready.Load() }
 
-// learnFrom learns an answer that came for the first time on its connection, and what its path's answers are like where the
-// request can't be sent again. It tells whether the answer is common.
+// learnFrom learns an answer that came for the first time on its connection, and what its path's answers are like. It tells
+// whether the answer is common.
 func (m *answerMemory) learnFrom(asked question, answer fingerprint, now time.Time) (common bool) {
 	if m == nil {
 		return false
 	}
 	common = m.learn(answer, asked.request, now)
-	if !asked.canRepeat() {
+	if asked.path != 0 {
 		m.paths.note(asked.path, answer, common, now)
 	}
 	return common
@@ -147,7 +147,7 @@
 	if m == nil {
 		return
 	}
-	if !asked.canRepeat() {
+	if asked.path != 0 {
 		m.paths.note(asked.path, answer, true, now)
 	}
 	m.mu.Lock()
--- a/internal/egress/history.go
+++ b/internal/egress/history.go
@@ -29,7 +29,7 @@
 type question struct {
 	request  fingerprint // equal for requests that may have the same answer; zero: no other may, as it can't be sent again
 	resource fingerprint // equal for safe requests that differ in their headers alone, and for others with one path
-	path     fingerprint // of the path template of one that can't be sent again
+	path     fingerprint // of the path template of one that is not safe, or can't be sent again; else zero
 }
 
 // canRepeat tells whether what is asked may be sent again where its answer was lost.
@@ -42,12 +42,13 @@
 	if repeat == control.Safe {
 		q.resource = fingerprintOf(r.target(), r.Body)
 	}
+	if repeat != control.Safe || r.Rest != nil {
+		q.path = fingerprintOf(r.pathTemplate())
+	}
 	if r.Rest == nil && (repeat == control.Safe || repeat == control.Keyed && r.Key != "") {
 		before, after := r.aroundRequestID()
 		q.request = fingerprintOf(before, after, r.Body, binary.BigEndian.AppendUint64(nil, r.Customer))
-		return q
 	}
-	q.path = fingerprintOf(r.pathTemplate())
 	return q
 }
 
--- a/internal/egress/path_answers.go
+++ b/internal/egress/path_answers.go
@@ -14,8 +14,8 @@
 	distinctFrom = 8                // different answers of a path in a row, after which the next is expected to differ, too
 )
 
-// pathAnswers counts the answers that requests which can't be sent again got, by path template: those of a path differ, or
-// others have got the same. It is safe for use by several goroutines.
+// pathAnswers counts the answers to requests that are not safe, or can't be sent again, by path template: those of a path
+// differ, or others have got the same. It is safe for use by several goroutines.
 type pathAnswers struct {
 	mu     sync.Mutex
 	counts *simplelru.LRU[fingerprint, pathCount]
@@ -42,13 +42,14 @@
 	if now.Sub(count.last) > countedFor {
 		count = pathCount{}
 	}
-	alike = alike || count.latest.is(answer)
-	count.latest, count.last = answer, now
-	count.distinct++
-	if alike {
+	switch {
+	case alike:
 		count.distinct = 0
 		count.alike++
+	case !count.latest.is(answer): // else of a repeat, or too long ago to be known as alike
+		count.distinct++
 	}
+	count.latest, count.last = answer, now
 	p.counts.Add(path, count)
 }
 
--- a/internal/egress/path_answers_test.go
+++ b/internal/egress/path_answers_test.go
@@ -87,6 +87,41 @@
 	}
 }
 
+// Guards against a handshake for each upload to a path of which only requests that can be repeated tell.
+func TestKeyedRequestsTellOfUploadsToTheirPath(t *testing.T) {
+	const few = 2
+	target := startTarget(t, 4, answersOnce(ownBody))
+	target.warmUp(warmUps)
+	keyed := func(i int, rest *Upload) (uri string, r *Request) {
+		uri = "/write?" + strconv.Itoa(i)
+		return uri, Encode(http.MethodPost, uri, "t", http.Header{"Idempotency-Key": {uri}}, []byte("begins"), rest)
+	}
+	for i := range distinctFrom {
+		uri, r := keyed(i, nil)
+		target.wantOK(uri, r, "answer to "+uri)
+	}
+	first := target.accepted()
+	for i := range 16 {
+		uri, r := keyed(distinctFrom+i, &Upload{Length: -1, Next: strings.NewReader("rest").Read})
+		target.wantOK(uri, r, "answer to "+uri)
+	}
+	if opened := target.accepted() - first; opened > few {
+		t.Errorf("%d connections were opened", opened)
+	}
+}
+
+// Guards against the answers to repeats of one request counting as different ones.
+func TestRepeatsDoNotCountAsDistinctAnswers(t *testing.T) {
+	now := time.Now()
+	p := newPathAnswers()
+	for range 2 * distinctFrom {
+		p.note(1, 1, false, now)
+	}
+	if p.mayShare(1, nil, now) {
+		t.Error("one answer counts as many")
+	}
+}
+
 // Guards against an alike answer being forgotten, or a path never being used again for it.
 func TestAlikeAnswerTakesMoreDistinctOnesEachTime(t *testing.T) {
 	now := time.Now()
