--- a/internal/egress/target.go
+++ b/internal/egress/target.go
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"junctionring/control"
-	"junctionring/internal/core"
 	"junctionring/internal/socket"
 )
 
@@ -458,94 +456,3 @@
 		return true
 	})
 }
-
-// attempt carries one attempt out, in its own goroutine.
-func (t *target) attempt(a core.Attempt) {
-	a.Report(t.exchange(a))
-}
-
-// tooLate tells whether an attempt is over as its connection comes: nothing goes out that nobody wants, or that might
-// run a second time.
-func tooLate(a core.Attempt) (control.Status, bool) {
-	select {
-	case <-a.Over:
-		return control.Cancelled, true
-	default:
-	}
-	switch err := a.Ctx.Err(); {
-	case err == context.DeadlineExceeded:
-		return control.ConnectFailed, true
-	case err != nil:
-		return control.Cancelled, true
-	case !a.Before.IsZero() && time.Now().After(a.Before):
-		return control.Moot, true
-	}
-	return 0, false
-}
-
-// newLease asks for a connection for a request. What would bar all used ones is looked up here, not in the actor.
-func (t *target) newLease(q question) *lease {
-	return &lease{
-		got:      make(chan *conn, 1),
-		question: q,
-		newOnly:  !q.canRepeat() && !t.history.memory.mayShare(q, nil, time.Now()),
-	}
-}
-
-// exchange carries an attempt out but for its report; its payload is a *Request.
-func (t *target) exchange(a core.Attempt) core.Outcome {
-	l := t.newLease(a.Payload.(*Request).question(a.Repeat))
-	if !t.post(l) {
-		return core.Outcome{Status: control.ConnectFailed}
-	}
-	var c *conn
-	select {
-	case c = <-l.got:
-	case <-t.ctx.Done(): // it has left the list: nothing was sent
-		return core.Outcome{Status: control.ConnectFailed}
-	case <-a.Over: // also where an attempt that is out may not be called off
-		t.post(unlease{l})
-		return core.Outcome{Status: control.Cancelled}
-	case <-a.Ctx.Done():
-		t.post(unlease{l})
-		if a.Ctx.Err() == context.DeadlineExceeded {
-			return core.Outcome{Status: control.ConnectFailed} // nothing was written
-		}
-		return core.Outcome{Status: control.Cancelled}
-	}
-	if c == nil {
-		return core.Outcome{Status: control.ConnectFailed}
-	}
-	if s, late := tooLate(a); late {
-		t.post(unused{c})
-		return core.Outcome{Status: s}
-	}
-	sent := time.Now()
-	c.asked = l.question
-	o, reuse := c.roundTrip(a.Ctx, a.Payload.(*Request), t.site.LoadFields, a.Whole, a.Wait)
-	c.waited = o.Waited
-	free := func(reuse bool) {
-		if reuse && !c.unasked && !c.spent() {
-			c.used, c.answered = time.Now(), true
-			t.post(back{c})
-			return
-		}
-		c.Close()
-		t.post(ended{heard: reuse, replace: reuse && !c.unasked, unasked: c.unasked})
-	}
-	if reply, ok := o.Reply.(*Reply); ok && reply.Long != nil {
-		reply.Long.finish = free // the connection is in use until then
-		return o
-	}
-	if reuse {
-		free(true)
-		return o
-	}
-	c.Close()
-	e := ended{heard: c.heard || o.Reply != nil, replace: c.replace, unasked: c.unasked}
-	if o.Status == control.Timeout && !c.heard {
-		e.silent = sent
-	}
-	t.post(e)
-	return o
-}
