--- a/internal/egress/answers.go
+++ b/internal/egress/answers.go
@@ -57,15 +57,15 @@
 func newAnswerMemory() *answerMemory {
 	return &answerMemory{
 		paths:     newPathAnswers(),
-		once:      newLRU[fingerprint](),
-		commons:   newLRU[time.Time](),
-		contested: newLRU[struct{}](),
+		once:      newLRU[fingerprint](answersKept),
+		commons:   newLRU[time.Time](answersKept),
+		contested: newLRU[struct{}](answersKept),
 		missing:   learnedFrom,
 	}
 }
 
-func newLRU[V any]() *simplelru.LRU[fingerprint, V] {
-	lru, _ := simplelru.NewLRU[fingerprint, V](answersKept, nil) // fails only for a size under 1
+func newLRU[V any](size int) *simplelru.LRU[fingerprint, V] {
+	lru, _ := simplelru.NewLRU[fingerprint, V](size, nil) // fails only for a size under 1
 	return lru
 }
 
--- a/internal/egress/path_answers.go
+++ b/internal/egress/path_answers.go
@@ -30,8 +30,7 @@
 }
 
 func newPathAnswers() *pathAnswers {
-	counts, _ := simplelru.NewLRU[fingerprint, pathCount](pathsKept, nil) // fails only for a size under 1
-	return &pathAnswers{counts: counts}
+	return &pathAnswers{counts: newLRU[pathCount](pathsKept)}
 }
 
 // note counts an answer to a request on a path.
