--- a/internal/egress/answers.go
+++ b/internal/egress/answers.go
@@ -15,7 +15,7 @@
 	answersKept = 1024             // of a site's answers, and of what is known to be common, and of resources
 	commonFor   = 10 * time.Minute // that an answer counts as common, from when it was last given
 	learnedFrom = 8                // different requests, after whose answers connections are used for others
-	mostDoubled = 7                // times that learnedFrom is doubled where answers were dropped
+	mostDoubled = 7                // times that learnedFrom is doubled where answers were dropped, and distinctFrom where they were alike
 )
 
 // fingerprint tells requests, or answers, apart. The zero value is that of none, and equals no other.
