Have a test of shutdown wait until its idle connection is at rest before it closes those

Cause, in the test: it waits for the half head to be read and the new connection to be accepted, but not for the idle one to come to rest, which it does after its client has read the answer. closeResting closes those at rest; the product's clear calls it again as each comes to rest, the test calls it once.

Change: the wait goes on while a connection is busy. Checks and bounds are as they were; the wait is stricter.

--- a/internal/front/slots_test.go
+++ b/internal/front/slots_test.go
@@ -158,12 +158,12 @@
 	}
 	io.WriteString(half, request[:7])
 	l := s.slots.Load()
-	for arrived := 0; arrived < 3; runtime.Gosched() { // until the third is accepted and the half head read
+	for arrived := 0; arrived < 3; runtime.Gosched() { // until the third is accepted, the half head read, and none is busy
 		l.mu.Lock()
 		arrived = 0
 		for c := range l.conns {
 			c.mu.Lock()
-			if c.phase == resting && c.RemoteAddr().String() == half.LocalAddr().String() || c.phase == settling {
+			if c.phase == resting && c.RemoteAddr().String() == half.LocalAddr().String() || c.phase == settling || c.phase == busy {
 				arrived--
 			}
 			c.mu.Unlock()
