Stand-in tables: write an arrival's draining mark under the record's lock

No gateway is concerned.

Cause: an arrival is in the record before enter sets Draining, which it did under the table's lock; every other field is written under the record's.

Evidence: the race report names both lines; the new test, which reads the record while requests arrive, reports it.

Change: the record's lock is taken for it, in the order in which falls takes both.

--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -236,3 +238,29 @@
 		t.Errorf("fallen: %v", fallen)
 	}
 }
+
+// Guards against a data race between requests that arrive and whoever reads the record.
+func TestRecordIsReadWhileRequestsArrive(t *testing.T) {
+	record := &Record{}
+	table, err := NewTable("127.0.0.1:0", TableOptions{ID: "s", Record: record, Keys: NewKeys(), Work: map[string]Work{"view": {}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer table.Close()
+	const requests = 200
+	var asking sync.WaitGroup
+	asking.Go(func() {
+		for range requests {
+			resp, err := http.Get("http://" + table.Addr() + "/view")
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			resp.Body.Close()
+		}
+	})
+	for len(record.All()) < requests && !t.Failed() {
+		runtime.Gosched()
+	}
+	asking.Wait()
+}
--- a/internal/standin/tables.go
+++ b/internal/standin/tables.go
@@ -318,7 +318,9 @@
 func (t *Table) enter(r *http.Request, a *Arrival) bool {
 	t.mu.Lock()
 	work := t.o.Work[a.Class]
+	t.o.Record.mu.Lock()
 	a.Draining = t.draining
+	t.o.Record.mu.Unlock()
 	if t.draining || t.falls((work.Least+work.Most).Seconds()/2) || len(t.waiting) >= t.o.Queue {
 		t.mu.Unlock()
 		return false
