Open another connection beside one to a target that is overdue

Callers saw: a request for which no connection was at rest waited for its one dial, and where that did not come up within the connect time-out it ended as "could not connect", although others come up at once.

Cause: one dial for each request that waits, however long it takes.

Change: a dial that takes longer than a tenth of the connect time-out, and twice what dials take at that target, is overdue: another is begun beside it, up to three for a connection. All have one deadline, so that nobody waits for longer, and those that wait are told once all have failed. A dial that comes up later is kept for the next request.

--- a/internal/egress/dial.go
+++ b/internal/egress/dial.go
@@ -7,8 +7,14 @@
 )
 
 const (
-	mostDials = 8  // at once to one target: a burst must not be a storm of handshakes
+	mostDials = 8  // connections that are opened at once to one target: a burst must not be a storm of handshakes
 	mostConns = 64 // to one target
+
+	// A dial is overdue after this share of the time that it may take, and this many times what dials take.
+	overdueShare = 10
+	overdueTimes = 2
+	dialsOver    = 8 // dials, for the time that they take
+	dialsEach    = 3 // at once for one connection, where those before are overdue
 )
 
 // dial opens connections for those that wait, where none that rests will do soon, and those that are to rest warm,
@@ -79,27 +85,99 @@
 
 // dialOne opens a connection, if the bounds allow one more.
 func (t *target) dialOne() bool {
-	if t.dialing >= mostDials || t.open >= mostConns {
+	if t.dialing >= mostDials || t.open >= mostConns || !t.acquire() {
 		return false
 	}
+	t.dialing++
+	t.begin(&opening{deadline: time.Now().Add(t.site.ConnectTimeout)})
+	return true
+}
+
+// acquire takes one of the site's permits, if there is one left.
+func (t *target) acquire() bool {
 	select {
 	case t.site.permits <- struct{}{}:
+		t.open++
+		return true
 	default:
 		return false
 	}
-	t.dialing++
-	t.open++
-	go func(address string) {
-		ctx, cancel := context.WithTimeout(t.ctx, t.site.ConnectTimeout)
-		defer cancel()
-		var c *conn
-		if nc, err := t.site.connect(ctx, "tcp", address); err == nil {
-			c = newConn(nc, address, &t.history)
-			c.abort = t.site.Abort
-		}
-		t.post(dialed{c})
-	}(t.address)
-	return true
+}
+
+// opening is a connection that is being opened, by more than one dial where one is overdue. It belongs to the actor.
+type opening struct {
+	deadline time.Time // for all its dials
+	dials    int       // under way
+	done     bool      // one of them came up
+}
+
+// begin begins a dial, for which a permit has been taken.
+func (t *target) begin(o *opening) {
+	o.dials++
+	t.dials++
+	go t.connect(o, t.address, o.deadline, t.overdueAfter())
+}
+
+// overdueAfter is how long a dial takes until it is overdue.
+func (t *target) overdueAfter() time.Duration {
+	return max(t.site.ConnectTimeout/overdueShare, overdueTimes*t.usualDial)
+}
+
+// connect carries a dial out, in a goroutine of its own, and tells the actor when it is overdue, and how it ended.
+func (t *target) connect(o *opening, address string, deadline time.Time, overdueAfter time.Duration) {
+	ctx, cancel := context.WithDeadline(t.ctx, deadline)
+	defer cancel()
+	began := time.Now()
+	timer := time.AfterFunc(overdueAfter, func() { t.post(overdue{o}) })
+	defer timer.Stop()
+	var c *conn
+	if nc, err := t.site.connect(ctx, "tcp", address); err == nil {
+		c = newConn(nc, address, &t.history)
+		c.abort = t.site.Abort
+	}
+	t.post(dialed{o, c, time.Since(began)})
+}
+
+// dialBeside begins a further dial beside one that is overdue, where somebody waits: one that comes up late may outlast the
+// time that it has. All have the same deadline, so that nobody waits for longer.
+func (t *target) dialBeside(o *opening) {
+	if o.done || o.dials == 0 || o.dials >= dialsEach || t.dials >= mostDials || t.open >= mostConns {
+		return
+	}
+	if t.ready && t.wanted() > 0 && t.acquire() {
+		t.begin(o)
+	}
+}
+
+// dialEnded takes in a connection that has come up. Where none of an opening's dials did it tells one of those that wait.
+func (t *target) dialEnded(d dialed) {
+	d.opening.dials--
+	t.dials--
+	if d.c == nil {
+		t.release()
+		t.openingFailed(d.opening)
+		t.dial()
+		return
+	}
+	if !d.opening.done {
+		d.opening.done = true
+		t.dialing--
+	}
+	if t.usualDial == 0 {
+		t.usualDial = d.took
+	}
+	t.usualDial += (d.took - t.usualDial) / dialsOver
+	t.free(d.c)
+}
+
+// openingFailed ends an opening none of whose dials came up, or is still under way.
+func (t *target) openingFailed(o *opening) {
+	if o.done || o.dials > 0 {
+		return
+	}
+	t.dialing--
+	t.failed = time.Now()
+	t.refuseOne()
 }
 
 // makeRoomForFirst closes an idle connection where the first of those that wait may use none, and none can be opened for
--- /dev/null
+++ b/internal/egress/dial_test.go
@@ -0,0 +1,81 @@
+package egress
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"junctionring/control"
+)
+
+// hangingDials is a Dial whose first connections never come up; it tells of each that is begun.
+func hangingDials(hanging int) (dial func(context.Context, string, string) (net.Conn, error), begun chan struct{}) {
+	begun = make(chan struct{}, mostConns)
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		begun <- struct{}{}
+		if len(begun) <= hanging {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	}, begun
+}
+
+// Guards against a request failing, or waiting as long as a dial may take, as one connection does not come up in time.
+func TestOverdueConnectionDoesNotHoldARequest(t *testing.T) {
+	target := startTarget(t, 4, answersOnce(ownBody))
+	target.site.ConnectTimeout = 2 * time.Second
+	target.site.Dial, _ = hangingDials(1)
+	began := time.Now()
+	body, status := target.send(get("/one"), 5*time.Second)
+	if took := time.Since(began); status != control.OK || took >= target.site.ConnectTimeout {
+		t.Errorf("got %q, %v after %v", body, status, took)
+	}
+}
+
+// Guards against dials without bound, and a longer wait, at a server to which no connection comes up.
+func TestOverdueDialsAreBounded(t *testing.T) {
+	const timeout = time.Second
+	target := startTarget(t, mostConns, answersOnce(ownBody))
+	target.site.ConnectTimeout = timeout
+	dial, begun := hangingDials(mostConns)
+	target.site.Dial = dial
+	began := time.Now()
+	_, status := target.send(get("/one"), 5*time.Second)
+	if took := time.Since(began); status != control.ConnectFailed || took > timeout*3/2 {
+		t.Errorf("ended with %v after %v", status, took)
+	}
+	if n := len(begun); n > dialsEach {
+		t.Errorf("%d dials for one request", n)
+	}
+}
+
+// Guards against a request being told that it could not connect before its own dial is over, as an earlier one's are.
+func TestFailedDialsBesideEndNoOtherRequest(t *testing.T) {
+	const timeout = time.Second
+	target := startTarget(t, mostConns, answersOnce(ownBody))
+	target.site.ConnectTimeout = timeout
+	dial, begun := hangingDials(mostConns)
+	target.site.Dial = dial
+	first := make(chan control.Status)
+	go func() {
+		_, status := target.send(get("/one"), 5*time.Second)
+		first <- status
+	}()
+	for range 2 { // the second beside the first
+		select {
+		case <-begun:
+		case <-time.After(timeout):
+			t.Fatal("no connection is opened beside one that is overdue")
+		}
+	}
+	began := time.Now()
+	_, status := target.send(get("/two"), 5*time.Second)
+	if took := time.Since(began); status != control.ConnectFailed || took < timeout*9/10 {
+		t.Errorf("the second ended with %v after %v", status, took)
+	}
+	if status := <-first; status != control.ConnectFailed {
+		t.Errorf("the first ended with %v", status)
+	}
+}
--- a/internal/egress/target.go
+++ b/internal/egress/target.go
@@ -48,9 +48,14 @@
 		newOnly bool // no connection will do that has answered anything
 	}
 	unlease struct{ l *lease } // the asker went away
-	dialed  struct{ c *conn }  // nil: it did not come up
-	back    struct{ c *conn }  // free for the next attempt
-	unused  struct{ c *conn }  // its attempt was over before it began
+	dialed  struct {
+		opening *opening
+		c       *conn // nil: it did not come up
+		took    time.Duration
+	}
+	overdue struct{ opening *opening } // a dial takes long
+	back    struct{ c *conn }          // free for the next attempt
+	unused  struct{ c *conn }          // its attempt was over before it began
 	ended   struct {
 		silent  time.Time // not zero: nothing was heard of an attempt sent then
 		heard   bool      // the target answered on it
@@ -74,19 +79,21 @@
 	ctx     context.Context // ends when the actor has ended
 	end     context.CancelFunc
 
-	retired bool
-	address string
-	ready   bool
-	idle    []*conn // the one used last at the end
-	waiting []*lease
-	dialing int
-	open    int           // connections, with those that are being opened
-	looking bool          // rested is to come
-	answers time.Duration // that they take, averaged
-	heard   time.Time
-	failed  time.Time // last dial that did not come up
-	unasked time.Time // when a connection last had something on it that nobody had asked for
-	history history
+	retired   bool
+	address   string
+	ready     bool
+	idle      []*conn // the one used last at the end
+	waiting   []*lease
+	dialing   int           // connections that are being opened
+	dials     int           // for those, or left over as another came up first
+	open      int           // connections, and dials
+	looking   bool          // rested is to come
+	answers   time.Duration // that they take, averaged
+	usualDial time.Duration // that one takes that comes up, averaged
+	heard     time.Time
+	failed    time.Time // last dial that did not come up
+	unasked   time.Time // when a connection last had something on it that nobody had asked for
+	history   history
 }
 
 func (t *target) post(m any) bool {
@@ -132,15 +139,9 @@
 			t.free(c)
 		}
 	case dialed:
-		t.dialing--
-		if m.c == nil {
-			t.release()
-			t.failed = time.Now()
-			t.refuseOne()
-			t.dial()
-			return
-		}
-		t.free(m.c)
+		t.dialEnded(m)
+	case overdue:
+		t.dialBeside(m.opening)
 	case back:
 		t.heard = time.Now()
 		if t.answers == 0 {
