Send each request that can't be sent again on an unused connection

Callers saw: a write to a healthy server ran, and was answered 502 (after its deadline), where its answer was like an earlier one on its connection: on a path whose answers all differed so far, with another answer between.

Cause: a server that answers a twice and never b writes the same bytes in the same order as one that answers a and then a, so nothing seen on a connection decides, and what the memory of paths can't know is what comes next.

Mend: a request that can't be sent again (unsafe, an upload, a keyed one without a key) goes out on an unused connection, whatever was answered before. On it no earlier answer can come, so that its own is never held back, and a refusal on it is its own. Later requests that can be sent again use the connection as before. pathAnswers and the path template go. The rule was too dear before as spare connections beside an unchanged pool went past what servers hold: so a new connection takes the place, and the permit, of a used idle one where more than one rests, used ones go first to those that may have them, and none is opened ahead but at sites over a link, where the warm ones are unused ones now.

--- a/internal/egress/answers.go
+++ b/internal/egress/answers.go
@@ -15,7 +15,7 @@
 	answersKept = 1024             // of a site's answers, and of what is known to be common, and of resources
 	commonFor   = 10 * time.Minute // that an answer counts as common, from when it was last given
 	learnedFrom = 8                // different requests, after whose answers connections are used for others
-	mostDoubled = 7                // times that learnedFrom is doubled where answers were dropped, and distinctFrom where they were alike
+	mostDoubled = 7                // times that learnedFrom is doubled where answers were dropped
 )
 
 // fingerprint tells requests, or answers, apart. The zero value is that of none, and equals no other.
@@ -43,7 +43,6 @@
 type answerMemory struct {
 	ready   atomic.Bool   // it has learned enough for connections to be used for different requests
 	changes atomic.Uint64 // how many times an answer became common, or a resource contested
-	paths   *pathAnswers
 
 	mu        sync.Mutex
 	once      *simplelru.LRU[fingerprint, fingerprint] // the request that an answer was given to, alone as far as is known
@@ -56,7 +55,6 @@
 
 func newAnswerMemory() *answerMemory {
 	return &answerMemory{
-		paths:     newPathAnswers(),
 		once:      newLRU[fingerprint](answersKept),
 		commons:   newLRU[time.Time](answersKept),
 		contested: newLRU[struct{}](answersKept),
@@ -72,24 +70,6 @@
 // learned tells whether enough is known of the answers for a connection to be used for different requests.
 func (m *answerMemory) learned() bool { return m == nil || m.ready.Load() }
 
-// learnFrom learns an answer that came for the first time on its connection, and what its path's answers are like. It tells
-// whether the answer is common.
-func (m *answerMemory) learnFrom(asked question, answer fingerprint, now time.Time) (common bool) {
-	if m == nil {
-		return false
-	}
-	common = m.learn(answer, asked.request, now)
-	if asked.path != 0 {
-		m.paths.note(asked.path, answer, common, now)
-	}
-	return common
-}
-
-// mayShare tells whether a request that can't be sent again may go out on a connection that gave these answers.
-func (m *answerMemory) mayShare(asked question, given []givenAnswer, now time.Time) bool {
-	return m == nil || m.paths.mayShare(asked.path, given, now)
-}
-
 // learn takes in an answer that came for the first time on its connection, and tells whether it is common.
 func (m *answerMemory) learn(answer, request fingerprint, now time.Time) (common bool) {
 	if m == nil {
@@ -143,16 +123,13 @@
 // drop notes an answer that was taken for another request's, with no other behind it. Unless the target answered twice it
 // gives different requests the same answer, on that resource at least. Where this happens again and again, more and more is
 // learned before connections are used for different requests.
-func (m *answerMemory) drop(answer fingerprint, asked question, now time.Time) {
+func (m *answerMemory) drop(answer, resource fingerprint, now time.Time) {
 	if m == nil {
 		return
 	}
-	if asked.path != 0 {
-		m.paths.note(asked.path, answer, true, now)
-	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.contested.Add(asked.resource, struct{}{})
+	m.contested.Add(resource, struct{}{})
 	m.makeCommon(answer, now)
 	if m.drops++; m.drops > 1 {
 		m.missing = learnedFrom << min(m.drops, mostDoubled)
--- a/internal/egress/attempt.go
+++ b/internal/egress/attempt.go
@@ -32,13 +32,10 @@
 	return 0, false
 }
 
-// newLease asks for a connection for a request. What would bar all used ones is looked up here, not in the actor.
-func (t *target) newLease(q question) *lease {
-	return &lease{
-		got:      make(chan *conn, 1),
-		question: q,
-		newOnly:  !q.canRepeat() && !t.history.memory.mayShare(q, nil, time.Now()),
-	}
+// newLease asks for a connection for a request. One that can't be sent again goes out on an unused connection: its answer
+// would be lost on one that gave the same before, where it could not be told from a second one to that request.
+func newLease(q question) *lease {
+	return &lease{got: make(chan *conn, 1), question: q, newOnly: !q.canRepeat()}
 }
 
 // awaitConn waits for a connection for an attempt. Without one nothing was sent, and status is how the attempt ended.
@@ -73,7 +70,7 @@
 // exchange carries an attempt out but for its report; its payload is a *Request.
 func (t *target) exchange(a core.Attempt) core.Outcome {
 	r := a.Payload.(*Request)
-	l := t.newLease(r.question(a.Repeat))
+	l := newLease(r.question(a.Repeat))
 	c, status := t.awaitConn(a, l)
 	if c == nil {
 		return core.Outcome{Status: status}
--- a/internal/egress/conn.go
+++ b/internal/egress/conn.go
@@ -169,7 +169,7 @@
 			return o, reuse && !c.unasked
 		}
 		if !c.awaitAnother(ctx) {
-			c.history.memory.drop(fingerprintOf(reply.Body), c.asked, time.Now())
+			c.history.memory.drop(fingerprintOf(reply.Body), c.asked.resource, time.Now())
 			return core.Outcome{Status: control.Reset}, false
 		}
 	}
--- a/internal/egress/dial.go
+++ b/internal/egress/dial.go
@@ -9,6 +9,7 @@
 const (
 	mostDials = 8  // connections that are opened at once to one target: a burst must not be a storm of handshakes
 	mostConns = 64 // to one target
+	usedKept  = 1  // idle connections that have been used, where others are opened
 
 	// A dial is overdue after this share of the time that it may take, and this many times what dials take.
 	overdueShare = 10
@@ -25,9 +26,9 @@
 		t.closeUsed()
 	}
 	if time.Since(t.failed) >= t.idleLimit()/4 {
-		cold = max(0, t.site.Warm-len(t.idle))
+		cold = max(0, t.site.Warm-t.unusedIdle())
 	}
-	for t.ready && t.dialing < wanted+cold && (t.dialOne() || t.dialing < wanted && t.makeRoom()) {
+	for t.ready && t.dialing < wanted+cold && (t.dialOne() || t.dialing < wanted && t.dialInPlaceOfUnfit()) {
 	}
 	if t.open == 0 {
 		t.refuseWaiting() // no permit, and no connection that could come back
@@ -69,28 +70,68 @@
 	return wanted
 }
 
-// makeRoom closes an idle connection that none of those that wait may use. It returns false where there is none, or
-// where it would not help.
-func (t *target) makeRoom() bool {
+// unusedIdle is how many idle connections are unused.
+func (t *target) unusedIdle() int {
+	unused := 0
+	for _, c := range t.idle {
+		if c.unused() {
+			unused++
+		}
+	}
+	return unused
+}
+
+// dialOne opens a connection: in the place of a used one that is not needed, lest those that requests leave behind that
+// must have an unused one come to be more than the target holds, else if the bounds allow one more.
+func (t *target) dialOne() bool {
 	if t.dialing >= mostDials {
 		return false
 	}
-	i := slices.IndexFunc(t.idle, func(c *conn) bool { return !t.awaited(c) })
-	if i < 0 {
+	if i := t.unneeded(); i >= 0 {
+		t.dialInPlaceOf(i)
+		return true
+	}
+	if t.open >= mostConns || !t.acquire() {
 		return false
 	}
-	t.closeAt(i)
+	t.beginOpening()
 	return true
 }
 
-// dialOne opens a connection, if the bounds allow one more.
-func (t *target) dialOne() bool {
-	if t.dialing >= mostDials || t.open >= mostConns || !t.acquire() {
+// unneeded is the place of the used idle connection that has rested longest and that nobody waits for, or -1: another
+// used one rests for the requests to come.
+func (t *target) unneeded() int {
+	if len(t.idle)-t.unusedIdle() <= usedKept {
+		return -1
+	}
+	return slices.IndexFunc(t.idle, func(c *conn) bool { return c.answered && !t.awaited(c) })
+}
+
+// dialInPlaceOfUnfit opens a connection in the place of an idle one that none of those that wait may use. It returns
+// false where there is none, or where it would not help.
+func (t *target) dialInPlaceOfUnfit() bool {
+	if t.dialing >= mostDials {
+		return false
+	}
+	i := slices.IndexFunc(t.idle, func(c *conn) bool { return !t.awaited(c) })
+	if i < 0 {
 		return false
 	}
+	t.dialInPlaceOf(i)
+	return true
+}
+
+// dialInPlaceOf closes the idle connection at a place, and opens another with its permit.
+func (t *target) dialInPlaceOf(i int) {
+	t.idle[i].Close()
+	t.idle = slices.Delete(t.idle, i, i+1)
+	t.beginOpening()
+}
+
+// beginOpening opens a connection for which a permit has been taken.
+func (t *target) beginOpening() {
 	t.dialing++
 	t.begin(&opening{deadline: time.Now().Add(t.site.ConnectTimeout)})
-	return true
 }
 
 // acquire takes one of the site's permits, if there is one left.
@@ -180,13 +221,12 @@
 	t.refuseOne()
 }
 
-// makeRoomForFirst closes an idle connection where the first of those that wait may use none, and none can be opened for
+// makeRoomForFirst opens a connection in the place of an idle one where the first of those that wait may use none, and none can be opened for
 // it: else it could be passed over for ever.
 func (t *target) makeRoomForFirst() {
 	bounded := t.open >= mostConns || len(t.site.permits) == cap(t.site.permits)
 	if len(t.waiting) == 0 || len(t.idle) == 0 || t.dialing > 0 || !bounded || slices.ContainsFunc(t.idle, t.waiting[0].fits) {
 		return
 	}
-	t.closeAt(0) // the one that has rested longest
-	t.dialOne()
+	t.dialInPlaceOf(0) // the one that has rested longest
 }
--- a/internal/egress/dial_test.go
+++ b/internal/egress/dial_test.go
@@ -79,3 +79,38 @@
 		t.Errorf("the first ended with %v", status)
 	}
 }
+
+// Guards against a request being refused as another target takes the permit of the connection that was closed for it.
+func TestClosedConnectionsPermitGoesToTheOneInItsPlace(t *testing.T) {
+	a, _, _ := reused(t) // the site's one permit is taken
+	go func() {
+		select {
+		case a.site.permits <- struct{}{}: // as another target
+		case <-t.Context().Done():
+		}
+	}()
+	next := &lease{got: make(chan *conn, 1), newOnly: true}
+	a.handle(next)
+	for a.dialing > 0 && len(next.got) == 0 {
+		a.handle(<-a.mailbox) // dialed; before or after it, rested
+	}
+	if len(next.got) == 0 {
+		t.Fatal("it waits, and no connection is being opened")
+	}
+	if got := <-next.got; got == nil || got.answered {
+		t.Errorf("got %+v", got)
+	}
+}
+
+// Guards against a request that must have an unused connection waiting for a round trip at a target over a link, where only
+// used ones rest.
+func TestWarmConnectionsAreUnusedOnes(t *testing.T) {
+	a, _, _ := reused(t)
+	a.site.Warm = 1
+	a.site.permits = make(chan struct{}, 4)
+	a.site.permits <- struct{}{}
+	a.dial()
+	if a.dialing != 1 {
+		t.Errorf("%d connections are being opened", a.dialing)
+	}
+}
--- a/internal/egress/target.go
+++ b/internal/egress/target.go
@@ -45,7 +45,7 @@
 	lease struct {
 		got chan *conn
 		question
-		newOnly bool // no connection will do that has answered anything
+		newOnly bool // only an unused connection will do
 	}
 	unlease struct{ l *lease } // the asker went away
 	dialed  struct {
@@ -256,28 +256,36 @@
 	return nil
 }
 
-// choose is the place of the idle connection to be used next: the one used last of those that have rested, else, where
-// there are many, the one that has rested longest; -1: none yet.
+// choose is the place of the idle connection to be used next, or -1: a used one where that will do, as an unused one is of
+// use for any request.
 func (t *target) choose(l *lease) int {
-	wary, rest := t.wary(), t.rest()
-	for i := len(t.idle) - 1; i >= 0; i-- {
-		c := t.idle[i]
-		if !c.answered || !wary && time.Since(c.used) >= rest && l.fits(c) {
+	if i := t.chooseUsed(l); i >= 0 {
+		return i
+	}
+	return slices.IndexFunc(t.idle, (*conn).unused)
+}
+
+// chooseUsed is the place of the used connection to be used next: the one used last of those that have rested, else, where
+// there are many, the one that has rested longest; -1: none yet.
+func (t *target) chooseUsed(l *lease) int {
+	if t.wary() {
+		return -1
+	}
+	rest := t.rest()
+	for i, c := range slices.Backward(t.idle) {
+		if c.answered && time.Since(c.used) >= rest && l.fits(c) {
 			return i
 		}
 	}
-	if t.open > restFew && !wary {
-		return slices.IndexFunc(t.idle, l.fits)
+	if t.open <= restFew {
+		return -1
 	}
-	return -1
+	return slices.IndexFunc(t.idle, func(c *conn) bool { return c.answered && l.fits(c) })
 }
 
 // fits tells whether a connection may be used for the request that is to go out, once it has rested.
 func (l *lease) fits(c *conn) bool {
-	if l.newOnly {
-		return !c.answered
-	}
-	return c.tellsApart(l.question)
+	return c.unused() || !l.newOnly && c.tellsApart(l.question)
 }
 
 // wary tells whether the target has sent something unasked lately.
@@ -335,13 +343,6 @@
 	})
 }
 
-// closeAt closes the idle connection at a place.
-func (t *target) closeAt(i int) {
-	t.idle[i].Close()
-	t.idle = slices.Delete(t.idle, i, i+1)
-	t.release()
-}
-
 // closeWhere closes the idle connections that are to be closed.
 func (t *target) closeWhere(toClose func(*conn) bool) {
 	t.idle = slices.DeleteFunc(t.idle, func(c *conn) bool {
