Open a connection again that is reset as it comes up

Callers saw: a request failed its attempt as "could not connect", and its server was taken for one that restarted and so is cold, as a new connection to it was reset at once.

Cause: one failed dial was told, whatever had failed it.

Change: such a dial is made once more, before anything was sent; a process that has gone refuses it, and is told as before.

--- a/internal/egress/dial.go
+++ b/internal/egress/dial.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"slices"
+	"syscall"
 	"time"
 )
 
@@ -172,13 +175,23 @@
 	timer := time.AfterFunc(overdueAfter, func() { t.post(overdue{o}) })
 	defer timer.Stop()
 	var c *conn
-	if nc, err := t.site.connect(ctx, "tcp", address); err == nil {
+	if nc, err := t.connectAgainIfReset(ctx, address); err == nil {
 		c = newConn(nc, address, &t.history)
 		c.abort = t.site.Abort
 	}
 	t.post(dialed{o, c, time.Since(began)})
 }
 
+// connectAgainIfReset tries once more where a connection is reset as it comes up: nothing was sent on it, and it says little
+// of the target. One whose process has gone refuses the next one, too.
+func (t *target) connectAgainIfReset(ctx context.Context, address string) (net.Conn, error) {
+	nc, err := t.site.connect(ctx, "tcp", address)
+	if errors.Is(err, syscall.ECONNRESET) {
+		return t.site.connect(ctx, "tcp", address)
+	}
+	return nc, err
+}
+
 // dialBeside begins a further dial beside one that is overdue, where somebody waits: one that comes up late may outlast the
 // time that it has. All have the same deadline, so that nobody waits for longer.
 func (t *target) dialBeside(o *opening) {
--- a/internal/egress/dial_test.go
+++ b/internal/egress/dial_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -80,6 +82,32 @@
 	}
 }
 
+// Guards against a request failing, and its target counting as restarted, as one connection is reset as it comes up; a target
+// that resets them all is told of.
+func TestConnectionResetAsItComesUpIsOpenedAgain(t *testing.T) {
+	for name, c := range map[string]struct {
+		resets int
+		want   control.Status
+	}{"once": {1, control.OK}, "always": {mostConns, control.ConnectFailed}} {
+		t.Run(name, func(t *testing.T) {
+			target := startTarget(t, 4, answersOnce(ownBody))
+			dials := 0
+			target.site.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+				if dials++; dials <= c.resets {
+					return nil, &net.OpError{Op: "dial", Net: network, Err: os.NewSyscallError("connect", syscall.ECONNRESET)}
+				}
+				return (&net.Dialer{}).DialContext(ctx, network, address)
+			}
+			if _, status := target.send(post("/one", "move"), 5*time.Second); status != c.want {
+				t.Errorf("ended with %v after %d dials", status, dials)
+			}
+			if dials > 2 {
+				t.Errorf("%d dials for one request", dials)
+			}
+		})
+	}
+}
+
 // Guards against a request being refused as another target takes the permit of the connection that was closed for it.
 func TestClosedConnectionsPermitGoesToTheOneInItsPlace(t *testing.T) {
 	a, _, _ := reused(t) // the site's one permit is taken
--- a/internal/egress/target.go
+++ b/internal/egress/target.go
@@ -35,7 +35,7 @@
 	// Abort resets a connection that is given up. Danger: over a link the kernel would go on sending a request
 	// that was closed behind, and one held up there would run after its window.
 	Abort      bool
-	Warm       int                                                                  // connections that each ready target is to have at rest, for a link where one costs a round trip
+	Warm       int                                                                  // unused connections that each ready target is to have at rest, for a link where one costs a round trip
 	LoadFields []string                                                             // of a load report
 	Dial       func(ctx context.Context, network, address string) (net.Conn, error) // nil: the network
 }
