--- a/internal/egress/dial.go
+++ b/internal/egress/dial.go
@@ -234,8 +234,8 @@
 	t.refuseOne()
 }
 
-// makeRoomForFirst opens a connection in the place of an idle one where the first of those that wait may use none, and none can be opened for
-// it: else it could be passed over for ever.
+// makeRoomForFirst opens a connection in the place of an idle one where the first of those that wait may use none, and no
+// further one can be opened for it: else it could be passed over for ever.
 func (t *target) makeRoomForFirst() {
 	bounded := t.open >= mostConns || len(t.site.permits) == cap(t.site.permits)
 	if len(t.waiting) == 0 || len(t.idle) == 0 || t.dialing > 0 || !bounded || slices.ContainsFunc(t.idle, t.waiting[0].fits) {
