--- a/internal/egress/dial.go
+++ b/internal/egress/dial.go
@@ -84,8 +84,8 @@
 	return unused
 }
 
-// dialOne opens a connection: in the place of a used one that is not needed, lest those that requests leave behind that
-// must have an unused one come to be more than the target holds, else if the bounds allow one more.
+// dialOne opens a connection, in the place of a used one that is not needed, else if the bounds allow one more. Each request
+// that must have an unused connection leaves a used one behind, and a target holds only so many.
 func (t *target) dialOne() bool {
 	if t.dialing >= mostDials {
 		return false
--- a/internal/egress/dial_test.go
+++ b/internal/egress/dial_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"junctionring/control"
@@ -111,24 +112,40 @@
 
 // Guards against a request being refused as another target takes the permit of the connection that was closed for it.
 func TestClosedConnectionsPermitGoesToTheOneInItsPlace(t *testing.T) {
-	a, _, _ := reused(t) // the site's one permit is taken
-	go func() {
-		select {
-		case a.site.permits <- struct{}{}: // as another target
-		case <-t.Context().Done():
+	synctest.Test(t, func(t *testing.T) {
+		pipe := func(context.Context, string, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			t.Cleanup(func() { near.Close(); far.Close() })
+			return near, nil
 		}
-	}()
-	next := &lease{got: make(chan *conn, 1), newOnly: true}
-	a.handle(next)
-	for a.dialing > 0 && len(next.got) == 0 {
-		a.handle(<-a.mailbox) // dialed; before or after it, rested
-	}
-	if len(next.got) == 0 {
-		t.Fatal("it waits, and no connection is being opened")
-	}
-	if got := <-next.got; got == nil || got.answered {
-		t.Errorf("got %+v", got)
-	}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		a := &target{
+			site:    &site{Options: Options{ConnectTimeout: time.Second, ConnIdle: time.Minute, Dial: pipe}, permits: make(chan struct{}, 1)},
+			mailbox: make(chan any, mailboxSize), ctx: ctx, end: cancel, ready: true,
+		}
+		a.dialOne() // takes the site's one permit
+		a.handle(<-a.mailbox)
+		a.idle[0].answered = true
+		go func() {
+			select {
+			case a.site.permits <- struct{}{}: // as another target, as soon as there is one
+			case <-ctx.Done():
+			}
+		}()
+		synctest.Wait() // until it waits for that
+		next := &lease{got: make(chan *conn, 1), newOnly: true}
+		a.handle(next)
+		for a.dialing > 0 && len(next.got) == 0 {
+			a.handle(<-a.mailbox) // dialed; before or after it, rested
+		}
+		if len(next.got) == 0 {
+			t.Fatal("it waits, and no connection is being opened")
+		}
+		if got := <-next.got; got == nil || got.answered {
+			t.Errorf("got %+v", got)
+		}
+	})
 }
 
 // Guards against a request that must have an unused connection waiting for a round trip at a target over a link, where only
--- a/internal/egress/second_answer_test.go
+++ b/internal/egress/second_answer_test.go
@@ -406,7 +406,8 @@
 	}
 }
 
-// cannotBeSentAgain are requests to /one that differ, but for that, in their X-Request-ID or in a body sent on as it comes.
+// cannotBeSentAgain makes requests to /one that differ only in their X-Request-ID, or in the rest of a body that is sent on as it
+// comes in.
 var cannotBeSentAgain = map[string]func(id string) *Request{
 	"unsafe": func(id string) *Request {
 		return Encode(http.MethodPost, "/one", "t", http.Header{"X-Request-ID": {id}}, []byte("move"), nil)
