--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,6 +18,7 @@
 	commands := map[string]func(args []string) error{
 		"ports": ports, "note": note, "ready": ready,
 		"archive": archive, "rows": rows, "judge-rows": judgeRows,
+		"table": table, "move": move, "version": version,
 	}
 	if len(os.Args) < 2 || commands[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "standin: no such command")
