--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,7 +19,7 @@
 		"ports": ports, "note": note, "ready": ready,
 		"archive": archive, "rows": rows, "judge-rows": judgeRows,
 		"table": table, "move": move, "version": version,
-		"memory": memory, "hall-table": hallTable, "moves": moves, "judge-moves": judgeMoves,
+		"memory": memory, "boards": boards, "repeats": repeats, "judge-repeats": judgeRepeats,
 	}
 	if len(os.Args) < 2 || commands[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "standin: no such command")
