--- /dev/null
+++ b/review/standin-2/second_answer.go
@@ -0,0 +1,118 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+)
+
+func init() { cases["second-answer"] = secondAnswer }
+
+// boardAnswer is what a table server says of a board: it names the request that it was made for.
+type boardAnswer struct {
+	Request string `json:"request"`
+	Table   string `json:"table"`
+	Server  string `json:"server"`
+	At      int64  `json:"at"`
+}
+
+// secondAnswer: players of one club look at the same board, and some answers come a second time some milliseconds late.
+func secondAnswer(p *play) (bool, error) {
+	const (
+		gateways, servers = 2, 2
+		clientsPerGateway = 16
+		share             = 50 // one answer in so many comes twice
+		length            = 40 * time.Second
+	)
+	var entries []instance
+	var mu sync.Mutex
+	copies := map[string]bool{} // requests whose answer was written a second time
+	for i := range servers {
+		s, err := p.newTableServer(fmt.Sprintf("s-%08x", 0x5be2a07c+i), func(a *arrival) bool {
+			p.note("%s runs %s, on connection %d", a.server, a.id, a.conn.number)
+			time.Sleep(time.Duration(40+rand.IntN(50)) * time.Millisecond)
+			text, _ := json.Marshal(boardAnswer{a.id, a.path, a.server, time.Now().UnixMicro()})
+			answer := reply(http.StatusOK, string(text))
+			if _, err := io.WriteString(a.conn, answer); err != nil {
+				return false
+			}
+			if p.trouble && rand.IntN(share) == 0 {
+				time.AfterFunc(time.Duration(11+rand.IntN(6))*time.Millisecond, func() {
+					if _, err := io.WriteString(a.conn, answer); err == nil {
+						mu.Lock()
+						copies[a.id] = true
+						mu.Unlock()
+						p.note("%s answers %s a second time on connection %d", a.server, a.id, a.conn.number)
+					}
+				})
+			}
+			return true
+		})
+		if err != nil {
+			return false, err
+		}
+		entries = append(entries, s.entry("SERVING"))
+	}
+	count, err := p.newCounter()
+	if err != nil {
+		return false, err
+	}
+	var addresses []string
+	for n := range gateways {
+		a, err := p.newAgent(fmt.Sprintf("a%d", n), 41, entries...)
+		if err != nil {
+			return false, err
+		}
+		g, err := p.newGateway(n, tables(gateways), a.address, count.address, a.known())
+		if err != nil {
+			return false, err
+		}
+		if _, err := p.startGateway(g, g.Name); err != nil {
+			return false, err
+		}
+		if err := awaitReady(g.Listen, "/health/ready", 100*time.Millisecond); err != nil {
+			return false, err
+		}
+		addresses = append(addresses, g.Listen)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), length)
+	defer cancel()
+	var wg sync.WaitGroup
+	asked, served, wrong := 0, 0, 0
+	for n := range gateways * clientsPerGateway {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			c := &client{address: addresses[n%gateways]}
+			defer c.close()
+			for sleep(ctx, time.Duration(50+rand.IntN(150))*time.Millisecond) {
+				a := ask{id: newID(), method: http.MethodGet, path: "/table-view/42", plan: "club", account: 0xb4d65521,
+					units: 1, spread: gateways, first: 0, timeout: 7 * time.Second}
+				o := c.do(a)
+				mu.Lock()
+				asked++
+				p.note("client %d asked %s: status %d, %s", n, a.id, o.status, o.body)
+				if o.status == http.StatusOK && o.err == nil {
+					served++
+					var b boardAnswer
+					if json.Unmarshal([]byte(o.body), &b) != nil || b.Request != a.id {
+						wrong++
+						p.note("WRONG: client %d asked %s and was served the answer to %s", n, a.id, b.Request)
+					}
+				}
+				mu.Unlock()
+			}
+		}()
+	}
+	wg.Wait()
+	p.note("asked %d, served %d, second copies %d, served with another request's answer %d", asked, served, len(copies), wrong)
+	if served == 0 {
+		return false, fmt.Errorf("nothing was served")
+	}
+	return wrong > 0, nil
+}
