--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -95,7 +95,7 @@
 	if err := c.connect(); err != nil {
 		return outcome{err: err}
 	}
-	c.conn.SetDeadline(began.Add(a.timeout))
+	c.conn.SetDeadline(began.Add(a.timeout + 600*time.Millisecond))
 	if _, err := io.WriteString(c.conn, a.text()); err != nil {
 		c.close()
 		return outcome{err: err}
--- a/review/standin-2/play.go
+++ b/review/standin-2/play.go
@@ -115,6 +115,10 @@
 	go func() {
 		err := cmd.Wait()
 		p.note("process %s ended: %v", name, err)
+		if e, ok := err.(*exec.ExitError); ok && e.Exited() {
+			text, _ := os.ReadFile(log.Name())
+			p.note("its log ends: %s", text[max(0, len(text)-2000):])
+		}
 		close(r.ended)
 	}()
 	p.onEnd(func() { r.kill() })
--- a/review/standin-2/table.go
+++ b/review/standin-2/table.go
@@ -22,6 +22,7 @@
 type tableConn struct {
 	net.Conn
 	number int
+	server *tableServer
 }
 
 // tableServer is a table server. It answers each request by answer, which may write what it likes; false closes the
@@ -34,6 +35,23 @@
 	mu    sync.Mutex
 	got   []*arrival
 	conns int
+	hangs time.Time // nothing is read until then
+}
+
+// pause has the server hang: it reads nothing until a time.
+func (s *tableServer) pause(until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hangs = until
+}
+
+// Read reads as the server does: not while it hangs.
+func (c *tableConn) Read(b []byte) (int, error) {
+	c.server.mu.Lock()
+	until := c.server.hangs
+	c.server.mu.Unlock()
+	time.Sleep(time.Until(until))
+	return c.Conn.Read(b)
 }
 
 func (p *play) newTableServer(id string, answer func(*arrival) bool) (*tableServer, error) {
@@ -52,7 +70,7 @@
 			p.onEnd(func() { c.Close() })
 			s.mu.Lock()
 			s.conns++
-			tc := &tableConn{c, s.conns}
+			tc := &tableConn{c, s.conns, s}
 			s.mu.Unlock()
 			go s.serve(tc)
 		}
