--- a/review/standin-2/play.go
+++ b/review/standin-2/play.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -61,14 +62,16 @@
 	}
 }
 
-// freeAddress is a loopback address that nobody listens on.
+// freeAddress is a loopback address that nobody listens on. Its port is below those that the system gives to connections.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range 100 {
+		address := fmt.Sprintf("127.0.0.1:%d", 12000+rand.IntN(18000))
+		if l, err := net.Listen("tcp", address); err == nil {
+			l.Close()
+			return address, nil
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", errors.New("no free port")
 }
 
 // deployCommand returns a command of the deploy file.
--- a/review/standin-2/table.go
+++ b/review/standin-2/table.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -21,8 +22,9 @@
 // tableConn is a connection to a table server.
 type tableConn struct {
 	net.Conn
-	number int
-	server *tableServer
+	number  int
+	server  *tableServer
+	arrived atomic.Int64 // bytes of requests were read so many times
 }
 
 // tableServer is a table server. It answers each request by answer, which may write what it likes; false closes the
@@ -36,6 +38,9 @@
 	got   []*arrival
 	conns int
 	hangs time.Time // nothing is read until then
+	open  []*tableConn
+
+	listener net.Listener
 }
 
 // pause has the server hang: it reads nothing until a time.
@@ -51,7 +56,9 @@
 	until := c.server.hangs
 	c.server.mu.Unlock()
 	time.Sleep(time.Until(until))
-	return c.Conn.Read(b)
+	n, err := c.Conn.Read(b)
+	c.arrived.Add(1)
+	return n, err
 }
 
 func (p *play) newTableServer(id string, answer func(*arrival) bool) (*tableServer, error) {
@@ -59,7 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &tableServer{id: id, address: l.Addr().String(), play: p, answer: answer}
+	s := &tableServer{id: id, address: l.Addr().String(), play: p, answer: answer, listener: l}
 	p.onEnd(func() { l.Close() })
 	go func() {
 		for {
@@ -70,7 +77,8 @@
 			p.onEnd(func() { c.Close() })
 			s.mu.Lock()
 			s.conns++
-			tc := &tableConn{c, s.conns, s}
+			tc := &tableConn{Conn: c, number: s.conns, server: s}
+			s.open = append(s.open, tc)
 			s.mu.Unlock()
 			go s.serve(tc)
 		}
