--- a/review/standin-2/second_answer.go
+++ b/review/standin-2/second_answer.go
@@ -40,7 +40,7 @@
 	for i := range servers {
 		s, err := p.newTableServer(fmt.Sprintf("s-%08x", 0x5be2a07c+i), func(a *arrival) bool {
 			if recorded(p, every, spell) {
-				p.note("%s runs %s, on connection %d", a.server, a.id, a.conn.number)
+				p.note("%s runs %s, connection %d", a.server, a.id, a.conn.number)
 			}
 			time.Sleep(time.Duration(40+rand.IntN(50)) * time.Millisecond)
 			text, _ := json.Marshal(gridAnswer{a.id, a.path, a.server, time.Now().UnixMicro()})
@@ -111,13 +111,14 @@
 				o := c.do(a)
 				mu.Lock()
 				asked++
+				var b gridAnswer
+				err := json.Unmarshal([]byte(o.body), &b)
 				if recorded(p, every, spell) {
-					p.note("client %d asked %s: status %d, %s", n, a.id, o.status, o.body)
+					p.note("client %d asked %s: status %d, answer to %s", n, a.id, o.status, b.Request)
 				}
 				if o.status == http.StatusOK && o.err == nil {
 					served++
-					var b gridAnswer
-					if json.Unmarshal([]byte(o.body), &b) != nil || b.Request != a.id {
+					if err != nil || b.Request != a.id {
 						wrong++
 						p.note("WRONG: client %d asked %s and was served the answer to %s", n, a.id, b.Request)
 					}
