--- a/review/standin-2/gone_client.go
+++ b/review/standin-2/gone_client.go
@@ -20,11 +20,12 @@
 		size     = 200 << 10
 		stays    = 40 * time.Millisecond  // from the last byte until a client leaves
 		slack    = 150 * time.Millisecond // 0.1 s, and 50 ms on sockets
-		rounds   = 40
+		rounds   = 100
+		pause    = 50 * time.Millisecond // between clients: the play is over before the machine has been silent for 6 s
 	)
 	var servers []*tableServer
 	var entries []instance
-	for i := range 3 {
+	for i := range 5 {
 		s, err := p.newTableServer(fmt.Sprintf("s-%08x", 0x5be2a07c+i), func(a *arrival) bool {
 			p.note("%s runs %s, whose first byte came at %.3f", a.server, a.id, a.first.Sub(p.began).Seconds())
 			time.Sleep(100 * time.Millisecond)
@@ -66,7 +67,7 @@
 	left := map[string]time.Time{}
 	for n := range rounds {
 		wg.Add(1)
-		time.Sleep(500 * time.Millisecond)
+		time.Sleep(pause)
 		go func() {
 			defer wg.Done()
 			a := ask{id: newID(), method: http.MethodPost, path: fmt.Sprintf("/move-submit/%d", n), plan: "club", account: uint64(n + 1),
@@ -92,7 +93,7 @@
 		}()
 	}
 	wg.Wait()
-	time.Sleep(2 * time.Second)
+	time.Sleep(500 * time.Millisecond)
 	got, late := 0, 0
 	for _, s := range servers {
 		for _, a := range s.arrivals() {
--- a/review/standin-2/hung_upload.go
+++ b/review/standin-2/hung_upload.go
@@ -14,18 +14,20 @@
 
 func init() { cases["hung-upload"] = hungUpload }
 
-// hungUpload: clients send long moves, whole and at once, while one table server hangs: it accepts connections and
-// reads nothing.
+// hungUpload: clients send long moves, whole and at once, while one of four table servers hangs for 6 s: its machine
+// accepts connections, its process reads nothing.
 func hungUpload(p *play) (bool, error) {
 	const (
 		gateways = 2
 		timeout  = 3 * time.Second
 		slack    = 550 * time.Millisecond // half a second after its time, and 50 ms on sockets
-		clients  = 4
-		rounds   = 6
+		hangs    = 6 * time.Second
+		clients  = 8
+		rounds   = 4
 	)
 	var entries []instance
-	for i := range 3 {
+	var first *tableServer
+	for i := range 4 {
 		s, err := p.newTableServer(fmt.Sprintf("s-%08x", 0x5be2a07c+i), func(a *arrival) bool {
 			p.note("%s got %s, %d bytes, and serves it", a.server, a.id, a.body)
 			time.Sleep(time.Duration(80+rand.IntN(60)) * time.Millisecond)
@@ -35,10 +37,8 @@
 		if err != nil {
 			return false, err
 		}
-		if i == 0 && p.trouble {
-			if err := p.hang(s); err != nil {
-				return false, err
-			}
+		if i == 0 {
+			first = s
 		}
 		entries = append(entries, s.entry("SERVING"))
 	}
@@ -60,6 +60,10 @@
 	if err := awaitReady(g.Listen, "/health/ready", 100*time.Millisecond); err != nil {
 		return false, err
 	}
+	if p.trouble {
+		p.note("table server %s hangs for %v: its machine accepts connections, its process reads nothing", first.id, hangs)
+		first.pause(time.Now().Add(hangs))
+	}
 	sizes := []int{4 << 20, 5 << 20, 6 << 20, 8 << 20} // of the clients' bodies; a page allows 32 MB
 	var wg sync.WaitGroup
 	var mu sync.Mutex
@@ -72,7 +76,7 @@
 			for range rounds {
 				id := newID()
 				a := ask{id: id, method: http.MethodPost, path: fmt.Sprintf("/move-submit/%d", n), plan: "club", key: "5c0f6e1a" + id,
-					account: uint64(n + 1), units: 1, spread: 1, timeout: timeout, body: strings.Repeat("e2e4 ", sizes[n]/5)}
+					account: uint64(n + 1), units: 1, spread: 1, timeout: timeout, body: strings.Repeat("e2e4 ", sizes[n%len(sizes)]/5)}
 				status, written, took, err := upload(g.Listen, a, timeout+slack+8*time.Second)
 				mu.Lock()
 				switch {
@@ -99,27 +103,6 @@
 	return lost > 0, nil
 }
 
-// hang has a table server hang from now on: its machine accepts connections, and the process reads nothing.
-func (p *play) hang(s *tableServer) error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return err
-	}
-	p.onEnd(func() { l.Close() })
-	s.address = l.Addr().String()
-	p.note("table server %s hangs", s.id)
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			p.onEnd(func() { c.Close() })
-		}
-	}()
-	return nil
-}
-
 // upload sends a request with a long body and reads its answer. written is when the last byte was written, zero if it
 // was not; took counts from then to the answer's last byte.
 func upload(address string, a ask, within time.Duration) (status int, written time.Time, took time.Duration, err error) {
