--- a/review/standin-2/hung_upload.go
+++ b/review/standin-2/hung_upload.go
@@ -22,8 +22,8 @@
 		timeout  = 3 * time.Second
 		slack    = 550 * time.Millisecond // half a second after its time, and 50 ms on sockets
 		hangs    = 6 * time.Second
-		clients  = 8
-		rounds   = 4
+		clients  = 16
+		rounds   = 3
 	)
 	var entries []instance
 	var first *tableServer
@@ -72,7 +72,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			time.Sleep(time.Duration(n) * 150 * time.Millisecond)
+			time.Sleep(time.Duration(n) * 75 * time.Millisecond)
 			for range rounds {
 				id := newID()
 				a := ask{id: id, method: http.MethodPost, path: fmt.Sprintf("/move-submit/%d", n), plan: "club", key: "5c0f6e1a" + id,
