--- a/control/state.go
+++ b/control/state.go
@@ -401,7 +401,7 @@
 	if r == nil || !r.bodyIncoming {
 		return
 	}
-	r.bodyIncoming, r.deadline = false, g.now+r.timeLeft
+	r.bodyIncoming, r.deadline = false, g.now+cmp.Or(e.TimeLeft, r.timeLeft)
 	if a := r.attempts[len(r.attempts)-1]; !a.ended {
 		g.countAsSent(r, a)
 	}
--- a/control/types.go
+++ b/control/types.go
@@ -192,7 +192,10 @@
 	}
 
 	// BodyReceived says that the last byte of a request was received, and forwarded where it was sent.
-	BodyReceived struct{ ID uint64 }
+	BodyReceived struct {
+		ID       uint64
+		TimeLeft Seconds // until the client's deadline; 0: as given with the request
+	}
 
 	// Started says that a streamed answer has begun.
 	Started struct {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -30,9 +30,13 @@
 	// BodyIncoming: the body is still being received and is forwarded as it arrives. ResponseTimeout is how long the
 	// client waits for an answer after the last byte of the body, and Deadline is the time until which the body may
 	// arrive.
+	// AnswerDue returns when that wait ends if the client may have sent its last byte already, which can lie unread in
+	// socket buffers; it advances while the client certainly has more to send. nil: the wait starts once the whole body
+	// was forwarded.
 	// BodyConsumed reports whether a part of the body was forwarded, which cannot be sent again.
 	BodyIncoming    bool
 	ResponseTimeout time.Duration
+	AnswerDue       func() time.Time
 	BodyConsumed    func() bool
 }
 
@@ -456,16 +460,9 @@
 		c.handleEvent(control.ClientGone{ID: m.h.id})
 		c.removeIfDone(m.h)
 	case bodySent:
-		if h := m.h; h.BodyIncoming && !h.answered {
-			h.BodyIncoming, h.Deadline = false, time.Now().Add(h.ResponseTimeout)
-			h.overdueTimer.Reset(h.ResponseTimeout + overdueGrace)
-			c.handleEvent(control.BodyReceived{ID: h.id})
-		}
+		c.startResponseTimeout(m.h)
 	case deadlinePassed:
-		if !m.h.answered { // guards against hanging attempts: the client always gets an answer
-			c.log.Warn("exchange unanswered after its deadline; the core answers it", "id", m.h.id)
-			c.answerLocally(m.h)
-		}
+		c.answerOverdue(m.h)
 	case attemptEnded:
 		c.endAttempt(m)
 	case Table:
@@ -506,10 +503,49 @@
 	}
 }
 
+// due returns when the client's wait for its answer ends, as far as is known now.
+func (h *heldExchange) due() time.Time {
+	if h.BodyIncoming && h.AnswerDue != nil {
+		if due := h.AnswerDue(); due.Before(h.Deadline) {
+			return due
+		}
+	}
+	return h.Deadline
+}
+
+// startResponseTimeout fixes the deadline of an exchange whose whole body was forwarded.
+func (c *Core) startResponseTimeout(h *heldExchange) {
+	if !h.BodyIncoming || h.answered {
+		return
+	}
+	latest := time.Now().Add(h.ResponseTimeout)
+	if h.AnswerDue != nil {
+		latest = h.due()
+	}
+	h.BodyIncoming, h.Deadline = false, latest
+	remaining := time.Until(latest)
+	h.overdueTimer.Reset(max(0, remaining) + overdueGrace)
+	c.handleEvent(control.BodyReceived{ID: h.id, TimeLeft: max(time.Nanosecond, remaining).Seconds()})
+}
+
+// answerOverdue answers an exchange whose deadline has passed. It guards against attempts that hang: the client always
+// gets an answer.
+func (c *Core) answerOverdue(h *heldExchange) {
+	if h.answered {
+		return
+	}
+	if remaining := time.Until(h.due()); remaining > 0 { // the client still had a part of the body to send
+		h.overdueTimer.Reset(remaining + overdueGrace)
+		return
+	}
+	c.log.Warn("exchange unanswered after its deadline; the core answers it", "id", h.id)
+	c.answerLocally(h)
+}
+
 func (c *Core) open(h *heldExchange) {
 	c.lastID++
 	h.id = c.lastID
-	remaining := time.Until(h.Deadline)
+	remaining := time.Until(h.due())
 	if remaining <= 0 || c.shedding {
 		c.answer(h, Answer{Kind: Refused, RetryAfter: c.retryAfter})
 		return
@@ -517,7 +553,7 @@
 	c.held[h.id] = h
 	h.overdueTimer = time.AfterFunc(remaining+overdueGrace, func() { c.post(deadlinePassed{h}) })
 	h.receivedAt = time.Now()
-	if h.BodyIncoming {
+	if h.BodyIncoming && h.AnswerDue == nil {
 		remaining = h.ResponseTimeout
 	}
 	c.handleEvent(control.Request{
--- a/internal/egress/attempt.go
+++ b/internal/egress/attempt.go
@@ -69,11 +69,22 @@
 	return c, 0
 }
 
+// awaitConnInTime is awaitConn within the client's wait, which the context of a message whose body is still coming in
+// does not bound.
+func (t *target) awaitConnInTime(a core.Attempt, r *Request, req *connRequest) (c *conn, status control.Status) {
+	if r.Rest != nil {
+		ctx, cancel := context.WithDeadline(a.Ctx, r.Rest.answerDue(a.ResponseTimeout))
+		defer cancel()
+		a.Ctx = ctx
+	}
+	return t.awaitConn(a, req)
+}
+
 // exchange carries out an attempt without reporting its outcome. The attempt's payload is a *Request.
 func (t *target) exchange(a core.Attempt) core.Outcome {
 	r := a.Payload.(*Request)
 	req := newConnRequest(r.identity(a.Repeat))
-	c, status := t.awaitConn(a, req)
+	c, status := t.awaitConnInTime(a, r, req)
 	if c == nil {
 		return core.Outcome{Status: status}
 	}
--- a/internal/egress/conn.go
+++ b/internal/egress/conn.go
@@ -93,7 +93,7 @@
 // the connection may be used again.
 //
 // For a message whose body is still coming in, onWritten is called once the message is written, and the answer is
-// awaited for at most wait from then on.
+// awaited for at most wait from then on, and not after the client's wait has ended.
 func (c *conn) roundTrip(ctx context.Context, r *Request, fields []string, onWritten func(),
 	wait time.Duration) (o core.Outcome, reuse bool) {
 	c.gotAnswer = false
@@ -120,7 +120,7 @@
 			return core.Outcome{Status: control.Cancelled, Written: true}, false
 		}
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, wait)
+		ctx, cancel = context.WithDeadline(ctx, r.Rest.answerDue(wait))
 		defer cancel()
 		stop = context.AfterFunc(ctx, c.abandon)
 		onWritten()
--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -168,7 +168,7 @@
 func WithExchange(r *http.Request, x *core.Exchange, body []byte, rest *Upload,
 	onAnswer func(core.Answer)) *http.Request {
 	if rest != nil {
-		x.BodyIncoming, x.BodyConsumed = true, rest.BodyConsumed
+		x.BodyIncoming, x.BodyConsumed, x.AnswerDue = true, rest.BodyConsumed, rest.AnswerDue
 	}
 	return r.WithContext(context.WithValue(r.Context(), exchangeKey{},
 		&carriedExchange{r.RequestURI, x, body, rest, onAnswer}))
--- a/internal/egress/upload.go
+++ b/internal/egress/upload.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"syscall"
@@ -20,8 +21,25 @@
 type Upload struct {
 	Length int64                     // of the whole body in bytes, including what came first; -1: unknown
 	Next   func([]byte) (int, error) // reads the next piece; may be called once more when the attempt is over
-	spent  atomic.Bool
-	done   atomic.Bool
+
+	// AnswerDue returns when the client's wait for its answer ends, if it may have sent all of the body already. It
+	// advances for as long as the client certainly has not. nil: the wait begins once the target has the last byte.
+	AnswerDue func() time.Time
+
+	spent atomic.Bool
+	done  atomic.Bool
+}
+
+// answerDue returns when the client's wait ends, at the latest wait from now.
+func (u *Upload) answerDue(wait time.Duration) time.Time {
+	latest := time.Now().Add(wait)
+	if u.AnswerDue == nil {
+		return latest
+	}
+	if due := u.AnswerDue(); due.Before(latest) {
+		return due
+	}
+	return latest
 }
 
 // BodyConsumed reports whether some of it was read: the message cannot be sent again.
@@ -31,8 +49,8 @@
 func (u *Upload) Done() bool { return u.done.Load() }
 
 // writeStreamed writes a message whose body is still coming in. If the client stops, or sends less or more than it
-// announced, or the target closes the connection, the attempt ends before its last byte: the target has received
-// nothing that it would run.
+// announced, or the target closes the connection or has not accepted the body when the client's wait ends, the attempt
+// ends before its last byte: the target has received nothing that it would run.
 func (c *conn) writeStreamed(ctx context.Context, head []byte, r *Request) (control.Status, bool) {
 	targetClosed, stopWatching := c.watchClose()
 	defer stopWatching()
@@ -48,7 +66,7 @@
 // writeMessage writes the head, and the body piece by piece as it comes in.
 func (c *conn) writeMessage(head []byte, r *Request, body *pieceReader,
 	targetClosed <-chan struct{}) (control.Status, bool) {
-	if c.writeWithTimeout(head) != nil || c.writePiece(r.Body, r.Rest.Length) != nil {
+	if c.writeWithTimeout(r.Rest, head) != nil || c.writePiece(r.Rest, r.Body) != nil {
 		return control.ConnectFailed, false
 	}
 	for sent := int64(len(r.Body)); !r.Rest.Done(); {
@@ -62,11 +80,11 @@
 		if err != nil {
 			return control.Cancelled, false
 		}
-		if len(next.data) > 0 && c.writePiece(next.data, r.Rest.Length) != nil {
+		if len(next.data) > 0 && c.writePiece(r.Rest, next.data) != nil {
 			return control.ConnectFailed, false
 		}
 	}
-	if r.Rest.Length < 0 && c.writeWithTimeout([]byte("0\r\n\r\n")) != nil {
+	if r.Rest.Length < 0 && c.writeWithTimeout(r.Rest, []byte("0\r\n\r\n")) != nil {
 		return control.ConnectFailed, false
 	}
 	c.SetWriteDeadline(time.Time{})
@@ -89,22 +107,32 @@
 }
 
 // writePiece writes a piece of a body, as a chunk if the body's length is unknown.
-func (c *conn) writePiece(data []byte, length int64) error {
-	if length >= 0 {
-		return c.writeWithTimeout(data)
+func (c *conn) writePiece(u *Upload, data []byte) error {
+	if u.Length >= 0 {
+		return c.writeWithTimeout(u, data)
 	}
 	const maxFraming = 24 // bytes: a length in hexadecimal digits and two line ends
 	framed := strconv.AppendInt(make([]byte, 0, len(data)+maxFraming), int64(len(data)), 16)
 	framed = append(framed, "\r\n"...)
 	framed = append(framed, data...)
-	return c.writeWithTimeout(append(framed, "\r\n"...))
+	return c.writeWithTimeout(u, append(framed, "\r\n"...))
 }
 
-// writeWithTimeout writes data, which the target has streamIOTimeout to accept.
-func (c *conn) writeWithTimeout(data []byte) error {
-	c.SetWriteDeadline(time.Now().Add(streamIOTimeout))
-	_, err := c.Write(data)
-	return err
+// writeWithTimeout writes data, which the target has streamIOTimeout to accept, but only until the client's wait ends.
+func (c *conn) writeWithTimeout(u *Upload, data []byte) error {
+	latest := time.Now().Add(streamIOTimeout)
+	for {
+		due := u.answerDue(time.Until(latest))
+		c.SetWriteDeadline(due)
+		n, err := c.Write(data)
+		data = data[n:]
+		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) || !due.Before(latest) {
+			return err
+		}
+		if !due.Before(u.answerDue(time.Until(latest))) { // otherwise the client was found to have more to send
+			return err
+		}
+	}
 }
 
 // watchClose returns a channel that is closed when the target, or this side, closes the connection. It reads
--- a/internal/forwardauth/forwardauth.go
+++ b/internal/forwardauth/forwardauth.go
@@ -102,7 +102,7 @@
 	origin := f.forwardedValues(r, trusted)
 	// The forwarded request is the one that was checked: no header may describe another one.
 	origin["X-Forwarded-Method"], origin["X-Forwarded-Uri"] = r.Method, r.RequestURI
-	ctx, cancel := context.WithDeadline(r.Context(), x.Deadline)
+	ctx, cancel := context.WithDeadline(r.Context(), front.AnswerDue(&x, rest))
 	identity, refusal := f.identify(ctx, r.Header, origin, trusted)
 	cancel()
 	if refusal == nil {
--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"junctionring/internal/egress"
 )
 
 const (
@@ -18,10 +20,13 @@
 
 // Body reads a request's body as the client sends it. It tolerates slow clients, but not ones that stall.
 type Body struct {
-	r               *http.Request
-	control         *http.ResponseController
-	started         time.Time
-	limit, received int64
+	r        *http.Request
+	conn     *conn // nil: unknown
+	control  *http.ResponseController
+	started  time.Time
+	limit    int64
+	received atomic.Int64
+	readAt   atomic.Int64 // when the last read ended, as time since started
 
 	mu     sync.Mutex // held during Read
 	eof    bool
@@ -30,7 +35,7 @@
 
 // NewBody returns a reader of a request's body that accepts at most limit bytes.
 func NewBody(w http.ResponseWriter, r *http.Request, limit int64) *Body {
-	return &Body{r: r, control: http.NewResponseController(w), started: time.Now(), limit: limit}
+	return &Body{r: r, conn: connOf(r), control: http.NewResponseController(w), started: time.Now(), limit: limit}
 }
 
 // Read implements io.Reader. It fails if the client sends nothing for bodyIdleTimeout, or if the average rate
@@ -44,16 +49,21 @@
 	b.control.SetReadDeadline(time.Now().Add(bodyIdleTimeout)) // if unsupported, only the average rate counts
 	n, err := b.r.Body.Read(p)
 	b.eof = err == io.EOF
-	if b.received += int64(n); b.received > b.limit {
+	b.readAt.Store(int64(time.Since(b.started)))
+	received := b.received.Add(int64(n))
+	if received > b.limit {
 		return 0, errBodyTooLarge
 	}
 	if err == nil && time.Since(b.started) >
-		bodyIdleTimeout+time.Duration(float64(b.received)/minBodyRate*float64(time.Second)) {
+		bodyIdleTimeout+time.Duration(float64(received)/minBodyRate*float64(time.Second)) {
 		err = errBodyTooSlow
 	}
 	return n, err
 }
 
+// lastRead returns when the last read ended.
+func (b *Body) lastRead() time.Time { return b.started.Add(time.Duration(b.readAt.Load())) }
+
 // Close stops reading. When it returns, no Read is in progress, and every later Read fails.
 func (b *Body) Close() {
 	b.closed.Store(true)
@@ -67,9 +77,32 @@
 	b.control.SetReadDeadline(pastTime)
 	b.mu.Lock() // wait until the Read in progress has returned
 	defer b.mu.Unlock()
-	// The response is sent now. net/http then discards part of the remaining body. Without time for that it would
-	// close the connection with unread bytes at once, which resets it and may lose the response.
-	b.control.SetReadDeadline(time.Now().Add(lingerTimeout))
+	b.control.SetReadDeadline(time.Now().Add(lingerTimeout)) // net/http discards a part of what is still to come
+}
+
+// Finish stops reading once the handler has written the response. It sends that, and discards the rest of the body.
+func (b *Body) Finish() {
+	b.Close()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.eof {
+		b.control.Flush()
+		linger(b.control, b.r.Body)
+	}
+}
+
+// linger discards what the client still sends of a body after its response was sent. A close over unread bytes resets
+// the connection, which may lose the response, and a client that reads only once it has written everything would wait
+// in vain. It ends with the body, once nothing has arrived for lingerTimeout, or after lingerMaxTime.
+func linger(control *http.ResponseController, body io.Reader) {
+	buffer := egress.BufferPool{}.Get()
+	defer egress.BufferPool{}.Put(buffer)
+	for latest := time.Now().Add(lingerMaxTime); time.Now().Before(latest); {
+		control.SetReadDeadline(time.Now().Add(lingerTimeout))
+		if _, err := body.Read(buffer); err != nil {
+			return
+		}
+	}
 }
 
 var (
@@ -90,6 +123,9 @@
 	if c := connOf(r); c != nil {
 		c.setAwaitingBody(true)
 		defer c.setAwaitingBody(false)
+		if r.ContentLength < 0 || r.ContentLength > limit {
+			c.recordInputWait()
+		}
 	}
 	if err := shedErrorOf(r); err != nil {
 		return nil, nil, err
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -33,6 +33,8 @@
 
 	awaitingBody bool
 	bodyAborted  bool // the process is shedding: no longer wait for the body
+
+	input inputWait
 }
 
 // origin is the server and the connection on which a request arrived.
@@ -74,6 +76,7 @@
 func (c *conn) setIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.input = inputWait{}
 	if c.phase != phaseReclaimed {
 		c.phase = phaseBeforeIdle
 	}
@@ -133,12 +136,14 @@
 	if !closeProbe {
 		c.checkReadAhead(len(b))
 	}
+	c.beginInputWait()
 	c.mu.Unlock()
 	if closeProbe {
 		return 0, socket.WaitEnd(c.TCPConn)
 	}
 	n, err := c.TCPConn.Read(b)
 	c.mu.Lock()
+	c.input.end()
 	switch {
 	case c.phase == phaseIdle && n == 0 && c.reclaiming && errors.Is(err, os.ErrDeadlineExceeded):
 		c.phase = phaseReclaimed
--- a/internal/front/message.go
+++ b/internal/front/message.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"io"
 	"math"
 	"net/http"
 	"net/url"
@@ -25,8 +24,8 @@
 	defaultMaxUnits = 1000                   // units per exchange, unless Names.MaxUnits is set
 	maxDigits       = 16                     // digits of a number, so that it fits an int and a float64
 	longBodyTimeout = 30 * time.Minute       // for a streamed body to arrive
-	lingerTimeout   = 300 * time.Millisecond // how long unread body bytes are discarded before a close
-	lingerMaxBytes  = 256 << 10              // bytes discarded at most
+	lingerTimeout   = 300 * time.Millisecond // how long the next body byte is awaited, to be discarded, before a close
+	lingerMaxTime   = 2 * time.Second        // how long body bytes are discarded
 )
 
 // RequestError is the error for a request that is rejected, with the status of the response.
@@ -194,6 +193,18 @@
 	}
 }
 
+// AnswerDue returns when the client's wait for its answer ends, as far as is known now. While rest, unless nil, is still
+// to be read, that is ResponseTimeout after the latest time at which the client certainly had more to send.
+func AnswerDue(x *core.Exchange, rest *Body) time.Time {
+	if rest == nil {
+		return x.Deadline
+	}
+	if due := rest.IncompleteAt().Add(x.ResponseTimeout); due.Before(x.Deadline) {
+		return due
+	}
+	return x.Deadline
+}
+
 // Forward forwards an exchange through a proxy to the core, and streams the rest of its body as it arrives. The
 // response does not wait for body bytes that are no longer needed. onAnswer, unless nil, is called with the answer.
 func Forward(proxy http.Handler, w http.ResponseWriter, r *http.Request, x *core.Exchange, body []byte, rest *Body,
@@ -206,9 +217,11 @@
 	}
 	var upload *egress.Upload
 	if rest != nil {
-		defer rest.Close()
+		defer rest.Close() // also if the client has gone, and there is no response
 		rest.control.EnableFullDuplex()
-		upload = &egress.Upload{Length: r.ContentLength, Next: rest.Read}
+		upload = &egress.Upload{
+			Length: r.ContentLength, Next: rest.Read, AnswerDue: func() time.Time { return AnswerDue(x, rest) },
+		}
 	}
 	proxy.ServeHTTP(w, egress.WithExchange(r, x, body, upload, func(a core.Answer) {
 		if upload != nil && !upload.Done() || closesConnection(r) {
@@ -221,6 +234,9 @@
 			onAnswer(a)
 		}
 	}))
+	if rest != nil {
+		rest.Finish()
+	}
 }
 
 // Reject answers a request that is invalid, or that is shed before its body arrived, at once, and closes the
@@ -247,6 +263,5 @@
 	control.EnableFullDuplex() // if these calls are not supported, the response is only slower
 	http.Error(w, err.Error(), status)
 	control.Flush()
-	control.SetReadDeadline(time.Now().Add(lingerTimeout))
-	io.Copy(io.Discard, io.LimitReader(r.Body, lingerMaxBytes))
+	linger(control, r.Body)
 }
