--- a/cmd/junctionring/drain.go
+++ b/cmd/junctionring/drain.go
@@ -113,7 +113,8 @@
 	return true
 }
 
-// shed gives all that is still held its last answer, and adds what was used to the counter meanwhile.
+// shed gives all that is still held its last answer, and adds what was used to the counter meanwhile. Answers that are
+// being passed on by then are finished: nothing but a kill has to cut them.
 func (s *service) shed(told time.Time) {
 	s.log.Warn("not all held exchanges ended in time: the rest is shed")
 	s.core.Shed()
@@ -123,15 +124,24 @@
 		defer close(added)
 		s.finish()
 	}()
-	last, over := context.WithTimeout(context.Background(), shutdown.FinalAnswersTime)
-	defer over()
-	if err := s.server.Drain(last, told, told); err != nil {
+	err := s.drainAtOnce(told)
+	if err != nil && s.server.FinishAnswers() {
+		err = s.drainAtOnce(told)
+	}
+	if err != nil {
 		s.log.Warn("connections are cut: their clients neither read nor went", "err", err)
 		s.server.LogUnanswered()
 	}
 	<-added
 }
 
+// drainAtOnce gives the answers of a process that has shed its requests the time to reach their clients.
+func (s *service) drainAtOnce(told time.Time) error {
+	last, over := context.WithTimeout(context.Background(), shutdown.FinalAnswersTime)
+	defer over()
+	return s.server.Drain(last, told, told)
+}
+
 // shedAdvice is the Retry-After of what is shed; empty: none.
 func (s *service) shedAdvice() string {
 	if wait := s.core.RetryAfter(); wait > 0 {
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -40,7 +40,7 @@
 	c := &Config{Capacity: 100}
 	c.Life.Duration = 5 * time.Second
 	c.Program.Name, c.Program.Args = "junctionring", []string{"serve"}
-	c.Program.Ready.Duration, c.Program.Drain.Duration, c.Program.Learn.Duration = 10*time.Second, 6*time.Second, 4*time.Second
+	c.Program.Ready.Duration, c.Program.Drain.Duration, c.Program.Learn.Duration = 10*time.Second, 30*time.Second, 4*time.Second
 	if err := config.ReadFile(path, c, c.check); err != nil {
 		return nil, err
 	}
--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -86,6 +86,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !b.eof {
+		if b.conn != nil {
+			b.conn.markLingering()
+		}
 		b.control.Flush()
 		linger(b.control, b.r.Body)
 	}
--- a/internal/front/message.go
+++ b/internal/front/message.go
@@ -227,8 +227,13 @@
 		if upload != nil && !upload.Done() || closesConnection(r) {
 			w.Header().Set("Connection", "close")
 		}
-		if c := connOf(r); c != nil && a.Kind == core.ClientGone {
-			c.setAttemptsOut(a)
+		if c := connOf(r); c != nil {
+			switch a.Kind {
+			case core.ClientGone:
+				c.setAttemptsOut(a)
+			case core.Served:
+				c.markServed()
+			}
 		}
 		if onAnswer != nil {
 			onAnswer(a)
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -161,6 +161,20 @@
 	return s.http.Shutdown(ctx)
 }
 
+// FinishAnswers returns once no table server's answer is being passed on, and whether there was one. Meanwhile it closes
+// connections as they become idle. How long an answer may take is bounded only by the limits on a table server that
+// sends nothing and on a client that reads nothing.
+func (s *Server) FinishAnswers() (waited bool) {
+	<-s.serving
+	l := s.listener.Load()
+	for l.answersInProgress() > 0 {
+		waited = true
+		l.closeIdle(0)
+		l.awaitChange(closeIdleInterval)
+	}
+	return waited
+}
+
 // HandOver transfers every client connection to a successor process, each as soon as no request is in progress on it.
 // It accepts no more connections, since the successor holds the listening socket too. transfer returns false for a
 // connection that the successor did not take; that one is still served here. HandOver returns nil when no connection
--- a/internal/front/slots.go
+++ b/internal/front/slots.go
@@ -288,6 +288,31 @@
 	}
 }
 
+// answersInProgress returns how many connections pass on a table server's answer.
+func (s *limitListener) answersInProgress() (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.passesOnAnswer() {
+			n++
+		}
+	}
+	return n
+}
+
+// awaitChange waits until the result of remaining has changed, at most for a time.
+func (s *limitListener) awaitChange(atMost time.Duration) {
+	s.mu.Lock()
+	_, changed := s.remaining()
+	s.mu.Unlock()
+	recheck := time.NewTimer(atMost)
+	defer recheck.Stop()
+	select {
+	case <-changed:
+	case <-recheck.C:
+	}
+}
+
 // notifyChange wakes the callers of waitEmpty and closeWhenIdle. s.mu must be held.
 func (s *limitListener) notifyChange() {
 	close(s.changed)
--- a/internal/front/unanswered.go
+++ b/internal/front/unanswered.go
@@ -18,6 +18,8 @@
 	lastByte    time.Time
 	attemptsOut int  // open attempts when the request ended without a response
 	answered    bool // part of a response was written
+	served      bool // a table server's answer is being passed on
+	lingering   bool // the response was written; the rest of the request's body is being discarded
 }
 
 // received records a read of n bytes.
@@ -76,6 +78,27 @@
 	c.progress.complete = true
 }
 
+// markServed records that a table server's answer to the current request is being passed on.
+func (c *conn) markServed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.progress.served = true
+}
+
+// markLingering records that the response to the current request was written before its body was read.
+func (c *conn) markLingering() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.progress.lingering = true
+}
+
+// passesOnAnswer reports whether a table server's answer is being passed on.
+func (c *conn) passesOnAnswer() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase == phaseActive && c.progress.served && !c.progress.lingering
+}
+
 // setAttemptsOut records how many attempts were open when the client closed the connection.
 func (c *conn) setAttemptsOut(a core.Answer) {
 	c.mu.Lock()
