Bound what clients can make a gateway hold: fields of heads, bodies, buffers

Callers saw: with hundreds of slow clients a process passed its memory limit and was killed. Cause: a head costs by its fields, which nothing bounded; bodies and stream buffers were bounded by descriptors alone; the Go runtime's limit left no room for the program's pages where memory is small. Change: at most 128 fields, refused with 431 before net/http parses them; bodies share a budget that follows from the settings' memory and is taken before they are read, and one that pauses while others wait gives its part back; stream buffers of 8 KiB (32); the runtime's limit leaves 16 MB. Front, ingress, egress, forwardauth pass with -race.

--- a/cmd/junctionring/serve.go
+++ b/cmd/junctionring/serve.go
@@ -24,7 +24,10 @@
 )
 
 const (
+	programMemory = 16 << 20 // bytes: the program's own pages, and what the runtime exceeds its limit by
+
 	memoryShare = 0.7             // of the limit: the runtime's own, the sockets' buffers and files count too
+	bodyShare   = 0.06            // of the limit: requests' bodies
 	firstList   = 5 * time.Second // a process that knows no list waits for one: half of the time in which it is to be ready
 )
 
@@ -81,6 +84,9 @@
 	}
 	server := front.NewServer(g.Front(), o.MaxHeader, &g.Figures.Concurrent, log)
 	g.Figures.Unread = server.UnreadResponses
+	if o.Limits.MemoryMB > 0 {
+		server.LimitBodyMemory(bodyMemory(o.Limits.MemoryMB))
+	}
 	sockets := openListeners(log, o.Listen, o.Operations.Listen)
 	if o.Operations.Listen != "" {
 		l, err := sockets.listen(o.Operations.Listen)
@@ -133,12 +139,23 @@
 // ingressConns is how many of the descriptors may be connections of clients.
 func ingressConns(sockets int) int { return max(16, sockets*9/20) }
 
+// bodyMemory is how many bytes the bodies of requests may take together.
+func bodyMemory(memoryMB int) int64 {
+	return max(egress.MaxBody+1, int64(bodyShare*float64(memoryMB<<20)))
+}
+
+// runtimeMemory is how many bytes the Go runtime may take before it collects garbage more often.
+func runtimeMemory(memoryMB int) int64 {
+	limit := int64(memoryMB) << 20
+	return min(int64(memoryShare*float64(limit)), max(limit-programMemory, limit/2))
+}
+
 func limitRuntime(cores float64, memoryMB int) {
 	if cores > 0 {
 		runtime.GOMAXPROCS(max(1, int(math.Ceil(cores))))
 	}
 	if memoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(memoryMB<<20)))
+		debug.SetMemoryLimit(runtimeMemory(memoryMB))
 		debug.SetGCPercent(200)
 	}
 }
--- a/internal/egress/long.go
+++ b/internal/egress/long.go
@@ -16,7 +16,7 @@
 const MaxLong = 32 << 20
 
 const (
-	bufferSize          = 32 << 10               // bytes
+	bufferSize          = 8 << 10                // bytes
 	streamIOTimeout     = 10 * time.Second       // for a target that neither accepts nor sends anything
 	chunkedSizeFactor   = 8                      // a chunked body may take this many times its size on the wire
 	streamAfter         = 250 * time.Millisecond // delay before the beginning of a slow body is passed on
--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -87,6 +87,8 @@
 	defer b.mu.Unlock()
 	if !b.eof {
 		if b.conn != nil {
+			b.conn.takeBodyStalled()
+			b.conn.setAwaitingBody(false)
 			b.conn.markLingering()
 		}
 		b.control.Flush()
@@ -136,20 +138,36 @@
 	maxSize := max(limit, longLimit)
 	b := NewBody(w, r, maxSize)
 	if r.ContentLength > limit {
-		body = make([]byte, min(limit, longBodyPrefix)) // kept in memory while the remainder is streamed
-		_, err = io.ReadFull(b, body)
-		rest = b
-	} else if body, err = io.ReadAll(io.LimitReader(b, limit+1)); int64(len(body)) > limit {
-		rest = b
+		if err = reserve(r, streamMemory); err == nil {
+			body = make([]byte, min(limit, longBodyPrefix)) // kept in memory while the remainder is streamed
+			_, err = io.ReadFull(b, body)
+			rest = b
+		}
+	} else {
+		var more bool
+		if body, more, err = readWhole(r, b, limit); more {
+			rest = b
+		}
 	}
 	if errors.Is(err, errBodyTooLarge) {
 		return nil, nil, &RequestError{http.StatusRequestEntityTooLarge, "the body is too large"}
 	}
 	if err != nil {
-		return nil, nil, cmp.Or(shedErrorOf(r), BadRequest("the body is cut short"))
+		return nil, nil, bodyError(r, err)
 	}
 	if rest == nil {
 		b.control.SetReadDeadline(time.Time{})
 	}
 	return body, rest, nil
 }
+
+// bodyError returns the error for a request whose body could not be read.
+func bodyError(r *http.Request, err error) error {
+	if c := connOf(r); c != nil && c.takeBodyStalled() {
+		return errBodyStalled
+	}
+	if errors.Is(err, errNoBodyMemory) {
+		return err
+	}
+	return cmp.Or(shedErrorOf(r), BadRequest("the body is cut short"))
+}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -34,7 +34,11 @@
 	awaitingBody bool
 	bodyAborted  bool // the process is shedding: no longer wait for the body
 
+	reservedBody int64 // bytes of the server's budget that the current request holds
+	bodyStalled  bool  // the wait for its body was ended since memory is short
+
 	input inputWait
+	head  headScan
 }
 
 // origin is the server and the connection on which a request arrived.
@@ -158,6 +162,9 @@
 		c.progress.received(n)
 	}
 	c.mu.Unlock()
+	if rejected := c.checkHead(b[:max(0, n)]); rejected != nil {
+		return 0, rejected
+	}
 	return n, err
 }
 
@@ -176,7 +183,7 @@
 
 // startRequest records that the first bytes of a request arrived. c.mu must be held.
 func (c *conn) startRequest() {
-	c.phase, c.progress = phaseReadingHeader, progress{lastByte: time.Now()}
+	c.phase, c.progress, c.head = phaseReadingHeader, progress{lastByte: time.Now()}, headScan{atStart: true}
 }
 
 // headerDeadline returns the deadline for a complete header whose first bytes have just arrived. net/http itself
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -41,6 +41,7 @@
 	held            *atomic.Int64 // requests in progress; nil: not counted
 	unreadResponses atomic.Int64  // responses cut off because the client did not read them
 	writeTimeout    time.Duration // for each chunk of a response
+	bodyMemory      *bodyMemory   // nil: unlimited
 	log             *slog.Logger
 	shedError       atomic.Pointer[shedError] // set once the process sheds its requests
 }
@@ -58,6 +59,7 @@
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if c := connOf(r); c != nil {
 				c.setRequestID(r.Header.Get("X-Request-ID"))
+				defer s.releaseBody(c)
 			}
 			if s.closesConnections() {
 				w.Header().Set("Connection", "close")
@@ -68,6 +70,10 @@
 				}
 				return
 			}
+			if fieldCount(r.Header) > maxHeadFields { // of a head that was read together with the previous request
+				Reject(w, r, errTooManyFields)
+				return
+			}
 			if s.held != nil {
 				s.held.Add(1)
 				defer s.held.Add(-1)
