Await the body of an answer that has begun for as long as its client waits

Callers saw: a head without a length came at once and its body's first bytes 0.8 to 1.1 s later; the gateway closed the connection after 0.5 s, asked the next servers, and at last refused. Cause: the attempt's time-out went on counting after the head of a sound answer had come. Change: such a head puts the client's own time in its place (Attempt.AnswerCtx). Measured: TestLateBodyOfABegunAnswerIsAwaited before: 3 of 3 cases answered 503 after two more attempts; after: pass. TestBegunAnswerDoesNotHoldItsClient passes before and after. Core, ingress, egress, forwardauth and gateway pass with -race.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -67,6 +67,7 @@
 // wanted: at its deadline (a timeout) or earlier (a cancellation).
 type Attempt struct {
 	Ctx          context.Context
+	AnswerCtx    context.Context // applies instead of Ctx once an answer has begun; ends no earlier. nil: Ctx
 	Target       string
 	Payload      any
 	Repeat       control.Repeat  // the rule of the exchange's class
@@ -688,7 +689,13 @@
 			deadline = t
 		}
 	}
-	ctx, cancel := context.WithDeadline(c.ctx, deadline)
+	// An answer that has begun may take as long as the client waits: no further attempt could be sooner.
+	answerCtx, cancelAnswer := context.WithDeadline(c.ctx, h.Deadline)
+	ctx, cancelAttempt := context.WithDeadline(answerCtx, deadline)
+	cancel := func() {
+		cancelAttempt()
+		cancelAnswer()
+	}
 	attempt, sentAt := len(h.cancels), time.Now()
 	h.cancels = append(h.cancels, cancel)
 	noneInFlight := h.inFlight == 0
@@ -713,7 +720,7 @@
 		return
 	}
 	if !c.egress.Start(Attempt{
-		Ctx: ctx, Target: a.Server, Payload: h.Payload, Repeat: c.classes[h.Class].Repeat,
+		Ctx: ctx, AnswerCtx: answerCtx, Target: a.Server, Payload: h.Payload, Repeat: c.classes[h.Class].Repeat,
 		SendBefore: sendBefore, ExchangeDone: h.done,
 		Report:     func(o Outcome) { c.post(ended(o)) },
 		OnBodySent: func() { c.post(bodySent{h}) }, ResponseTimeout: h.ResponseTimeout,
--- a/internal/egress/conn.go
+++ b/internal/egress/conn.go
@@ -58,6 +58,9 @@
 	answered       bool          // an earlier request was answered on it
 	answerTime     time.Duration // from the last request to its answer
 
+	answerCtx     context.Context // applies to the request under way once its answer has begun; nil: no other than before
+	onAnswerBegun func()          // called when the head of an answer has come whose length it does not tell
+
 	inFlight        identity // the request under way
 	unsolicited     bool     // bytes came on it that no request had asked for
 	openReplacement bool     // another is to be opened: only its last answer's status rules out further use
@@ -130,6 +133,11 @@
 		}
 		return core.Outcome{Status: control.ConnectFailed}, false // the last byte was never sent: it cannot have run
 	}
+	c.onAnswerBegun = func() {
+		if c.answerCtx != nil && stop() {
+			ctx, stop = c.answerCtx, context.AfterFunc(c.answerCtx, c.abandon)
+		}
+	}
 	o, reuse = c.readOwnAnswer(ctx, r, fields)
 	o.Written = true
 	if reply, ok := o.Reply.(*Reply); ok && reply.Long != nil && !stop() { // abandoned just as the stream began
@@ -254,10 +262,14 @@
 	if len(resp.TransferEncoding) > 0 {
 		body = availableReader{c.in, body}
 	}
+	marksEnd := closes || len(resp.TransferEncoding) > 0
+	if long && marksEnd && c.onAnswerBegun != nil {
+		c.onAnswerBegun()
+	}
 	prefix := readPrefix(body)
 	// A body without a length is streamed early only if it is chunked or the head announced the close: after a malformed
 	// head nothing marks the end of the body, and it may never end.
-	whole, complete, err := prefix.wait(long && (closes || len(resp.TransferEncoding) > 0), c.mayBeDuplicate)
+	whole, complete, err := prefix.wait(long && marksEnd, c.mayBeDuplicate)
 	switch {
 	case err != nil:
 		return nil, err
