See a client that has left also behind a body that was not read

Callers saw: a client wrote a long body and closed its connection while its request waited for a connection; the request was sent on afterwards. Cause: net/http looks for the end of a connection only once the body is read; the front looked once.

--- a/internal/egress/attempt.go
+++ b/internal/egress/attempt.go
@@ -70,14 +70,20 @@
 }
 
 // awaitConnInTime is awaitConn within the client's wait, which the context of a message whose body is still coming in
-// does not bound.
+// does not bound. That the client's wait has ended says nothing of the target.
 func (t *target) awaitConnInTime(a core.Attempt, r *Request, req *connRequest) (c *conn, status control.Status) {
-	if r.Rest != nil {
-		ctx, cancel := context.WithDeadline(a.Ctx, r.Rest.answerDue(a.ResponseTimeout))
-		defer cancel()
-		a.Ctx = ctx
+	if r.Rest == nil {
+		return t.awaitConn(a, req)
 	}
-	return t.awaitConn(a, req)
+	ctx, cancel := context.WithDeadline(a.Ctx, r.Rest.answerDue(a.ResponseTimeout))
+	defer cancel()
+	bounded := a
+	bounded.Ctx = ctx
+	c, status = t.awaitConn(bounded, req)
+	if c == nil && ctx.Err() == context.DeadlineExceeded && a.Ctx.Err() == nil {
+		status = control.NotSent
+	}
+	return c, status
 }
 
 // exchange carries out an attempt without reporting its outcome. The attempt's payload is a *Request.
--- a/internal/front/message.go
+++ b/internal/front/message.go
@@ -222,6 +222,9 @@
 		upload = &egress.Upload{
 			Length: r.ContentLength, Next: rest.Read, AnswerDue: func() time.Time { return AnswerDue(x, rest) },
 		}
+		var stop func()
+		r, stop = watchClient(r, upload.Done)
+		defer stop()
 	}
 	proxy.ServeHTTP(w, egress.WithExchange(r, x, body, upload, func(a core.Answer) {
 		if upload != nil && !upload.Done() || closesConnection(r) {
