The wait for a client's close is no wait for its body

Cause: once a long body was read, net/http's watch for the end of the connection counted as a read that waits for the client, so the client's time moved on while the body's last bytes waited for the server. Measured: the new case of TestIncompleteAt ("whole, read") fails before and passes after, with -race.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -139,8 +139,8 @@
 	closeProbe := len(b) == 1 && c.deadline.IsZero()
 	if !closeProbe {
 		c.checkReadAhead(len(b))
+		c.beginInputWait()
 	}
-	c.beginInputWait()
 	c.mu.Unlock()
 	if closeProbe {
 		return 0, socket.WaitEnd(c.TCPConn)
--- a/internal/front/input_wait_test.go
+++ b/internal/front/input_wait_test.go
@@ -27,6 +27,7 @@
 		{"the rest fits the client's buffer", 1 << 20, 600 << 10, true},
 		{"the rest fits no buffer", 24 << 20, 600 << 10, false},
 		{"all that came was read", 1 << 20, longBodyPrefix, false},
+		{"whole, read", 100 << 10, 100 << 10, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -43,6 +44,13 @@
 					t.Error(err)
 					return
 				}
+				if c.name == "whole, read" {
+					io.Copy(io.Discard, rest) // net/http looks for the end of the connection from here on
+					<-arrived
+					asked := time.Now()
+					results <- result{asked.Sub(rest.IncompleteAt())}
+					return
+				}
 				<-arrived
 				for c.written > longBodyPrefix && socket.Queued(connOf(r).TCPConn) < 64<<10 { // what was written comes at once
 				}
