An attempt that ends within a long body may report before the core answers for it

Cause: at the end of the client's time the attempt ends by itself and the core answers 15 ms later; an attempt that reported later than that counted as one that may have run. Change: the core waits another 0.1 s for such an attempt, well within the half second after the time.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -124,6 +124,8 @@
 	gaugeInterval    = 250 * time.Millisecond // between updates of the server gauges, which may be up to 0.5 s old
 	shedRetryAfter   = 500 * time.Millisecond // Retry-After of requests that the core itself sheds, limited by the settings
 	overdueGrace     = 15 * time.Millisecond  // from an exchange's deadline until the core itself answers it
+
+	uploadOverdueGrace = 100 * time.Millisecond // in addition, for an attempt that still forwards the body to report
 )
 
 type (
@@ -171,6 +173,7 @@
 	ranAtSite       int
 	mayHaveRunSince time.Time // when the first attempt that may have run was sent
 	overdueTimer    *time.Timer
+	overdue         bool // the deadline has passed while the body was still being forwarded
 }
 
 // Core is the actor. Run handles its messages; the other methods may be called from any goroutine.
@@ -539,6 +542,11 @@
 		h.overdueTimer.Reset(remaining + overdueGrace)
 		return
 	}
+	if h.BodyIncoming && h.inFlight > 0 && !h.overdue { // its attempt ends by itself now, and tells that it never ran
+		h.overdue = true
+		h.overdueTimer.Reset(uploadOverdueGrace)
+		return
+	}
 	c.log.Warn("exchange unanswered after its deadline; the core answers it", "id", h.id)
 	c.answerLocally(h)
 }
