--- a/cmd/junctionring/platform.go
+++ b/cmd/junctionring/platform.go
@@ -80,9 +80,7 @@
 	}
 	server := front.NewServer(ingress.PlatformLive(g.names.Load, g.core, log), front.MaxHeader, &g.figures.Concurrent, log)
 	g.figures.Unread = server.UnreadResponses
-	if g.config.MemoryMB > 0 {
-		server.LimitBodyMemory(bodyMemory(g.config.MemoryMB))
-	}
+	limitBodies(server, g.config.MemoryMB)
 	sockets := openListeners(log, g.config.Listen, g.config.Management)
 	if g.config.Management != "" {
 		m, err := serveManagement(sockets, g.config.Management, hooks(work, server, g.figures), log)
--- a/cmd/junctionring/serve.go
+++ b/cmd/junctionring/serve.go
@@ -84,9 +84,7 @@
 	}
 	server := front.NewServer(g.Front(), o.MaxHeader, &g.Figures.Concurrent, log)
 	g.Figures.Unread = server.UnreadResponses
-	if o.Limits.MemoryMB > 0 {
-		server.LimitBodyMemory(bodyMemory(o.Limits.MemoryMB))
-	}
+	limitBodies(server, o.Limits.MemoryMB)
 	sockets := openListeners(log, o.Listen, o.Operations.Listen)
 	if o.Operations.Listen != "" {
 		l, err := sockets.listen(o.Operations.Listen)
@@ -139,9 +137,11 @@
 // ingressConns is how many of the descriptors may be connections of clients.
 func ingressConns(sockets int) int { return max(16, sockets*9/20) }
 
-// bodyMemory is how many bytes the bodies of requests may take together.
-func bodyMemory(memoryMB int) int64 {
-	return max(egress.MaxBody+1, int64(bodyShare*float64(memoryMB<<20)))
+// limitBodies bounds what the bodies of requests may take together.
+func limitBodies(server *front.Server, memoryMB int) {
+	if memoryMB > 0 {
+		server.LimitBodyMemory(max(egress.MaxBody+1, int64(bodyShare*float64(memoryMB<<20))))
+	}
 }
 
 // runtimeMemory is how many bytes the Go runtime may take before it collects garbage more often.
--- a/internal/egress/attempt.go
+++ b/internal/egress/attempt.go
@@ -96,9 +96,6 @@
 	}
 	sent := time.Now()
 	c.inFlight, c.answerCtx = req.identity, a.AnswerCtx
-	if r.Rest != nil { // only roundTrip's own context has the client's deadline
-		c.answerCtx = nil
-	}
 	o, reuse := c.roundTrip(a.Ctx, r, t.site.LoadFields, a.OnBodySent, a.ResponseTimeout)
 	c.answerTime = o.TimeToFirstByte
 	if reply, ok := o.Reply.(*Reply); ok && reply.Long != nil {
--- a/internal/egress/conn.go
+++ b/internal/egress/conn.go
@@ -134,7 +134,7 @@
 		return core.Outcome{Status: control.ConnectFailed}, false // the last byte was never sent: it cannot have run
 	}
 	c.onAnswerBegun = func() {
-		if c.answerCtx != nil && stop() {
+		if c.answerCtx != nil && r.Rest == nil && stop() { // after a streamed body, ctx has the client's deadline already
 			ctx, stop = c.answerCtx, context.AfterFunc(c.answerCtx, c.abandon)
 		}
 	}
--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -26,7 +26,6 @@
 	started  time.Time
 	limit    int64
 	received atomic.Int64
-	readAt   atomic.Int64 // when the last read ended, as time since started
 
 	mu     sync.Mutex // held during Read
 	eof    bool
@@ -49,7 +48,6 @@
 	b.control.SetReadDeadline(time.Now().Add(bodyIdleTimeout)) // if unsupported, only the average rate counts
 	n, err := b.r.Body.Read(p)
 	b.eof = err == io.EOF
-	b.readAt.Store(int64(time.Since(b.started)))
 	received := b.received.Add(int64(n))
 	if received > b.limit {
 		return 0, errBodyTooLarge
@@ -61,9 +59,6 @@
 	return n, err
 }
 
-// lastRead returns when the last read ended.
-func (b *Body) lastRead() time.Time { return b.started.Add(time.Duration(b.readAt.Load())) }
-
 // Close stops reading. When it returns, no Read is in progress, and every later Read fails.
 func (b *Body) Close() {
 	b.closed.Store(true)
@@ -99,7 +94,7 @@
 // linger discards what the client still sends of a body after its response was sent. A close over unread bytes resets
 // the connection, which may lose the response, and a client that reads only once it has written everything would wait
 // in vain. It ends with the body, once nothing has arrived for lingerTimeout, or after lingerMaxTime.
-func linger(control *http.ResponseController, body io.Reader) {
+func linger(control interface{ SetReadDeadline(time.Time) error }, body io.Reader) {
 	buffer := egress.BufferPool{}.Get()
 	defer egress.BufferPool{}.Put(buffer)
 	for latest := time.Now().Add(lingerMaxTime); time.Now().Before(latest); {
--- a/internal/front/body_memory.go
+++ b/internal/front/body_memory.go
@@ -15,7 +15,7 @@
 	unbudgetedBody   = 4 << 10                // bytes of a body that each connection may hold besides the budget
 	streamMemory     = 48 << 10               // bytes that a streamed body takes: buffers on both sides, and stacks
 	bodyMemoryWait   = 500 * time.Millisecond // for a part of the budget
-	bodyMemoryRetry  = 20 * time.Millisecond  // between sweeps of bodies that have stalled
+	stalledBodySweep = 20 * time.Millisecond  // between sweeps of bodies that have stalled
 	stalledBodyPause = 250 * time.Millisecond // without a byte; while others wait, such a body loses its memory
 )
 
@@ -66,7 +66,7 @@
 	}
 	go func() {
 		defer s.bodyMemory.sweeping.Store(false)
-		tick := time.NewTicker(bodyMemoryRetry)
+		tick := time.NewTicker(stalledBodySweep)
 		defer tick.Stop()
 		for latest := time.Now().Add(bodyMemoryWait); time.Now().Before(latest); <-tick.C {
 			s.listener.Load().abortStalledBodies(stalledBodyPause)
@@ -103,8 +103,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if (c.awaitingBody || c.input.pending) && c.reservedBody > 0 && time.Since(c.progress.lastByte) >= pause {
-		c.bodyStalled, c.bodyAborted = true, true
-		c.TCPConn.SetReadDeadline(pastTime)
+		c.bodyStalled = true
+		c.expireBodyRead()
 	}
 }
 
--- a/internal/front/client_watch.go
+++ b/internal/front/client_watch.go
@@ -23,13 +23,16 @@
 	go func() {
 		tick := time.NewTicker(clientWatchInterval)
 		defer tick.Stop()
-		for !done() {
+		for {
 			select {
 			case <-ctx.Done():
 				return
 			case <-tick.C:
 			}
-			if !done() && socket.HungUp(c.TCPConn) {
+			if done() {
+				return
+			}
+			if socket.HungUp(c.TCPConn) {
 				cancel()
 			}
 		}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -161,9 +161,11 @@
 	if n > 0 && (c.phase == phaseReadingHeader || c.phase == phaseActive) {
 		c.progress.received(n)
 	}
+	tooManyFields := c.phase == phaseReadingHeader && c.head.exceeds(b[:max(0, n)])
 	c.mu.Unlock()
-	if rejected := c.checkHead(b[:max(0, n)]); rejected != nil {
-		return 0, rejected
+	if tooManyFields {
+		c.rejectHead(errTooManyFields)
+		return 0, io.EOF // net/http closes the connection and writes nothing
 	}
 	return n, err
 }
--- a/internal/front/head.go
+++ b/internal/front/head.go
@@ -2,9 +2,7 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
-	"time"
 )
 
 // maxHeadFields is the largest number of fields in a request's head. What a head costs once net/http has parsed it
@@ -51,30 +49,8 @@
 // answer is not lost in a reset. net/http closes the connection then.
 func (c *conn) rejectHead(e *RequestError) {
 	text := fmt.Sprintf("%s\n", e.Text)
-	c.SetWriteDeadline(time.Now().Add(lingerTimeout))
 	fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n\r\n%s",
 		e.Status, http.StatusText(e.Status), len(text), text)
 	c.TCPConn.CloseWrite()
-	latest := time.Now().Add(lingerMaxTime)
-	for buffer := make([]byte, headDiscardSize); time.Now().Before(latest); {
-		c.TCPConn.SetReadDeadline(time.Now().Add(lingerTimeout))
-		if _, err := c.TCPConn.Read(buffer); err != nil {
-			return
-		}
-	}
-}
-
-const headDiscardSize = 4 << 10 // bytes read at a time of what is discarded
-
-// checkHead counts the lines of a head of which bytes have just arrived. It ends the connection with an answer if there
-// are too many.
-func (c *conn) checkHead(arrived []byte) error {
-	c.mu.Lock()
-	tooMany := c.phase == phaseReadingHeader && c.head.exceeds(arrived)
-	c.mu.Unlock()
-	if !tooMany {
-		return nil
-	}
-	c.rejectHead(errTooManyFields)
-	return io.EOF // net/http closes the connection and writes nothing
+	linger(c.TCPConn, c.TCPConn)
 }
--- a/internal/front/input_wait.go
+++ b/internal/front/input_wait.go
@@ -56,8 +56,8 @@
 // IncompleteAt returns the latest time at which the client certainly had not written the whole body yet. What it has
 // written may lie unread in the buffers of both systems.
 func (b *Body) IncompleteAt() time.Time {
-	if b.conn == nil { // the connection cannot be examined
-		return b.lastRead()
+	if b.conn == nil { // it did not come through a Server, and cannot be examined
+		return time.Now()
 	}
 	if outstanding := b.r.ContentLength - b.received.Load(); outstanding > readBufferSize {
 		queued := int64(socket.Queued(b.conn.TCPConn))
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -173,12 +173,15 @@
 func (s *Server) FinishAnswers() (waited bool) {
 	<-s.serving
 	l := s.listener.Load()
-	for l.answersInProgress() > 0 {
+	for {
+		n, changed := l.answersInProgress()
+		if n == 0 {
+			return waited
+		}
 		waited = true
 		l.closeIdle(0)
-		l.awaitChange(closeIdleInterval)
+		awaitChange(context.Background(), changed)
 	}
-	return waited
 }
 
 // HandOver transfers every client connection to a successor process, each as soon as no request is in progress on it.
--- a/internal/front/shed.go
+++ b/internal/front/shed.go
@@ -40,11 +40,16 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.awaitingBody {
-		c.bodyAborted = true
-		c.TCPConn.SetReadDeadline(pastTime)
+		c.expireBodyRead()
 	}
 }
 
+// expireBodyRead ends the read of a body, and fails later ones. c.mu must be held.
+func (c *conn) expireBodyRead() {
+	c.bodyAborted = true
+	c.TCPConn.SetReadDeadline(pastTime)
+}
+
 // shedErrorOf returns the error for a request whose server is shedding, or nil if its body may be read.
 func shedErrorOf(r *http.Request) error {
 	o, ok := r.Context().Value(originKey{}).(origin)
--- a/internal/front/slots.go
+++ b/internal/front/slots.go
@@ -276,20 +276,29 @@
 		if remaining == 0 {
 			return true
 		}
-		recheck := time.NewTimer(closeIdleInterval)
-		select {
-		case <-changed:
-		case <-recheck.C: // a connection may have become idle, or its firstRequestGrace ended
-		case <-ctx.Done():
-			recheck.Stop()
+		if !awaitChange(ctx, changed) {
 			return false
 		}
-		recheck.Stop()
 	}
 }
 
-// answersInProgress returns how many connections pass on a table server's answer.
-func (s *limitListener) answersInProgress() (n int) {
+// awaitChange waits for a change, or until it is time to look again: a connection may have become idle, or its
+// firstRequestGrace ended. It returns false if ctx ends first.
+func awaitChange(ctx context.Context, changed <-chan struct{}) bool {
+	recheck := time.NewTimer(closeIdleInterval)
+	defer recheck.Stop()
+	select {
+	case <-changed:
+	case <-recheck.C:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
+// answersInProgress returns how many connections pass on a table server's answer, and a channel that is closed when
+// the next connection ends.
+func (s *limitListener) answersInProgress() (n int, changed <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
@@ -297,20 +306,7 @@
 			n++
 		}
 	}
-	return n
-}
-
-// awaitChange waits until the result of remaining has changed, at most for a time.
-func (s *limitListener) awaitChange(atMost time.Duration) {
-	s.mu.Lock()
-	_, changed := s.remaining()
-	s.mu.Unlock()
-	recheck := time.NewTimer(atMost)
-	defer recheck.Stop()
-	select {
-	case <-changed:
-	case <-recheck.C:
-	}
+	return n, s.changed
 }
 
 // notifyChange wakes the callers of waitEmpty and closeWhenIdle. s.mu must be held.
