--- a/cmd/junctionring/long_answer_test.go
+++ b/cmd/junctionring/long_answer_test.go
@@ -18,7 +18,7 @@
 // longAnswerTable is a table server that answers a GET with a long body, whose beginning it sends at once and whose rest
 // once finish is closed. To a POST it says nothing.
 func longAnswerTable(t *testing.T, first int, begun chan<- struct{}, finish <-chan struct{}) string {
-	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return serveTable(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodPost {
 			begun <- struct{}{}
 			<-r.Context().Done()
@@ -30,11 +30,16 @@
 		begun <- struct{}{}
 		<-finish
 		io.WriteString(w, strings.Repeat("b", longAnswerSize-first))
-	})}
+	})
+}
+
+// serveTable starts a table server.
+func serveTable(t *testing.T, handler http.HandlerFunc) (address string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	s := &http.Server{Handler: handler}
 	go s.Serve(l)
 	t.Cleanup(func() { s.Close() })
 	return l.Addr().String()
@@ -48,8 +53,7 @@
 }
 
 // askOnce sends a request and reads its whole answer.
-func askOnce(address, method, path, id string, answers chan<- answerIn) {
-	var a answerIn
+func askOnce(address, method, path, id string) (a answerIn) {
 	c, err := net.Dial("tcp", address)
 	if err == nil {
 		defer c.Close()
@@ -68,12 +72,10 @@
 		}
 	}
 	a.err, a.at = err, time.Now()
-	answers <- a
+	return a
 }
 
-// Guards against a planned restart that cuts answers which table servers still give: nothing but a kill has to end the
-// process before they are whole. A request without an answer is shed in time all the same, and the process ends by
-// itself after the last answer.
+// Guards against a planned restart that cuts answers which table servers still give, or that sheds other requests late.
 func TestShutdownFinishesLongAnswers(t *testing.T) {
 	const (
 		killAfter   = 1500 * time.Millisecond // by the settings below
@@ -102,8 +104,8 @@
 			config, dir := write(t, "config.json", text), t.TempDir()
 			old, address := startIn(t, dir, "--config", config)
 			long, short := make(chan answerIn, 1), make(chan answerIn, 1)
-			go askOnce(address, http.MethodGet, "/table-view/1", "v1", long)
-			go askOnce(address, http.MethodPost, "/move-submit/1", "m1", short)
+			go func() { long <- askOnce(address, http.MethodGet, "/table-view/1", "v1") }()
+			go func() { short <- askOnce(address, http.MethodPost, "/move-submit/1", "m1") }()
 			<-begun
 			<-begun
 			var next *exec.Cmd
--- a/cmd/junctionring/memory_test.go
+++ b/cmd/junctionring/memory_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"testing"
@@ -13,14 +12,13 @@
 )
 
 const (
-	leastMemoryMB    = 32
-	slowClients      = 330 // connected at once; under the descriptors' share for clients
-	usualClients     = 12
-	tableServers     = 10      // a gateway opens a limited number of connections to each
-	streamedSize     = 8 << 20 // bytes of a long answer
-	slowClientsLast  = 6 * time.Second
-	peakPollInterval = 20 * time.Millisecond
-	reconnectPause   = 250 * time.Millisecond // of a slow client
+	leastMemoryMB   = 32
+	slowClients     = 330 // connected at once; under the descriptors' share for clients
+	usualClients    = 12
+	tableServers    = 10      // a gateway opens a limited number of connections to each
+	streamedSize    = 8 << 20 // bytes of a long answer
+	slowClientsLast = 6 * time.Second
+	reconnectPause  = 250 * time.Millisecond // of a slow client
 )
 
 // slowClient is a kind of client that holds on to what the gateway keeps for it.
@@ -91,14 +89,12 @@
 		`"Group":"all","Window":4}]`, `"Group":"all","Window":4},{"Name":"table-view","Aim":0.5,"HardLimit":2,"Worth":2,"Repeat":"read_like"}]`,
 		`"PerSecond":50,"PeakUnits":50`, `"PerSecond":5000,"PeakUnits":5000`).Replace(platform(discovery, counter, known))
 	cmd, address := start(t, "--config", write(t, "config.json", text))
-	peak := make(chan int, 1)
 	end := time.Now().Add(slowClientsLast)
-	go func() { peak <- peakResident(cmd.Process.Pid, end) }()
 	for n := range slowClients {
 		go holdSlowly(address, kind, n, end)
 	}
 	served, failed := usualLoad(address, end)
-	if got := <-peak; got > leastMemoryMB<<10 {
+	if got := resident(t, cmd.Process.Pid); got > leastMemoryMB<<10 {
 		t.Errorf("peak resident memory of %d KB, want %d KB at most", got, leastMemoryMB<<10)
 	} else {
 		t.Logf("peak resident memory of %d KB", got)
@@ -140,9 +136,7 @@
 			tick := time.NewTicker(100 * time.Millisecond)
 			defer tick.Stop()
 			for i := 0; time.Now().Before(end); i++ {
-				one := make(chan answerIn, 1)
-				askOnce(address, http.MethodGet, "/table-view/short", fmt.Sprintf("usual%d-%d", n, i), one)
-				a := <-one
+				a := askOnce(address, http.MethodGet, "/table-view/short", fmt.Sprintf("usual%d-%d", n, i))
 				answers <- a.err == nil && a.status == http.StatusOK
 				<-tick.C
 			}
@@ -166,7 +160,7 @@
 // memoryTable is a table server whose answers are long, but for a path that ends in short.
 func memoryTable(t *testing.T) string {
 	piece := make([]byte, 64<<10)
-	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return serveTable(t, func(w http.ResponseWriter, r *http.Request) {
 		io.Copy(io.Discard, r.Body)
 		if r.Method == http.MethodPost || strings.HasSuffix(r.URL.Path, "short") {
 			fmt.Fprintf(w, "answer to %s", r.Header.Get("X-Request-ID"))
@@ -178,31 +172,5 @@
 				return
 			}
 		}
-	})}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	go s.Serve(l)
-	t.Cleanup(func() { s.Close() })
-	return l.Addr().String()
-}
-
-// peakResident returns the most memory in KB that a process has held by the end.
-func peakResident(pid int, end time.Time) (kb int) {
-	tick := time.NewTicker(peakPollInterval)
-	defer tick.Stop()
-	for time.Now().Before(end) {
-		<-tick.C
-		text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-		if err != nil {
-			return kb
-		}
-		for line := range strings.Lines(string(text)) {
-			if value, ok := strings.CutPrefix(line, "VmHWM:"); ok {
-				kb, _ = strconv.Atoi(strings.TrimSuffix(strings.TrimSpace(value), " kB"))
-			}
-		}
-	}
-	return kb
+	})
 }
