A zone is the name that the list gives it: keyed moves stay in their hall

What callers saw: a move that may have run in one hall (group "zone") was sent on to another, which doesn't drop its key, and ran twice.

Cause: a zone was its place in the settings' list of names, and -1 where that doesn't name it. The operator's front has no such list, and the platform's Areas may lack a zone, so different halls were one number, and control took them for one group.

A gateway whose own zone is not stated prefers no zone. An exchange that the core held as it ended is answered by its class. Decode no longer keeps a list's text in memory. group = "cell" is read for operators' files.

--- a/cmd/junctionring/platform.go
+++ b/cmd/junctionring/platform.go
@@ -130,7 +130,7 @@
 // knownList is the list of table servers as last had. One that cannot be read is as none: a process that did not start
 // would be worse than one that waits for its first list.
 func (g *platformGateway) knownList() (list core.Table, spoilt bool) {
-	list, err := routetable.Decode(g.config.Known, g.config.Settings.Zones)
+	list, err := routetable.Decode(g.config.Known)
 	if err != nil {
 		g.log.Error("known is not taken: no table server is known until discovery tells", "err", err)
 	}
@@ -158,7 +158,7 @@
 	set := g.config.Settings
 	d := &routetable.Discovery{
 		Address: g.config.Discovery, From: known.Version, HasList: len(known.Targets) > 0,
-		Zones: set.Zones, AddressChanges: g.moves, Log: g.log, Publish: tell,
+		AddressChanges: g.moves, Log: g.log, Publish: tell,
 	}
 	if set.Module.Subscribe { // elsewhere changes come to the agent by themselves, and it has them already
 		d.Gateways, d.AskEvery = set.Module.Gateways, seconds(set.Module.Guarantees.AskEvery)
--- a/control/control.go
+++ b/control/control.go
@@ -316,7 +316,8 @@
 	// costJitter is the random part of a server's cost. It keeps gateways from all choosing the same server.
 	costJitter = 0.15
 
-	// crossZoneCost is the extra cost of a server in another zone: servers in the own zone win ties.
+	// crossZoneCost is the extra cost of a server in another zone: servers in the own zone win ties. A gateway
+	// whose own zone is unknown prefers none.
 	crossZoneCost = 0.01
 
 	// choicesPerOwnServer is the number of servers compared, for each server that a gateway has to itself.
@@ -388,7 +389,7 @@
 	}
 	for site := range max(1, s.Sites) {
 		gateways := float64(s.gatewaysOf(site))
-		g.pools = append(g.pools, newPool(classes, gateways, initialPooledLimit/gateways))
+		g.pools = append(g.pools, newPool(site, classes, gateways, initialPooledLimit/gateways))
 	}
 	return g, nil
 }
@@ -890,7 +891,8 @@
 		return
 	}
 	if value <= 0 {
-		g.emit(Refuse{ID: e.ID, RetryAfter: g.retryAfter((units - c.level) / max(c.plan.Rate, 1e-9)), Over: true})
+		retryAfter := g.retryAfter((units - c.level) / max(c.plan.Rate, 1e-9))
+		g.emit(Refuse{ID: e.ID, RetryAfter: retryAfter, Over: true})
 		g.scheduleCall(c)
 		return
 	}
@@ -1058,7 +1060,7 @@
 	}
 	p.attemptRate = p.attemptRate*math.Exp(-(g.now-p.lastAttemptAt)/rateTimeConstant) + 1/rateTimeConstant
 	p.lastAttemptAt, p.shedSinceAttempt = g.now, 0
-	g.emit(Send{ID: r.id, Server: s.id, Timeout: timeout})
+	g.emit(Send{ID: r.id, Server: s.id, Timeout: timeout, Placement: a.placement})
 	g.scheduleHedge(r)
 }
 
@@ -1090,7 +1092,7 @@
 		return
 	}
 	if e.Status != Full && e.Status != ConnectFailed && e.Status != NotSent && !r.mayHaveRun {
-		r.mayHaveRun, r.firstRunSentAt, r.firstRunServer = true, a.sentAt, a.server
+		r.mayHaveRun, r.firstRunSentAt, r.firstRunAt = true, a.sentAt, a.placement
 	}
 	if r.inFlight > 0 {
 		return
@@ -1109,33 +1111,6 @@
 	g.send(r, s)
 }
 
-// mayRetry reports whether another attempt of the request may follow one that ended with lastStatus.
-func (g *Gateway) mayRetry(r *request, p *pool, lastStatus Status) bool {
-	class := &g.settings.Classes[r.class]
-	switch {
-	case len(r.attempts) >= g.settings.Limits.MaxAttempts, lastStatus == NotSent, r.streaming,
-		g.now+p.classes[r.class].workTime > r.deadline:
-		return false
-	case !r.mayHaveRun:
-		return lastStatus != Full || p.overload < maxRetryOverload // no retry storm under overload
-	case g.retryBudget < 1, class.Repeat == Unsafe:
-		return false
-	}
-	return class.Repeat == Safe || g.now < r.firstRunSentAt+class.Window
-}
-
-// giveUp answers a request that gets no further attempt: Refuse if it had no effect or may be repeated, else
-// Fail.
-func (g *Gateway) giveUp(r *request) {
-	class := &g.settings.Classes[r.class]
-	if !r.mayHaveRun || class.Repeat == Safe || (class.Repeat == Keyed && class.Group == GroupAll) {
-		g.emit(Refuse{ID: r.id, RetryAfter: g.retryAfter(0)})
-	} else {
-		g.emit(Fail{ID: r.id})
-	}
-	g.finish(r)
-}
-
 // finish closes a request that has its answer or whose client has left, and cancels its attempts in flight.
 func (g *Gateway) finish(r *request) {
 	r.closed = true
@@ -1310,20 +1285,12 @@
 			cost *= 4 // prefer a server on which the request has not just failed
 		}
 	}
-	if s.member.Zone != g.settings.Zone {
+	if g.settings.Zone != "" && s.member.Zone != g.settings.Zone {
 		cost *= 1 + crossZoneCost
 	}
 	return cost * (1 + costJitter*g.rng.Float64())
 }
 
-// mayServe reports whether r may be sent to s: a hedge not to a server that has the request in flight, and a
-// keyed request that may have run only to servers that drop its repeats.
-func (g *Gateway) mayServe(r *request, s *server) bool {
-	class := &g.settings.Classes[r.class]
-	return !r.isInFlightAt(s) &&
-		(!r.mayHaveRun || class.Repeat != Keyed || class.Group.dropsRepeats(s, r.firstRunServer))
-}
-
 // recordOutcome updates the estimates for a server, its pool and a class from the end of an attempt.
 func (g *Gateway) recordOutcome(r *request, a *attempt, e Outcome) {
 	s, p := a.server, a.server.pool
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"reflect"
+	"strconv"
 	"testing"
 
 	"junctionring/control"
@@ -13,7 +14,7 @@
 // settings returns settings with round figures, which are not those of any deployment.
 func settings() control.Settings {
 	return control.Settings{
-		Gateways: 2,
+		Gateways: 2, Zone: "0",
 		Classes: []control.Class{
 			{Aim: 1, Deadline: 4, Worth: 2, Repeat: control.Safe},
 			{Aim: 1, Deadline: 4, Worth: 2, Repeat: control.Keyed, Group: control.GroupZone, Window: 2},
@@ -100,7 +101,7 @@
 func readyMembers(names ...string) []control.Member {
 	var ms []control.Member
 	for i, n := range names {
-		ms = append(ms, control.Member{Server: n, Zone: i % 2, Cell: i, State: control.Ready})
+		ms = append(ms, control.Member{Server: n, Zone: strconv.Itoa(i % 2), Cell: strconv.Itoa(i), State: control.Ready})
 	}
 	return ms
 }
--- a/control/state.go
+++ b/control/state.go
@@ -54,6 +54,7 @@
 // pool is the servers of one site and what was learned about them together. Overload at one site says nothing
 // about another, and neither do the times of answers that came over a link.
 type pool struct {
+	site              int
 	gateways          float64 // gateways whose first choice is this site; all gateways if that is not known
 	classes           []classState
 	lossShare         float64 // share of attempts that got no answer
@@ -153,24 +154,25 @@
 	inFlight int // attempts in flight
 
 	bodyIncoming   bool
-	closed         bool    // it has its final answer, or its client has left
-	streaming      bool    // its answer has begun
-	mayHaveRun     bool    // some attempt may have run
-	firstRunSentAt Seconds // when the first such attempt was sent
-	firstRunServer *server // and to which server
+	closed         bool      // it has its final answer, or its client has left
+	streaming      bool      // its answer has begun
+	mayHaveRun     bool      // some attempt may have run, or an earlier request with its key
+	firstRunSentAt Seconds   // when the first such attempt was sent
+	firstRunAt     Placement // and where to
 }
 
 // attempt is one Send of a request.
 type attempt struct {
-	server   *server
-	sentAt   Seconds
-	ended    bool
-	bodySent bool // the server has the whole request, or it is on its way
+	server    *server
+	placement Placement // of the server when the attempt was sent
+	sentAt    Seconds
+	ended     bool
+	bodySent  bool // the server has the whole request, or it is on its way
 }
 
 // startAttempt records a new attempt at s.
 func (r *request) startAttempt(s *server, now Seconds) *attempt {
-	a := &attempt{server: s, sentAt: now}
+	a := &attempt{server: s, placement: s.placement(), sentAt: now}
 	r.attempts = append(r.attempts, a)
 	r.inFlight++
 	r.customer.attemptsInFlight++
@@ -521,27 +523,13 @@
 	return refill * math.Ceil(minimum/refill)
 }
 
-// dropsRepeats reports whether two servers drop each other's repeats of a key.
-func (g Group) dropsRepeats(a, b *server) bool {
-	switch site, zone := a.pool == b.pool, a.member.Zone == b.member.Zone; g {
-	case GroupAll:
-		return true
-	case GroupSite:
-		return site
-	case GroupZone:
-		return site && zone
-	default:
-		return site && zone && a.member.Cell == b.member.Cell
-	}
-}
-
 // newPool is a pool without servers, with estimates that hold until more is known.
-func newPool(classes []classState, gateways, pooledLimit float64) *pool {
+func newPool(site int, classes []classState, gateways, pooledLimit float64) *pool {
 	longest := 0.0
 	for _, c := range classes {
 		longest = max(longest, c.workTime)
 	}
-	return &pool{classes: slices.Clone(classes), initialWorkTime: longest,
+	return &pool{site: site, classes: slices.Clone(classes), initialWorkTime: longest,
 		gateways: gateways, pooledLimit: pooledLimit, lateShare: 1, inTimeShare: 1, warmServers: 1}
 }
 
--- a/control/types.go
+++ b/control/types.go
@@ -19,12 +19,12 @@
 
 // Settings are given to a gateway once, when it starts.
 type Settings struct {
-	Ordinal      int // number of this gateway, from 0
-	Gateways     int // number of gateways
-	Zone         int // zone of this gateway
-	Site         int // site of this gateway
-	Sites        int // number of sites between which requests may be sent; 0: all servers are one site
-	SiteGateways int // number of gateways at this gateway's site; 0: all
+	Ordinal      int    // number of this gateway, from 0
+	Gateways     int    // number of gateways
+	Zone         string // zone of this gateway; empty: unknown, so that no server counts as near
+	Site         int    // site of this gateway
+	Sites        int    // number of sites between which requests may be sent; 0: all servers are one site
+	SiteGateways int    // number of gateways at this gateway's site; 0: all
 	Classes      []Class
 	Plans        []Plan
 	Limits       Limits
@@ -291,9 +291,9 @@
 type Member struct {
 	Server string
 	Weight float64
-	Site   int // number of the site; 0 if there are none
-	Zone   int
-	Cell   int
+	Site   int    // number of the site; 0 if there are none
+	Zone   string // name of the zone; empty: unknown, which may be any zone
+	Cell   string // name of the cell within the zone; empty: unknown, which may be any cell
 	Kind   int
 	Since  Seconds // time of its last start; 0: long ago
 	State  MemberState
@@ -303,9 +303,10 @@
 type (
 	// Send starts an attempt. Timeout 0 waits until the client gives up.
 	Send struct {
-		ID      uint64
-		Server  string
-		Timeout Seconds
+		ID        uint64
+		Server    string
+		Timeout   Seconds
+		Placement Placement // of the server, as it is now
 	}
 
 	// Cancel ends the wait for one attempt.
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -84,7 +84,7 @@
 	LateWorth float64  `toml:"late_worth"`
 	Repeat    string   `toml:"repeat"` // safe, keyed, unsafe
 	Window    Duration `toml:"window"` // keyed only: how long targets drop a repeated request
-	Group     string   `toml:"group"`  // keyed only: targets that drop each other's repeats: all, site or zone
+	Group     string   `toml:"group"`  // keyed only: targets that drop each other's repeats: all, site, zone or cell
 }
 
 // PlanSettings is one [[plan]].
@@ -102,7 +102,8 @@
 type TargetSettings struct {
 	ID      string `toml:"id"`
 	Address string `toml:"address"`
-	Zone    int    `toml:"zone"`
+	Zone    *int   `toml:"zone"` // absent: unknown
+	Cell    *int   `toml:"cell"` // within its zone; absent: unknown
 	Site    string `toml:"site"`
 }
 
@@ -215,6 +216,11 @@
 	o.Module.Site, o.Module.Sites = o.SitesModule.Own, len(o.Sites)
 }
 
+// operatorGroups are the groups that an operator's file may name.
+var operatorGroups = map[string]control.Group{
+	"": control.GroupAll, "all": control.GroupAll, "site": control.GroupSite, "zone": control.GroupZone, "cell": control.GroupCell,
+}
+
 // LoadOperator reads and checks an operator's file. The error lists every fault.
 func LoadOperator(path string) (*Operator, error) {
 	o := defaultOperator()
@@ -305,7 +311,6 @@
 func (o *Operator) checkClasses(faults *Faults, unique func(kind, name string)) {
 	require := faults.Require
 	require(len(o.Classes) > 0, "there is no [[class]]")
-	groups := map[string]control.Group{"": control.GroupAll, "all": control.GroupAll, "site": control.GroupSite, "zone": control.GroupZone}
 	repeats := map[string]control.Repeat{"safe": control.Safe, "keyed": control.Keyed, "unsafe": control.Unsafe}
 	for _, c := range o.Classes {
 		unique("class", c.Name)
@@ -315,8 +320,8 @@
 			"class %s: aim must be above 0 and deadline no shorter", c.Name)
 		require(c.Worth > 0 && c.LateWorth >= 0 && c.LateWorth <= 1, "class %s: worth or late_worth is out of range", c.Name)
 		require(repeat != control.Keyed || c.Window.Duration > 0, "class %s: keyed needs a window", c.Name)
-		group, err := Lookup(groups, c.Group, "group")
-		require(err == nil, "class %s: group must be all, site or zone", c.Name)
+		group, err := Lookup(operatorGroups, c.Group, "group")
+		require(err == nil, "class %s: group must be all, site or zone, or cell", c.Name)
 		require(c.Group == "" || repeat == control.Keyed, "class %s: only a keyed class has a group", c.Name)
 		o.Module.Classes = append(o.Module.Classes, control.Class{
 			Aim: c.Aim.Seconds(), Deadline: c.Deadline.Seconds(), Worth: c.Worth, LateWorth: c.LateWorth,
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -90,7 +90,7 @@
 	Module         control.Settings
 	Classes        []string // class names, indexed by the module's class number
 	Plans          []string
-	Zones          []string
+	ZoneNumber     int     // of the gateway's own zone, in Areas; -1: not stated
 	MaxUnits       float64 // maximum units of one exchange; 0: not stated
 	ConnIdle       control.Seconds
 	ConnectTimeout control.Seconds
@@ -98,7 +98,7 @@
 
 // DecodeSettings decodes the settings object. Unknown keys are ignored.
 func DecodeSettings(raw []byte) (Settings, error) {
-	var out Settings
+	out := Settings{ZoneNumber: -1}
 	if !gjson.ValidBytes(raw) {
 		return out, errors.New("the settings are not JSON")
 	}
@@ -110,7 +110,7 @@
 	limits, rules := top.object("Limits"), top.object("Guarantees")
 	domain, prices, load := top.object("Domain"), top.object("Deductions"), top.object("LoadInfo")
 	s := control.Settings{
-		Ordinal: top.int("Ordinal"), Gateways: top.int("Balancers"), Zone: top.int("Zone"),
+		Ordinal: top.int("Ordinal"), Gateways: top.int("Balancers"),
 		Subscribe: lookupKey(top, discoverySubscribes, "Discovery", "discovery"),
 		LoadFrom:  lookupKey(load, loadSources, "Via", "load report source"),
 		Meter:     domain.num("MeterPeriod"),
@@ -137,8 +137,11 @@
 	for _, f := range load.get("Fields", gjson.JSON).Array() {
 		s.LoadFields = append(s.LoadFields, f.String())
 	}
-	for _, z := range top.get("Areas", gjson.JSON).Array() {
-		out.Zones = append(out.Zones, z.String())
+	if zone := top.get("Zone", gjson.Number); zone.Exists() {
+		out.ZoneNumber = int(zone.Int())
+		if areas := top.get("Areas", gjson.JSON).Array(); out.ZoneNumber >= 0 && out.ZoneNumber < len(areas) {
+			s.Zone = areas[out.ZoneNumber].String()
+		}
 	}
 	top.list("RequestClasses", func(c section) {
 		out.Classes = append(out.Classes, c.str("Name"))
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -21,11 +21,10 @@
 	Units         float64
 	Spread, First int
 	Repeat        bool
-	VerdictOnly   bool      // only the decision is wanted; nothing is sent to a target
-	Deadline      time.Time // the client waits for an answer until then
-	Pinned        bool      // a request with its key may have run at PinnedSite; no other site knows the key
-	PinnedSite    int
-	Payload       any // the request for egress to send; opaque to the core
+	VerdictOnly   bool        // only the decision is wanted; nothing is sent to a target
+	Deadline      time.Time   // the client waits for an answer until then
+	EarlierRun    *EarlierRun // an earlier request with its key may have run; nil: none, or all targets drop repeats
+	Payload       any         // the request for egress to send; opaque to the core
 
 	// BodyIncoming: the body is still being received and is forwarded as it arrives. ResponseTimeout is how long the
 	// client waits for an answer after the last byte of the body, and Deadline is the time until which the body may
@@ -40,6 +39,13 @@
 	BodyConsumed    func() bool
 }
 
+// EarlierRun says where an earlier exchange with the same key may have run. Only targets of that one's group drop a
+// repeat, and only for the class's window from SentAt on.
+type EarlierRun struct {
+	Placement control.Placement
+	SentAt    time.Time // no later than the earlier exchange was sent
+}
+
 // Kind is the way in which an exchange ended.
 type Kind int
 
@@ -55,12 +61,12 @@
 // Answer is the one final answer of an exchange.
 type Answer struct {
 	Kind        Kind
-	RetryAfter  time.Duration // of Refused: the wait advised to the client; 0: none
-	OverQuota   bool          // of Refused: the customer has no quota left
-	MayHaveRun  bool          // some attempt reached a target, or may have
-	AttemptsOut int           // in flight when the answer was given
-	RanAtSite   int           // the site of the first attempt that may have run
-	Reply       any           // of Served: the reply from egress
+	RetryAfter  time.Duration     // of Refused: the wait advised to the client; 0: none
+	OverQuota   bool              // of Refused: the customer has no quota left
+	MayHaveRun  bool              // some attempt reached a target, or may have
+	AttemptsOut int               // in flight when the answer was given
+	RanAt       control.Placement // of the target of the first attempt that may have run, when it was sent
+	Reply       any               // of Served: the reply from egress
 }
 
 // Attempt is one send of an exchange to an egress target. Its context ends when the attempt is no longer
@@ -170,8 +176,8 @@
 	receivedAt      time.Time
 	inFlight        int
 	mayHaveRun      bool
-	ranAtSite       int
-	mayHaveRunSince time.Time // when the first attempt that may have run was sent
+	ranAt           control.Placement // of the first attempt that may have run, or else of the latest
+	mayHaveRunSince time.Time         // when the first attempt that may have run was sent
 	overdueTimer    *time.Timer
 	overdue         bool // the deadline has passed while the body was still being forwarded
 }
@@ -314,8 +320,9 @@
 	select {
 	case c.mailbox <- exchangeOpened{h}:
 	default: // the mailbox is full: shed here, without waiting
-		c.countAnswer(x.Class, Refused, false)
-		return Answer{Kind: Refused, RetryAfter: c.retryAfter}
+		a := c.refusalBeforeSending(&x)
+		c.countAnswer(x.Class, a.Kind, false)
+		return a
 	}
 	select {
 	case a := <-h.answer:
@@ -329,9 +336,21 @@
 			return Answer{Kind: ClientGone, MayHaveRun: true}
 		}
 	case <-c.done:
-		c.countAnswer(x.Class, Refused, false)
-		return Answer{Kind: Refused, RetryAfter: c.retryAfter}
+		return c.answerAfterEnd(h)
+	}
+}
+
+// answerAfterEnd returns the answer to an exchange that the core did not answer before Run returned. Nothing writes to
+// h any more.
+func (c *Core) answerAfterEnd(h *heldExchange) Answer {
+	select {
+	case a := <-h.answer:
+		return a
+	default:
 	}
+	a := c.localAnswer(h)
+	c.countAnswer(h.Class, a.Kind, false)
+	return a
 }
 
 // RetryAfter is the wait advised to clients whose requests the core itself sheds; 0: none.
@@ -405,6 +424,15 @@
 	if !repeatable && (h.mayHaveRun || h.inFlight > 0) { // a refusal would tell the client that a retry is harmless
 		return Answer{Kind: Failed}
 	}
+	return c.refusalBeforeSending(&h.Exchange)
+}
+
+// refusalBeforeSending returns the answer to an exchange of which nothing was sent. One whose key may have run earlier
+// fails: a refusal would say that a retry is harmless anywhere.
+func (c *Core) refusalBeforeSending(x *Exchange) Answer {
+	if x.EarlierRun != nil {
+		return Answer{Kind: Failed}
+	}
 	return Answer{Kind: Refused, RetryAfter: c.retryAfter}
 }
 
@@ -556,7 +584,7 @@
 	h.id = c.lastID
 	remaining := time.Until(h.due())
 	if remaining <= 0 || c.shedding {
-		c.answer(h, Answer{Kind: Refused, RetryAfter: c.retryAfter})
+		c.answer(h, c.refusalBeforeSending(&h.Exchange))
 		return
 	}
 	c.held[h.id] = h
@@ -583,7 +611,7 @@
 	if s, ok := a.Reply.(Streamer); !ok || !s.Streaming() { // a streaming answer is counted at its end, by CountStreamed
 		c.countAnswer(h.Class, a.Kind, time.Since(h.receivedAt).Seconds() > c.classes[h.Class].Aim)
 	}
-	a.MayHaveRun, a.RanAtSite, a.AttemptsOut = h.mayHaveRun || h.inFlight > 0, h.ranAtSite, h.inFlight
+	a.MayHaveRun, a.RanAt, a.AttemptsOut = h.mayHaveRun || h.inFlight > 0, h.ranAt, h.inFlight
 	h.answer <- a
 	if h.overdueTimer != nil {
 		h.overdueTimer.Stop()
@@ -711,13 +739,9 @@
 	if c.sites != nil {
 		f, _ := c.sites.Sent(c.now(), a.Server, h.Class, h.verdict)
 		h.flights = append(h.flights, f)
-		if !h.mayHaveRun {
-			h.ranAtSite = max(0, f.Site)
-		}
 	}
-	var sendBefore time.Time
-	if class := c.classes[h.Class]; h.mayHaveRun && class.Repeat == control.Keyed { // targets know its key only until then
-		sendBefore = h.mayHaveRunSince.Add(duration(class.Window))
+	if !h.mayHaveRun {
+		h.ranAt = a.Placement
 	}
 	ended := func(o Outcome) attemptEnded {
 		return attemptEnded{h, attempt, a.Server, sentAt, time.Since(sentAt).Seconds(), o}
@@ -729,7 +753,7 @@
 	}
 	if !c.egress.Start(Attempt{
 		Ctx: ctx, AnswerCtx: answerCtx, Target: a.Server, Payload: h.Payload, Repeat: c.classes[h.Class].Repeat,
-		SendBefore: sendBefore, ExchangeDone: h.done,
+		SendBefore: c.windowEnd(h), ExchangeDone: h.done,
 		Report:     func(o Outcome) { c.post(ended(o)) },
 		OnBodySent: func() { c.post(bodySent{h}) }, ResponseTimeout: h.ResponseTimeout,
 	}) {
@@ -737,6 +761,22 @@
 	}
 }
 
+// windowEnd is the time until which targets know the key of an exchange that may have run; zero if it has none, or
+// nothing may have run.
+func (c *Core) windowEnd(h *heldExchange) time.Time {
+	class := c.classes[h.Class]
+	switch {
+	case class.Repeat != control.Keyed:
+		return time.Time{}
+	case h.EarlierRun != nil:
+		return h.EarlierRun.SentAt.Add(duration(class.Window))
+	case h.mayHaveRun:
+		return h.mayHaveRunSince.Add(duration(class.Window))
+	default:
+		return time.Time{}
+	}
+}
+
 // secondCopyAllowed reports whether a second attempt of an exchange may be in flight beside the first. It is the last
 // guard against running a request twice, independent of what control decided.
 func (c *Core) secondCopyAllowed(h *heldExchange) bool {
--- a/internal/core/sites.go
+++ b/internal/core/sites.go
@@ -12,11 +12,13 @@
 	if c.sites == nil || h.VerdictOnly {
 		return control.Reach{}
 	}
-	try := sites.Try{Class: h.Class, Elapsed: time.Since(h.receivedAt).Seconds(), Left: remaining.Seconds(),
-		Pinned: h.Pinned, PinnedSite: h.PinnedSite}
+	try := sites.Try{Class: h.Class, Elapsed: time.Since(h.receivedAt).Seconds(), Left: remaining.Seconds()}
 	class := &c.classes[h.Class]
-	if h.mayHaveRun && class.Repeat == control.Keyed && class.Group != control.GroupAll {
-		try.Pinned, try.PinnedSite = true, h.ranAtSite
+	switch {
+	case h.EarlierRun != nil:
+		try.Pinned, try.PinnedSite = true, h.EarlierRun.Placement.Site
+	case h.mayHaveRun && class.Repeat == control.Keyed && class.Group != control.GroupAll:
+		try.Pinned, try.PinnedSite = true, h.ranAt.Site
 	}
 	h.verdict = c.sites.Route(c.now(), try)
 	return h.verdict.Reach
--- a/internal/forwardauth/forwardauth.go
+++ b/internal/forwardauth/forwardauth.go
@@ -137,7 +137,8 @@
 		return
 	}
 	id := name + "\x00" + r.Header.Get(f.o.Identity.Account) + "\x00" + r.Header.Get("Idempotency-Key")
-	status, windowEnd, reply, ranAt := f.keys.begin(id, time.Now(), time.Duration(class.Window*float64(time.Second)))
+	window := time.Duration(class.Window * float64(time.Second))
+	status, firstSeen, reply, ranAt := f.keys.begin(id, time.Now(), window)
 	switch status {
 	case keyInFlight, keyExpired:
 		(&refusal{status: http.StatusConflict, retryAfter: time.Second,
@@ -156,11 +157,11 @@
 		w.Write(reply.Body)
 		return
 	}
-	if windowEnd.Before(x.Deadline) {
+	if windowEnd := firstSeen.Add(window); windowEnd.Before(x.Deadline) {
 		x.Deadline = windowEnd // after this, targets no longer drop a repeat
 	}
-	if status == keyRepeat && class.Group != control.GroupAll { // another site would run it a second time
-		x.Pinned, x.PinnedSite = true, ranAt
+	if status == keyRepeat && class.Group != control.GroupAll { // targets outside the group would run it a second time
+		x.EarlierRun = &core.EarlierRun{Placement: ranAt, SentAt: firstSeen}
 	}
 	outcome := core.Answer{Kind: core.ClientGone} // stands if the core is not reached: nothing can have run
 	defer func() { f.keys.end(id, time.Now(), outcome, status == keyRepeat) }()
--- a/internal/forwardauth/keys.go
+++ b/internal/forwardauth/keys.go
@@ -5,12 +5,13 @@
 	"sync"
 	"time"
 
+	"junctionring/control"
 	"junctionring/internal/core"
 	"junctionring/internal/egress"
 )
 
 const (
-	keyRetention  = time.Minute // after its last exchange a key is remembered, and not run again if in doubt
+	keyRetention  = time.Minute // after its last exchange a key is remembered at least, and not run again if in doubt
 	maxKeys       = 8192
 	maxReplayBody = 4 << 10 // bytes of a body that is kept for a repeat; a longer body is not replayed
 )
@@ -20,7 +21,7 @@
 	inFlight  bool // an exchange with the key is in progress
 	served    bool
 	firstSeen time.Time
-	ranAt     int // site where the request may have run
+	ranAt     control.Placement // where the request may have run first
 	expires   time.Time
 	reply     *egress.Reply // the response, if served and short enough
 }
@@ -43,10 +44,10 @@
 	keyGuardFull           // the maximum number of keys is reached
 )
 
-// begin registers an exchange with a key. After keyNew and keyRepeat, the caller must call end. windowEnd is the end of
-// the window in which targets drop a repeat.
+// begin registers an exchange with a key. After keyNew and keyRepeat, the caller must call end. Targets of the group of
+// ranAt drop a repeat for the window from firstSeen on.
 func (k *keyGuard) begin(key string, now time.Time, window time.Duration) (
-	status keyStatus, windowEnd time.Time, reply *egress.Reply, ranAt int,
+	status keyStatus, firstSeen time.Time, reply *egress.Reply, ranAt control.Placement,
 ) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -57,22 +58,21 @@
 	}
 	if s == nil {
 		if len(k.states) >= maxKeys && !k.evictExpired(now) {
-			return keyGuardFull, windowEnd, nil, 0
+			return keyGuardFull, now, nil, ranAt
 		}
 		k.states[key] = &keyState{inFlight: true, firstSeen: now}
-		return keyNew, now.Add(window), nil, 0
+		return keyNew, now, nil, ranAt
 	}
-	windowEnd = s.firstSeen.Add(window)
 	switch {
 	case s.inFlight:
-		return keyInFlight, windowEnd, nil, 0
+		return keyInFlight, s.firstSeen, nil, ranAt
 	case s.reply != nil:
-		return keyReplay, windowEnd, s.reply, 0
-	case s.served, now.After(windowEnd):
-		return keyExpired, windowEnd, nil, 0
+		return keyReplay, s.firstSeen, s.reply, ranAt
+	case s.served, now.After(s.firstSeen.Add(window)):
+		return keyExpired, s.firstSeen, nil, ranAt
 	}
 	s.inFlight = true
-	return keyRepeat, windowEnd, nil, s.ranAt
+	return keyRepeat, s.firstSeen, nil, s.ranAt
 }
 
 // inDoubt counts the keys of a class that may have run and may still be repeated within the window.
@@ -107,7 +107,7 @@
 	}
 	s.inFlight, s.expires = false, now.Add(keyRetention)
 	if a.MayHaveRun && !earlierInDoubt {
-		s.ranAt = a.RanAtSite
+		s.ranAt = a.RanAt
 	}
 	if a.Kind == core.Served {
 		s.served = true
--- a/internal/routetable/discovery.go
+++ b/internal/routetable/discovery.go
@@ -12,7 +12,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -54,8 +54,8 @@
 	"SERVING": control.Ready, "DRAINING": control.Draining, "DELETED": control.Removed,
 }
 
-// Decode parses a list in discovery's JSON format. A target's zone number is the index of its zone's name in zones.
-func Decode(raw []byte, zones []string) (core.Table, error) {
+// Decode parses a list in discovery's JSON format. The strings of the table do not keep the list's text in memory.
+func Decode(raw []byte) (core.Table, error) {
 	if !gjson.ValidBytes(raw) {
 		return core.Table{}, fmt.Errorf("discovery list is not valid JSON: %.80q", raw)
 	}
@@ -74,25 +74,37 @@
 			state = control.Draining
 		}
 		m := control.Member{
-			Server: e.Get("instanceId").String(), Weight: e.Get("weight").Float(), Zone: slices.Index(zones, e.Get("zone").String()),
-			Cell: int(e.Get("cell").Int()), Since: float64(e.Get("startedAtMs").Int()) / 1000, State: state,
+			Server: strings.Clone(e.Get("instanceId").String()), Weight: e.Get("weight").Float(), State: state,
+			Zone: identifier(e.Get("zone")), Cell: identifier(e.Get("cell")),
+			Since: float64(e.Get("startedAtMs").Int()) / 1000,
 		}
 		if m.Server == "" {
 			continue
 		}
-		t.Targets = append(t.Targets, core.Target{Member: m, Address: e.Get("hostPort").String()})
+		t.Targets = append(t.Targets, core.Target{Member: m, Address: strings.Clone(e.Get("hostPort").String())})
 	}
 	return t, nil
 }
 
+// identifier returns the name or number of a zone or cell, or the empty string if the entry does not state one.
+func identifier(value gjson.Result) string {
+	switch value.Type {
+	case gjson.String:
+		return strings.Clone(value.Str)
+	case gjson.Number:
+		return strings.Clone(value.Raw)
+	default:
+		return ""
+	}
+}
+
 // Discovery watches the list of egress targets that the platform's discovery agent serves.
 type Discovery struct {
 	Address        string
-	From           int64         // version of the list that the gateway holds
-	HasList        bool          // the gateway holds a list, so its first call can be delayed
-	Gateways       int           // that ask the same discovery; 0: the gateway asks its own agent, which costs nothing
-	AskEvery       time.Duration // after so long without watch or call it is assumed to know all; 0: no such rule
-	Zones          []string
+	From           int64          // version of the list that the gateway holds
+	HasList        bool           // the gateway holds a list, so its first call can be delayed
+	Gateways       int            // that ask the same discovery; 0: the gateway asks its own agent, which costs nothing
+	AskEvery       time.Duration  // after so long without watch or call it is assumed to know all; 0: no such rule
 	Sites          map[string]int // the site of each zone; nil: there are no sites
 	AddressChanges <-chan string  // new addresses of the agent; may be nil
 	Publish        func(core.Table)
@@ -274,13 +286,13 @@
 		if err := decoder.Decode(&raw); err != nil {
 			return err
 		}
-		t, err := Decode(raw, d.Zones)
+		t, err := Decode(raw)
 		if err != nil {
 			return err
 		}
 		d.From = t.Version
 		if d.Sites != nil {
-			d.assignSites(raw, &t)
+			d.assignSites(&t)
 		}
 		d.publish(t)
 	}
@@ -333,17 +345,13 @@
 
 // assignSites sets each target's site from its zone. A target whose zone belongs to no site gets no requests, since its
 // location is unknown.
-func (d *Discovery) assignSites(raw []byte, t *core.Table) {
-	zones := map[string]string{}
-	for _, e := range gjson.GetBytes(raw, "instances").Array() {
-		zones[e.Get("instanceId").String()] = e.Get("zone").String()
-	}
+func (d *Discovery) assignSites(t *core.Table) {
 	for i := range t.Targets {
 		m := &t.Targets[i].Member
-		site, ok := d.Sites[zones[m.Server]]
+		site, ok := d.Sites[m.Zone]
 		if !ok && m.State == control.Ready {
 			d.Log.Error("target's zone belongs to no site, no requests are sent to it",
-				"target", m.Server, "zone", zones[m.Server])
+				"target", m.Server, "zone", m.Zone)
 			m.State = control.Draining
 		}
 		m.Site = site
--- a/internal/routetable/discovery_test.go
+++ b/internal/routetable/discovery_test.go
@@ -47,10 +47,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	d := &routetable.Discovery{Address: strings.TrimPrefix(agent.URL, "http://"), From: 41,
-		Zones: []string{"hall-a", "hall-b"}, Publish: func(t core.Table) { published <- t }, Log: slog.New(slog.DiscardHandler)}
+		Publish: func(t core.Table) { published <- t }, Log: slog.New(slog.DiscardHandler)}
 	go func() { d.Run(ctx); close(ended) }()
 	first := <-published // while the watch is still open
-	if m := first.Targets[0]; first.Kind != control.Snapshot || m.Server != "s-1" || m.Zone != 1 || m.Cell != 3 ||
+	if m := first.Targets[0]; first.Kind != control.Snapshot || m.Server != "s-1" || m.Zone != "hall-b" || m.Cell != "3" ||
 		m.Since != 1.5 || m.State != control.Ready || m.Address != "10.1.0.18:8000" {
 		t.Errorf("published %+v", first)
 	}
@@ -72,7 +72,7 @@
 func TestOddEntryDoesNotHideTheRest(t *testing.T) {
 	text := strings.Replace(listLine(7, true, "s-1", "RESTING"), `"instances":[`,
 		`"instances":[{"zone":"hall-a"},{"instanceId":"s-2","hostPort":"10.1.0.19:8000","lifecycle":"SERVING"},`, 1)
-	table, err := routetable.Decode([]byte(text), nil)
+	table, err := routetable.Decode([]byte(text))
 	if err != nil || len(table.Targets) != 2 {
 		t.Fatalf("decoded %+v, %v", table, err)
 	}
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -205,6 +205,7 @@
 	if err != nil {
 		return fmt.Errorf("%s: %w", f.name, err)
 	}
+	s.Module.Zone = identifier(&s.ZoneNumber)
 	g, err := control.New(s.Module, seed)
 	if err != nil {
 		return fmt.Errorf("%s: %w", f.name, err)
@@ -222,17 +223,19 @@
 	for _, row := range rows {
 		e := &fields{name: "Inventory", values: row}
 		var m control.Member
+		var zone, cell *int
 		var state string
 		e.read(&m.Weight, "Rating")
 		e.require(&m.Server, "Worker")
-		e.read(&m.Cell, "Bay")
+		e.read(&cell, "Bay")
 		e.read(&m.Since, "Since")
-		e.read(&m.Zone, "RegionPart")
+		e.read(&zone, "RegionPart")
 		e.read(&m.Kind, "Flavor")
 		e.require(&state, "Condition")
 		if e.err != nil {
 			return e.err
 		}
+		m.Zone, m.Cell = identifier(zone), identifier(cell)
 		var err error
 		if m.State, err = config.Lookup(memberStates, state, "condition"); err != nil {
 			return fmt.Errorf("%s: %w", f.name, err)
@@ -243,6 +246,14 @@
 	return f.err
 }
 
+// identifier names a zone or cell, which the wire only numbers; empty for none.
+func identifier(number *int) string {
+	if number == nil || *number < 0 {
+		return ""
+	}
+	return strconv.Itoa(*number)
+}
+
 // event decodes the rest of a message into an event for the decision module.
 func (h *host) event(f *fields) (control.Event, error) {
 	var ev control.Event
