A client's own repeat of a key in doubt stays in the group where it may have run

What callers saw: a move in doubt (group "zone") is answered 502; its client sends it again with the same key within the window, and it runs in another hall. With a window of more than a minute the guard had forgotten the key before the window's end.

Cause: the guard of keys kept the site alone, by which the core chose sites; control knew nothing of the earlier exchange, also where the link to that site was down and the near site was named instead.

Change: the core says where the first attempt that may have run was sent, the guard keeps that placement, and a repeat carries it to control, which holds it to group and window and fails it in place of a refusal. A key is remembered to the end of its window at least.

--- a/cmd/junctionring/zone_test.go
+++ b/cmd/junctionring/zone_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -55,6 +56,13 @@
 	}
 }
 
+// serversOf is which servers a key has reached, in order.
+func (h *hallServers) serversOf(key string) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.reached[key])
+}
+
 // crossed returns what reached servers of more than one hall, and how many moves were sent on to another server.
 func (h *hallServers) crossed(known bool) (crossed []string, sentOn int) {
 	h.mu.Lock()
@@ -160,6 +168,31 @@
 	}
 }
 
+// Guards against a client's own repeat of a move in doubt that runs in another hall than the first.
+func TestRepeatOfAKeyInDoubtStaysInItsHall(t *testing.T) {
+	h, targets := newHallServers(t, []string{"hall-a", "hall-b"}, func(id, address, hall string) string {
+		return fmt.Sprintf("{id = %q, address = %q, zone = %d}", id, address, strings.Index("ab", hall[len("hall-"):]))
+	})
+	text := fmt.Sprintf(operatorText, newStore(t).Addr(), "", "zone", "target = ["+strings.Join(targets, ", ")+"]")
+	_, address := start(t, "--operator", write(t, "operator.toml", text))
+	const keys, repeats, answered = 12, 6, 8
+	for key := range keys {
+		for i := range repeats {
+			name := fmt.Sprint(alwaysPrefix, key)
+			status := <-ask(t, "http://"+address+"/move-submit/1", name, "X-Auth-Account", "ayumi", "X-Auth-Plan", "club")
+			if reached := h.serversOf(name); len(reached) > 0 && status != http.StatusBadGateway {
+				t.Errorf("key %d, repeat %d: answered %d, and may have run: %v", key, i, status, reached)
+			}
+			for n := range answered { // so that no server is ejected
+				<-ask(t, "http://"+address+"/move-submit/1", fmt.Sprintf("k%d-%d-%d", key, i, n), "X-Auth-Account", "ayumi", "X-Auth-Plan", "club")
+			}
+		}
+	}
+	if crossed, sentOn := h.crossed(true); len(crossed) > 0 || sentOn == 0 {
+		t.Errorf("%d moves reached two halls, %d were sent to a second server: %v", len(crossed), sentOn, crossed)
+	}
+}
+
 // sendMoves sends moves, some at once, until each hall has run enough.
 func (h *hallServers) sendMoves(url string, headers []string) {
 	const batches, batch, leastPerHall, lostOneIn = 40, 8, 20, 3 // most are answered, so that no server is ejected
--- a/control/control.go
+++ b/control/control.go
@@ -892,7 +892,7 @@
 	}
 	if value <= 0 {
 		retryAfter := g.retryAfter((units - c.level) / max(c.plan.Rate, 1e-9))
-		g.emit(Refuse{ID: e.ID, RetryAfter: retryAfter, Over: true})
+		g.refuseNew(e, Refuse{ID: e.ID, RetryAfter: retryAfter, Over: true})
 		g.scheduleCall(c)
 		return
 	}
@@ -902,9 +902,13 @@
 		return
 	}
 	r := &request{id: e.ID, class: e.Class, customer: c, units: units, deadline: g.now + e.TimeLeft}
-	s := g.selectServer(r, e.Reach, value)
+	r.continueEarlierRun(e.EarlierRun)
+	var s *server
+	if g.inRepeatWindow(r) {
+		s = g.selectServer(r, e.Reach, value)
+	}
 	if s == nil {
-		g.emit(Refuse{ID: e.ID, RetryAfter: g.retryAfter(0)})
+		g.refuseNew(e, Refuse{ID: e.ID, RetryAfter: g.retryAfter(0)})
 		return
 	}
 	if g.requests[r.id] = r; e.BodyIncoming {
--- a/control/repeat.go
+++ b/control/repeat.go
@@ -32,6 +32,12 @@
 	}
 }
 
+// EarlierRun says where an earlier request with the same key may have run, and when it was sent.
+type EarlierRun struct {
+	Placement Placement
+	SentAt    Seconds
+}
+
 // placement is where a server stands now.
 func (s *server) placement() Placement {
 	m := &s.member
@@ -79,3 +85,21 @@
 	}
 	g.finish(r)
 }
+
+// continueEarlierRun makes r subject to the rules of a request that may have run at an earlier request's
+// server.
+func (r *request) continueEarlierRun(earlier *EarlierRun) {
+	if earlier != nil {
+		r.mayHaveRun, r.firstRunSentAt, r.firstRunAt = true, earlier.SentAt, earlier.Placement
+	}
+}
+
+// refuseNew refuses a request of which no attempt was sent. If an earlier request with its key may have
+// run, a refusal would say that a repeat is harmless anywhere: it fails instead.
+func (g *Gateway) refuseNew(e Request, refusal Refuse) {
+	if e.EarlierRun != nil {
+		g.emit(Fail{ID: e.ID})
+		return
+	}
+	g.emit(refusal)
+}
--- a/control/repeat_test.go
+++ b/control/repeat_test.go
@@ -84,11 +84,18 @@
 	m.handle(event)
 }
 
-// request sends a new keyed request.
+// request sends a new keyed request, at times as the repeat of an earlier one that may have run at a listed server.
 func (m *repeatModel) request() {
 	m.lastID++
 	r := &keyedRequest{id: m.lastID}
 	event := control.Request{ID: r.id, TimeLeft: 4, Units: 1, Reach: m.reach()}
+	if id := rapid.SampledFrom(repeatServers).Draw(m.t, "ran at"); rapid.Bool().Draw(m.t, "repeat") && m.class.Group != control.GroupAll {
+		s := m.list[id]
+		site := min(s.site, m.sites)
+		r.hasRun, r.ranAt, r.ranIn, r.ranSentAt = true, id, s, m.now-rapid.Float64Range(0, 3).Draw(m.t, "sent before")
+		event.EarlierRun = &control.EarlierRun{SentAt: r.ranSentAt,
+			Placement: control.Placement{Server: id, Since: s.since, Site: site, Zone: s.zone, Cell: s.cell}}
+	}
 	m.open[r.id] = r
 	m.handle(event)
 }
--- a/control/types.go
+++ b/control/types.go
@@ -187,6 +187,7 @@
 		Spread       int // number of gateways that this customer's requests may come through
 		First        int // number of the first of them
 		Repeat       bool
+		EarlierRun   *EarlierRun // an earlier request with its key may have run; nil: none has
 		Reach        Reach
 		VerdictOnly  bool // it is answered by Admit or Refuse, and nothing is sent
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -593,8 +593,12 @@
 	if h.BodyIncoming && h.AnswerDue == nil {
 		remaining = h.ResponseTimeout
 	}
+	var earlier *control.EarlierRun
+	if h.EarlierRun != nil {
+		earlier = &control.EarlierRun{Placement: h.EarlierRun.Placement, SentAt: c.now() - time.Since(h.EarlierRun.SentAt).Seconds()}
+	}
 	c.handleEvent(control.Request{
-		BodyIncoming: h.BodyIncoming, Reach: c.route(h, remaining),
+		EarlierRun: earlier, BodyIncoming: h.BodyIncoming, Reach: c.route(h, remaining),
 		ID: h.id, Class: h.Class, Plan: h.Plan, Customer: h.Customer, TimeLeft: remaining.Seconds(),
 		Units: h.Units, Spread: h.Spread, First: h.First, Repeat: h.Repeat, VerdictOnly: h.VerdictOnly,
 	})
--- a/internal/forwardauth/keys.go
+++ b/internal/forwardauth/keys.go
@@ -21,6 +21,7 @@
 	inFlight  bool // an exchange with the key is in progress
 	served    bool
 	firstSeen time.Time
+	window    time.Duration     // in which targets drop a repeat, from firstSeen on
 	ranAt     control.Placement // where the request may have run first
 	expires   time.Time
 	reply     *egress.Reply // the response, if served and short enough
@@ -60,7 +61,7 @@
 		if len(k.states) >= maxKeys && !k.evictExpired(now) {
 			return keyGuardFull, now, nil, ranAt
 		}
-		k.states[key] = &keyState{inFlight: true, firstSeen: now}
+		k.states[key] = &keyState{inFlight: true, firstSeen: now, window: window}
 		return keyNew, now, nil, ranAt
 	}
 	switch {
@@ -106,6 +107,9 @@
 		return
 	}
 	s.inFlight, s.expires = false, now.Add(keyRetention)
+	if windowEnd := s.firstSeen.Add(s.window); windowEnd.After(s.expires) { // targets of another group would run it again
+		s.expires = windowEnd
+	}
 	if a.MayHaveRun && !earlierInDoubt {
 		s.ranAt = a.RanAt
 	}
