Turn down an operator's file whose group nothing tells apart

What callers saw: nothing at first. A file with group = "zone" and targets without a zone, or group = "site" and no [[site]], was taken by check and serve; all targets counted as one group, and a move in doubt was sent on to any of them.

Cause: a target's zone was 0 where the file named none, and nothing compared the classes with what the file says of targets.

Change: such a file, and such a version, is turned down with what is missing. A version that names no site keeps those of the start. The lab's one-site files named no site: their table servers all know each other's keys, so they say group = "all".

--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -70,6 +70,8 @@
 		Listen string `toml:"listen"` // address of the operations endpoint; empty: disabled
 	} `toml:"operations"`
 
+	inheritsSites bool // a version that names no site keeps those that the gateway was started with
+
 	Module      control.Settings `toml:"-"` // settings of the control module, derived from this file
 	SitesModule sites.Settings   `toml:"-"` // settings of the sites module, if there are sites
 	RouteTable  *routes.Table    `toml:"-"` // the compiled routes; nil if there are none
@@ -221,6 +223,25 @@
 	"": control.GroupAll, "all": control.GroupAll, "site": control.GroupSite, "zone": control.GroupZone, "cell": control.GroupCell,
 }
 
+// checkGroups requires that something tells the groups of the keyed classes apart. With discovery, the registry's list
+// says in which zone and cell a target is.
+func (o *Operator) checkGroups(require func(ok bool, format string, args ...any)) {
+	for _, c := range o.Classes {
+		group := operatorGroups[c.Group]
+		if group == control.GroupSite {
+			require(len(o.Sites) > 0 || o.inheritsSites, "class %s: group = \"site\", but there is no [[site]]", c.Name)
+		}
+		if o.Discovery.Address != "" {
+			continue
+		}
+		for _, t := range o.Targets {
+			needsZone := group == control.GroupZone || group == control.GroupCell
+			require(!needsZone || t.Zone != nil, "class %s: group = %q, but target %q has no zone", c.Name, c.Group, t.ID)
+			require(group != control.GroupCell || t.Cell != nil, "class %s: group = %q, but target %q has no cell", c.Name, c.Group, t.ID)
+		}
+	}
+}
+
 // LoadOperator reads and checks an operator's file. The error lists every fault.
 func LoadOperator(path string) (*Operator, error) {
 	o := defaultOperator()
@@ -259,6 +280,7 @@
 	o.checkPlans(&faults, unique)
 	o.checkTargets(&faults, unique)
 	o.checkSites(faults.Require)
+	o.checkGroups(faults.Require)
 	o.checkRoutes(func(err error) { faults = append(faults, err) })
 	return faults
 }
--- a/internal/config/operator_test.go
+++ b/internal/config/operator_test.go
@@ -42,6 +42,46 @@
 	}
 }
 
+// Guards against a keyed class whose group nothing tells apart: all targets would count as one group, silently.
+func TestGroupThatNothingTellsApartIsNamed(t *testing.T) {
+	const file = `listen = "127.0.0.1:0"
+trusted_proxies = ["127.0.0.0/8"]
+redis = {address = "127.0.0.1:6379"}
+class = [{name = "move-submit", aim = "1s", deadline = "2s", worth = 6.0, repeat = "keyed", window = "4s", group = "GROUP"}]
+plan = [{name = "club", rate = 1.0, burst = 5.0, worth = 1.0}]
+`
+	for _, c := range []struct{ name, group, rest, want string }{
+		{"zone, no zone", "zone", `target = [{id = "t1", address = "127.0.0.1:9101"}]`, `class move-submit: group = "zone", but target "t1" has no zone`},
+		{"zone", "zone", `target = [{id = "t1", address = "127.0.0.1:9101", zone = 0}]`, ""},
+		{"cell, no cell", "cell", `target = [{id = "t1", address = "127.0.0.1:9101", zone = 0}]`, `class move-submit: group = "cell", but target "t1" has no cell`},
+		{"cell, no zone", "cell", `target = [{id = "t1", address = "127.0.0.1:9101", cell = 0}]`, `class move-submit: group = "cell", but target "t1" has no zone`},
+		{"cell", "cell", `target = [{id = "t1", address = "127.0.0.1:9101", zone = 1, cell = 0}]`, ""},
+		{"site, no site", "site", `target = [{id = "t1", address = "127.0.0.1:9101"}]`, `class move-submit: group = "site", but there is no [[site]]`},
+		{"site with discovery, no site", "site", `discovery = {address = "127.0.0.1:1"}`, `class move-submit: group = "site", but there is no [[site]]`},
+		{"zone with discovery", "zone", `discovery = {address = "127.0.0.1:1"}`, ""},
+		{"cell with discovery, targets named", "cell", "discovery = {address = \"127.0.0.1:1\"}\ntarget = [{id = \"t1\"}]", ""},
+		{"all", "all", `target = [{id = "t1", address = "127.0.0.1:9101"}]`, ""},
+	} {
+		_, err := load(t, strings.Replace(file, "GROUP", c.group, 1)+c.rest)
+		if c.want == "" && err != nil || c.want != "" && (err == nil || !strings.Contains(err.Error(), c.want)) {
+			t.Errorf("%s: %v, want %q", c.name, err, c.want)
+		}
+	}
+}
+
+// Guards against a version that names no site, as it keeps those of the start, and is turned down for its group.
+func TestVersionKeepsTheSitesOfItsGroup(t *testing.T) {
+	base, err := load(t, validOperatorFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, _, _ := strings.Cut(validOperatorFile, "site = [")
+	_, faults := ReadVersion([]byte(text+"asked = {path = \"/verify\"}\n"), base)
+	if len(faults) > 0 {
+		t.Error(faults)
+	}
+}
+
 func TestFaultsInSitesAreNamed(t *testing.T) {
 	for _, c := range []struct{ old, new, want string }{
 		{`site = "west"}`, `site = "north"}`, `target "t2": there is no site "north"`},
--- a/internal/config/version.go
+++ b/internal/config/version.go
@@ -42,6 +42,7 @@
 		copyValue(f.part(o), f.part(base))
 	}
 	o.Sites = nil // decoding writes into an existing slice, which must not be that of base
+	o.inheritsSites = len(base.Sites) > 0
 	faults := decodeAndCheck(o)
 	if o.Sites == nil {
 		o.Sites = base.Sites
--- a/internal/lab/churn.go
+++ b/internal/lab/churn.go
@@ -70,7 +70,7 @@
 func (w *World) document(number, plans int) string {
 	var b strings.Builder
 	b.WriteString("trusted_proxies = [\"127.0.0.0/8\"]\n")
-	writeClasses(&b)
+	writeClasses(&b, groupSite)
 	for i := range plans {
 		name := "club"
 		if i > 0 {
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -176,7 +176,7 @@
 			fmt.Fprintf(&b, "[[site]]\nname = %q\ndistance = %q\n", s, w.Layout.Link.Delay)
 		}
 	}
-	writeClasses(&b)
+	writeClasses(&b, groupSite)
 	b.WriteString(plans)
 	path := filepath.Join(w.Dir, fmt.Sprintf("gateway-%d.toml", ordinal))
 	if err := os.WriteFile(path, []byte(b.String()), 0o644); err != nil {
@@ -232,7 +232,7 @@
 func GatewayConfig(listen string, ordinal, all int, store, discovery string) string {
 	var b strings.Builder
 	writeHead(&b, listen, ordinal, all, store, discovery)
-	writeClasses(&b)
+	writeClasses(&b, groupAll)
 	b.WriteString(plans)
 	return b.String()
 }
@@ -258,12 +258,18 @@
 `, listen, ordinal, all, store, discovery)
 }
 
-// writeClasses writes the lab's classes in the operator's form.
-func writeClasses(b *strings.Builder) {
+// Groups of servers that drop each other's repeats of a move.
+const (
+	groupAll  = "all"
+	groupSite = "site"
+)
+
+// writeClasses writes the lab's classes in the operator's form, the keyed one with a group.
+func writeClasses(b *strings.Builder, group string) {
 	for _, c := range Classes {
 		fmt.Fprintf(b, "[[class]]\nname = %q\naim = %q\ndeadline = %q\nworth = %v\nlate_worth = 0.2\n", c.Name, c.Aim, c.Deadline, c.Worth)
 		if c.carriesMoveKey {
-			b.WriteString("repeat = \"keyed\"\nwindow = \"4s\"\ngroup = \"site\"\n")
+			fmt.Fprintf(b, "repeat = \"keyed\"\nwindow = \"4s\"\ngroup = %q\n", group)
 		} else {
 			b.WriteString("repeat = \"safe\"\n")
 		}
