An id whose client left while it may have run is refused when it comes again

What callers saw: a client leaves while its request runs; the same X-Request-ID comes again and runs a second time (each request, a client's retry included, has a new id).

Cause: the platform's front forgot an id as its handler ended, which is at once where the client has left.

What surely never ran may come again.

The other process of an upgrade does not know the id yet.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"sync"
+	"strings"
 	"time"
 
 	"junctionring/internal/core"
@@ -26,7 +26,7 @@
 // when it arrives.
 func PlatformLive(current func() *front.Names, c *core.Core, log *slog.Logger) http.Handler {
 	proxy := front.Proxy(&egress.RoundTripper{Core: c, RetryAfter: egress.DecimalSeconds}, log)
-	var openIDs sync.Map // request ids of the exchanges in progress
+	ids := newRequestIDs()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		received := time.Now()
 		if front.Chunked(r) {
@@ -42,16 +42,15 @@
 			front.Reject(w, r, err)
 			return
 		}
-		// Every request has a new id, so an id that is in use belongs to another client's request. Two attempts with
-		// the same id would count as two copies of that request.
-		id := r.Header.Get("X-Request-ID")
-		if _, inUse := openIDs.LoadOrStore(id, nil); inUse {
-			front.Reject(w, r, &front.RequestError{Status: http.StatusConflict, Text: "this X-Request-ID is in use"})
+		id := strings.Clone(r.Header.Get("X-Request-ID")) // without the rest of the head, as it may be kept for long
+		if !ids.begin(id, received) {
+			front.Reject(w, r, &front.RequestError{Status: http.StatusConflict, Text: "this X-Request-ID is in use or was used before"})
 			return
 		}
-		defer openIDs.Delete(id)
+		var answer core.Answer // none, and nothing has run, if the core is not reached
+		defer func() { ids.end(id, time.Now(), answer) }()
 		front.StartDeadline(&x, received, rest)
-		front.Forward(proxy, w, r, &x, body, rest, nil)
+		front.Forward(proxy, w, r, &x, body, rest, func(a core.Answer) { answer = a })
 	})
 }
 
