Close a target's connections at rest when the list tells of a new process

What callers saw: a table server's process is replaced by another at the same address, and the list says so; requests still go to the old one where it lives on with its connections open, or end in doubt where it is gone without a word.

Cause: connections belong to an id, and were closed as its address changed, not as its start did.

Change: a target's process is its address and its start, and a connection belongs to the process that it was opened to.

--- a/internal/egress/conn.go
+++ b/internal/egress/conn.go
@@ -50,7 +50,7 @@
 // attempts could be under way.
 type conn struct {
 	net.Conn
-	address        string
+	process        process          // that it was opened to
 	resetOnAbandon bool             // abandon resets the connection instead of closing it
 	readLimit      io.LimitedReader // bounds what is still read of the present answer: some never end
 	in             *bufio.Reader
@@ -74,8 +74,8 @@
 	gaveCommon  bool         // one of pastAnswers is common
 }
 
-func newConn(nc net.Conn, address string, stats *answerStats) *conn {
-	c := &conn{Conn: nc, address: address, readLimit: io.LimitedReader{R: nc}, lastUsed: time.Now(), stats: stats}
+func newConn(nc net.Conn, to process, stats *answerStats) *conn {
+	c := &conn{Conn: nc, process: to, readLimit: io.LimitedReader{R: nc}, lastUsed: time.Now(), stats: stats}
 	c.in = bufio.NewReaderSize(&c.readLimit, 4096)
 	return c
 }
--- a/internal/egress/crossed_answer_test.go
+++ b/internal/egress/crossed_answer_test.go
@@ -56,7 +56,7 @@
 func TestSecondAnswerIsNotGivenToTheNextRequest(t *testing.T) {
 	near, far := net.Pipe()
 	defer far.Close()
-	c := newConn(near, "pipe", &answerStats{})
+	c := newConn(near, process{address: "pipe"}, &answerStats{})
 	defer c.Close()
 	go duplicatingPeer(far, "of one", "of two")
 	if body, status, reuse := sendGet(t, c, "/one"); body != "of one" || status != control.OK || !reuse {
@@ -74,7 +74,7 @@
 // If the target closes the connection after the second answer, the next request has no answer of its own.
 func TestSecondAnswerBeforeTheEndIsAReset(t *testing.T) {
 	near, far := net.Pipe()
-	c := newConn(near, "pipe", &answerStats{})
+	c := newConn(near, process{address: "pipe"}, &answerStats{})
 	defer c.Close()
 	go func() {
 		defer far.Close()
@@ -107,7 +107,7 @@
 func TestSameRequestMayHaveTheSameAnswer(t *testing.T) {
 	near, far := net.Pipe()
 	defer far.Close()
-	c := newConn(near, "pipe", &answerStats{tracker: newAnswerTracker()})
+	c := newConn(near, process{address: "pipe"}, &answerStats{tracker: newAnswerTracker()})
 	defer c.Close()
 	go func() {
 		in := bufio.NewReader(far)
@@ -154,7 +154,7 @@
 func TestSecondRefusalIsNotGivenToTheNextRequest(t *testing.T) {
 	near, far := net.Pipe()
 	defer far.Close()
-	c := newConn(near, "pipe", &answerStats{})
+	c := newConn(near, process{address: "pipe"}, &answerStats{})
 	defer c.Close()
 	go func() {
 		const refusal = "HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
@@ -246,7 +246,7 @@
 func TestSecondEmptyAnswerIsNotGivenToTheNextRequest(t *testing.T) {
 	near, far := net.Pipe()
 	defer far.Close()
-	c := newConn(near, "pipe", &answerStats{})
+	c := newConn(near, process{address: "pipe"}, &answerStats{})
 	defer c.Close()
 	go duplicatingPeer(far, "", "of two")
 	if _, status, reuse := sendGet(t, c, "/one"); status != control.OK || !reuse {
--- a/internal/egress/dial.go
+++ b/internal/egress/dial.go
@@ -163,7 +163,7 @@
 func (t *target) startDial(o *opening) {
 	o.dials++
 	t.dialsInFlight++
-	go t.connect(o, t.address, o.deadline, t.overdueAfter())
+	go t.connect(o, t.process, o.deadline, t.overdueAfter())
 }
 
 // overdueAfter is the duration after which a dial is overdue.
@@ -172,15 +172,15 @@
 }
 
 // connect dials, in its own goroutine, and tells the actor when the dial is overdue and how it ended.
-func (t *target) connect(o *opening, address string, deadline time.Time, overdueAfter time.Duration) {
+func (t *target) connect(o *opening, to process, deadline time.Time, overdueAfter time.Duration) {
 	ctx, cancel := context.WithDeadline(t.ctx, deadline)
 	defer cancel()
 	started := time.Now()
 	timer := time.AfterFunc(overdueAfter, func() { t.post(dialOverdue{o}) })
 	defer timer.Stop()
 	var c *conn
-	if nc, err := t.connectWithResetRetry(ctx, address); err == nil {
-		c = newConn(nc, address, &t.stats)
+	if nc, err := t.connectWithResetRetry(ctx, to.address); err == nil {
+		c = newConn(nc, to, &t.stats)
 		c.resetOnAbandon = t.site.Abort
 	}
 	t.post(dialResult{o, c, time.Since(started)})
--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -78,7 +78,7 @@
 			f.targets[m.Server] = e
 			go e.run()
 		}
-		if r := (route{m.Address, m.State == control.Ready}); r != e.route {
+		if r := (route{process{m.Address, m.Since}, m.State == control.Ready}); r != e.route {
 			e.route = r
 			e.send(r)
 		}
--- a/internal/egress/fuzz_test.go
+++ b/internal/egress/fuzz_test.go
@@ -27,7 +27,7 @@
 		f.Add([]byte(text))
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
-		c := newConn(writtenConn{Reader: bytes.NewReader(text)}, "", &answerStats{})
+		c := newConn(writtenConn{Reader: bytes.NewReader(text)}, process{}, &answerStats{})
 		o, reuse := c.readAnswer("GET", []string{"q", "rif"})
 		if reply, ok := o.Reply.(*Reply); o.Status == control.OK && (!ok || reply.Status != 200 || len(reply.Body) > MaxBody) {
 			t.Errorf("served %+v", o)
--- a/internal/egress/reuse_test.go
+++ b/internal/egress/reuse_test.go
@@ -176,7 +176,7 @@
 			io.WriteString(far, withLength(body(r)))
 		}
 	}()
-	return newConn(near, "pipe", stats)
+	return newConn(near, process{address: "pipe"}, stats)
 }
 
 // Guards against an endless stream being held until its request's deadline because it begins as an earlier answer
@@ -214,7 +214,7 @@
 		http.ReadRequest(in)
 		io.WriteString(far, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\n\r\ndone")
 	}()
-	c := newConn(near, "pipe", sampledStats())
+	c := newConn(near, process{address: "pipe"}, sampledStats())
 	sendOn(t, c, getFrom(1, "/one"), faultDeadline)
 	o, _ := sendOn(t, c, getFrom(2, "/two"), faultDeadline)
 	if c.unsolicited {
@@ -282,7 +282,7 @@
 	for range maxIdle {
 		near, far := net.Pipe()
 		t.Cleanup(func() { near.Close(); far.Close() })
-		other := newConn(near, a.address, &a.stats)
+		other := newConn(near, a.process, &a.stats)
 		other.answered, other.lastUsed, other.pastAnswers = true, time.Now(),
 			[]pastAnswer{newPastAnswer([]byte("ok"), identity{})}
 		a.idle = append(a.idle, other)
--- a/internal/egress/target.go
+++ b/internal/egress/target.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"junctionring/control"
 	"junctionring/internal/socket"
 )
 
@@ -66,14 +67,20 @@
 		unsolicited     bool      // bytes came on it that no request had asked for
 	}
 	route struct {
-		address string
-		ready   bool
+		process
+		ready bool
 	}
 	reuseDue      struct{} // an idle connection's reuse delay may be over
 	closeAllIdle  struct{}
 	targetRemoved struct{} // the target left the route table
 )
 
+// process is what the route table tells of the process of a target. Another one may come up at the same address.
+type process struct {
+	address   string
+	startedAt control.Seconds
+}
+
 // target is the actor of one egress target: it owns the connections. Each attempt runs in its own goroutine, which
 // acquires a connection from the actor. The actor waits for nothing but its mailbox.
 type target struct {
@@ -83,7 +90,7 @@
 	stop    context.CancelFunc
 
 	removed         bool
-	address         string
+	process         process
 	ready           bool
 	idle            []*conn // the most recently used one last
 	waiting         []*connRequest
@@ -171,10 +178,10 @@
 		}
 		t.dial()
 	case route:
-		if t.address != m.address {
-			t.closeIdle(0)
+		if t.process != m.process {
+			t.closeIdle(0) // they lead to a process that is gone, or is another target's
 		}
-		t.address, t.ready = m.address, m.ready
+		t.process, t.ready = m.process, m.ready
 		if !t.ready {
 			t.failWaiting() // waiting requests must not go to a draining target
 			t.closeIdle(0)
@@ -310,7 +317,7 @@
 		t.closeIdleWhere((*conn).servesEqualOnly)
 	}
 	switch {
-	case !t.ready || c.address != t.address:
+	case !t.ready || c.process != t.process:
 	case len(t.idle) < maxIdle, t.hasWaiter(c):
 		t.idle = append(t.idle, c)
 		t.serveWaiting()
--- a/internal/egress/target_test.go
+++ b/internal/egress/target_test.go
@@ -86,7 +86,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	a = &target{
 		site:    &site{Options: Options{ConnectTimeout: 5 * time.Second, ConnIdle: time.Minute, Conns: 1}, permits: make(chan struct{}, 1)},
-		mailbox: make(chan any, mailboxSize), ctx: ctx, stop: cancel, ready: true, address: l.Addr().String(),
+		mailbox: make(chan any, mailboxSize), ctx: ctx, stop: cancel, ready: true, process: process{address: l.Addr().String()},
 	}
 	req := &connRequest{result: make(chan *conn, 1)}
 	a.handle(req)
@@ -191,7 +191,7 @@
 	for range a.permitsHeld {
 		a.site.permits <- struct{}{}
 	}
-	second = newConn(near, a.address, &a.stats)
+	second = newConn(near, a.process, &a.stats)
 	second.answered, second.lastUsed = true, first.lastUsed.Add(time.Millisecond)
 	a.idle = append(a.idle, second)
 	return a, first, second, far
--- a/internal/egress/upload_test.go
+++ b/internal/egress/upload_test.go
@@ -38,7 +38,7 @@
 	if far, err = l.Accept(); err != nil {
 		t.Fatal(err)
 	}
-	near = newConn(nc, l.Addr().String(), &answerStats{})
+	near = newConn(nc, process{address: l.Addr().String()}, &answerStats{})
 	t.Cleanup(func() {
 		near.Close()
 		far.Close()
--- a/internal/egress/used_connection_test.go
+++ b/internal/egress/used_connection_test.go
@@ -55,7 +55,7 @@
 		}
 		http.ReadRequest(in) // returns when the connection is closed
 	}()
-	return newConn(near, "pipe", stats)
+	return newConn(near, process{address: "pipe"}, stats)
 }
 
 // answering is a step that writes these answers, one after another.
@@ -373,7 +373,7 @@
 		<-passedOn
 		io.WriteString(far, "3\r\none\r\n0\r\n\r\n")
 	}()
-	c := newConn(near, "pipe", sampledStats())
+	c := newConn(near, process{address: "pipe"}, sampledStats())
 	_, reuse := sendOn(t, c, getFrom(1, "/one"), faultDeadline)
 	r := getFrom(2, "/two")
 	if !reuse || !mayCarry(c, r) {
