--- a/control/repeat.go
+++ b/control/repeat.go
@@ -32,6 +32,14 @@
 	}
 }
 
+// BoundToGroup reports whether a request of the class that may have run can be sent again only within
+// a group of servers.
+func (c *Class) BoundToGroup() bool { return c.Repeat == Keyed && c.Group != GroupAll }
+
+// RepeatIsHarmless reports whether a request of the class that may have run may be refused: its client
+// can send it again, and any server may get it.
+func (c *Class) RepeatIsHarmless() bool { return c.Repeat != Unsafe && !c.BoundToGroup() }
+
 // EarlierRun says where an earlier request with the same key may have run, and when it was sent.
 type EarlierRun struct {
 	Placement Placement
@@ -49,7 +57,7 @@
 func (g *Gateway) mayServe(r *request, s *server) bool {
 	class := &g.settings.Classes[r.class]
 	return !r.isInFlightAt(s) &&
-		(!r.mayHaveRun || class.Repeat != Keyed || class.Group.DropsRepeats(r.firstRunAt, s.placement()))
+		(!r.mayHaveRun || !class.BoundToGroup() || class.Group.DropsRepeats(r.firstRunAt, s.placement()))
 }
 
 // mayRetry reports whether another attempt of the request may follow one that ended with lastStatus.
@@ -78,7 +86,7 @@
 // else Fail.
 func (g *Gateway) giveUp(r *request) {
 	class := &g.settings.Classes[r.class]
-	if !r.mayHaveRun || class.Repeat == Safe || (class.Repeat == Keyed && class.Group == GroupAll) {
+	if !r.mayHaveRun || class.RepeatIsHarmless() {
 		g.emit(Refuse{ID: r.id, RetryAfter: g.retryAfter(0)})
 	} else {
 		g.emit(Fail{ID: r.id})
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -420,8 +420,7 @@
 // localAnswer returns the answer to an exchange that the core itself ends.
 func (c *Core) localAnswer(h *heldExchange) Answer {
 	class := c.classes[h.Class]
-	repeatable := class.Repeat == control.Safe || class.Repeat == control.Keyed && class.Group == control.GroupAll
-	if !repeatable && (h.mayHaveRun || h.inFlight > 0) { // a refusal would tell the client that a retry is harmless
+	if !class.RepeatIsHarmless() && (h.mayHaveRun || h.inFlight > 0) { // a refusal would tell the client that a retry is harmless
 		return Answer{Kind: Failed}
 	}
 	return c.refusalBeforeSending(&h.Exchange)
--- a/internal/core/sites.go
+++ b/internal/core/sites.go
@@ -17,7 +17,7 @@
 	switch {
 	case h.EarlierRun != nil:
 		try.Pinned, try.PinnedSite = true, h.EarlierRun.Placement.Site
-	case h.mayHaveRun && class.Repeat == control.Keyed && class.Group != control.GroupAll:
+	case h.mayHaveRun && class.BoundToGroup():
 		try.Pinned, try.PinnedSite = true, h.ranAt.Site
 	}
 	h.verdict = c.sites.Route(c.now(), try)
--- a/internal/forwardauth/forwardauth.go
+++ b/internal/forwardauth/forwardauth.go
@@ -160,7 +160,7 @@
 	if windowEnd := firstSeen.Add(window); windowEnd.Before(x.Deadline) {
 		x.Deadline = windowEnd // after this, targets no longer drop a repeat
 	}
-	if status == keyRepeat && class.Group != control.GroupAll { // targets outside the group would run it a second time
+	if status == keyRepeat && class.BoundToGroup() { // targets outside the group would run it a second time
 		x.EarlierRun = &core.EarlierRun{Placement: ranAt, SentAt: firstSeen}
 	}
 	outcome := core.Answer{Kind: core.ClientGone} // stands if the core is not reached: nothing can have run
