Lab of leases: a failed run shows the contenders' logs, and why one ended

TestNoTwoHoldersActThroughEveryFault failed once since a contender had ended, and only the coordinators' logs were printed: a contender whose ask fails ended without a word.

--- a/internal/lab/leases/leases_test.go
+++ b/internal/lab/leases/leases_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -34,9 +35,9 @@
 		r.Close()
 		if t.Failed() {
 			t.Log(strings.Join(r.Log, "\n"))
-			for _, p := range r.nodes {
+			for _, p := range slices.Concat(r.nodes, r.holders) {
 				text, _ := os.ReadFile(p.log)
-				t.Logf("%s:\n%s", p.Name, text)
+				t.Logf("%s, running %t:\n%s", p.Name, p.Running(), text)
 			}
 		}
 	})
--- a/internal/lab/leases/roles.go
+++ b/internal/lab/leases/roles.go
@@ -193,7 +193,10 @@
 		j.write(Event{What: "ask", Who: r.Name, Lease: name, At: now()})
 		l, err := c.Acquire(ctx, name)
 		if err != nil {
-			return nil // told to end while it waited; the close ends the ask
+			if ctx.Err() == nil { // otherwise it was told to end while it waited
+				log.Error("contender ends: it cannot ask for a lease", "lease", name, "err", err)
+			}
+			return nil
 		}
 		token, _, ok := l.Token()
 		if ok {
